fleet: add the tables, the fold and the clients of the platform

Cause: nothing runs yet; the safety of everything else rests on one fold that refuses what must not happen. No caller uses them yet. Conclusion: a base for the whole path.

--- /dev/null
+++ b/claim/book.go
@@ -0,0 +1,272 @@
+// SPDX-License-Identifier: MIT
+
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"rackstep.dev/feed"
+)
+
+// ErrNotClaimed means that the claim was not seen in the log in time, so the request was not dispatched by this entry.
+var ErrNotClaimed = errors.New("the claims log gave no verdict in time; the request did not run here, send it again with the same key")
+
+// Book is an entry's view of the claims log and its writer.
+type Book struct {
+	// Append adds one record to the claims log; it returns feed.ErrUnavailable when the record was not added.
+	Append func(ctx context.Context, data []byte) error
+	// Interval is the least time between two appends; 30ms when 0.
+	Interval time.Duration
+	// MaxBatch bounds the claims and completions of one append; 512 when 0.
+	MaxBatch int
+	// Clock returns the current time; time.Now when nil.
+	Clock func() time.Time
+
+	mu      sync.Mutex
+	tables  Tables
+	ready   bool
+	waiting map[string]*waiter
+	claims  []Claim
+	ends    []Completion
+	retryAt time.Time // after a failed append: when the next claim may try the log
+	since   int64     // claims with a NotAfter up to here may be missing from the tables
+}
+
+type waiter struct {
+	verdict chan Verdict
+	failed  chan error
+}
+
+// Defaults of a Book.
+const (
+	DefaultInterval = 30 * time.Millisecond
+	DefaultBatch    = 512
+	// RetryPause is how long claims are refused at once after an append that failed.
+	RetryPause = time.Second
+)
+
+func (b *Book) now() time.Time {
+	if b.Clock != nil {
+		return b.Clock()
+	}
+	return time.Now()
+}
+
+// StartAt says that the log was read from the offset on and that its first record there carries the time.
+//
+// Claims in records that the log has dropped can't be seen. A key whose NotAfter could be theirs is not claimed here.
+func (b *Book) StartAt(offset, first int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if offset > 0 {
+		b.since = first + MaxAhead.Milliseconds()
+	}
+}
+
+// SetReady says whether the book has read the log up to its end; until then every claim is refused.
+func (b *Book) SetReady(ready bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+// Len returns the number of claims kept.
+func (b *Book) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tables.Len()
+}
+
+// Claim asks the log for the key and waits for the verdict; it fails with ErrNotClaimed when none comes in time.
+//
+// After an error the caller must not dispatch the request.
+func (b *Book) Claim(ctx context.Context, c Claim) (Verdict, error) {
+	w, verdict, err := b.enqueue(c)
+	if w == nil {
+		return verdict, err
+	}
+	select {
+	case v := <-w.verdict:
+		return v, nil
+	case err := <-w.failed:
+		return Verdict{}, err
+	case <-ctx.Done():
+		return b.abandon(c, w, ctx.Err())
+	}
+}
+
+func (b *Book) enqueue(c Claim) (*waiter, Verdict, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v, ok := b.tables.Look(c); ok && v.Kind != Won {
+		return nil, v, nil
+	}
+	if err := b.refused(c); err != nil {
+		return nil, Verdict{}, err
+	}
+	if b.waiting == nil {
+		b.waiting = make(map[string]*waiter)
+	}
+	w := &waiter{verdict: make(chan Verdict, 1), failed: make(chan error, 1)}
+	b.waiting[c.Token] = w
+	b.claims = append(b.claims, c)
+	return w, Verdict{}, nil
+}
+
+// refused says why the claim can't be asked for now, or returns nil.
+func (b *Book) refused(c Claim) error {
+	now := b.now()
+	switch {
+	case !b.ready:
+		return fmt.Errorf("%w: the claims log has not been read to its end yet", ErrNotClaimed)
+	case c.NotAfter > now.Add(MaxAhead).UnixMilli():
+		return fmt.Errorf("%w: not-after is more than %s ahead", ErrNotClaimed, MaxAhead)
+	case c.NotAfter <= b.since:
+		return fmt.Errorf("%w: the log no longer keeps every claim that could carry this not-after", ErrNotClaimed)
+	case now.Before(b.retryAt):
+		return fmt.Errorf("%w: the log is not reachable", ErrNotClaimed)
+	}
+	if !b.retryAt.IsZero() {
+		b.retryAt = now.Add(RetryPause) // this claim tries the log for all
+	}
+	return nil
+}
+
+// abandon gives the claim up; a verdict that arrived at the same moment still counts.
+func (b *Book) abandon(c Claim, w *waiter, cause error) (Verdict, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case v := <-w.verdict:
+		if v.Kind != Won {
+			return v, nil
+		}
+		b.end(Completion{Key: c.Key, Token: c.Token})
+	default:
+	}
+	delete(b.waiting, c.Token)
+	return Verdict{}, fmt.Errorf("%w: %w", ErrNotClaimed, cause)
+}
+
+// Complete records the whole answer's status for a claim that this entry won.
+func (b *Book) Complete(c Claim, status int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(Completion{Key: c.Key, Token: c.Token, Status: status})
+}
+
+// Release gives a claim back that this entry won and has not dispatched and never will.
+func (b *Book) Release(c Claim) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(Completion{Key: c.Key, Token: c.Token})
+}
+
+// maxEnds bounds the completions that wait for the log while it is down; a lost one leaves its claim unknown.
+const maxEnds = 100_000
+
+func (b *Book) end(c Completion) {
+	if len(b.ends) < maxEnds {
+		b.ends = append(b.ends, c)
+	}
+}
+
+// Fold applies a record of the claims log; records come in the log's order, each once.
+func (b *Book) Fold(data []byte) error {
+	batch, err := DecodeBatch(data)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tables.Apply(batch, b.decided)
+	return nil
+}
+
+func (b *Book) decided(c Claim, v Verdict) {
+	if w := b.waiting[c.Token]; w != nil {
+		delete(b.waiting, c.Token)
+		w.verdict <- v
+	}
+}
+
+// Run appends what waits until the context ends and returns its error.
+func (b *Book) Run(ctx context.Context) error {
+	interval := b.Interval
+	if interval == 0 {
+		interval = DefaultInterval
+	}
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if !b.holding() {
+			b.flush(ctx)
+		}
+	}
+}
+
+// holding says that only completions wait and the log was not reachable a moment ago.
+func (b *Book) holding() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.claims) == 0 && b.now().Before(b.retryAt)
+}
+
+func (b *Book) flush(ctx context.Context) {
+	batch := b.take()
+	if len(batch.Claims) == 0 && len(batch.Completions) == 0 {
+		return
+	}
+	data, err := batch.Encode()
+	if err == nil {
+		err = b.Append(ctx, data)
+	}
+	b.appended(batch, err)
+}
+
+func (b *Book) take() Batch {
+	limit := b.MaxBatch
+	if limit == 0 {
+		limit = DefaultBatch
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	batch := Batch{Time: b.now().UnixMilli()}
+	n := min(limit, len(b.claims))
+	batch.Claims, b.claims = b.claims[:n:n], b.claims[n:]
+	m := min(limit, len(b.ends))
+	batch.Completions, b.ends = b.ends[:m:m], b.ends[m:]
+	return batch
+}
+
+// appended fails the waiters of a batch that is certainly not in the log and keeps its completions for later.
+func (b *Book) appended(batch Batch, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		b.retryAt = time.Time{}
+		return
+	}
+	b.retryAt = b.now().Add(RetryPause)
+	// A completion is harmless when it comes twice, so it is sent again.
+	b.ends = append(batch.Completions, b.ends...)
+	if !errors.Is(err, feed.ErrUnavailable) {
+		return // the batch may be in the log: its waiters wait for the verdict
+	}
+	for _, c := range append(batch.Claims, b.claims...) {
+		if w := b.waiting[c.Token]; w != nil {
+			delete(b.waiting, c.Token)
+			w.failed <- fmt.Errorf("%w: %w", ErrNotClaimed, err)
+		}
+	}
+	b.claims = nil
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+
+package event
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Number identifies a kind of event for good.
+type Number int
+
+// Numbers of all events.
+const (
+	EntryStarted         Number = 100
+	EntryReady           Number = 101
+	EntryStopping        Number = 102
+	EntryStopped         Number = 103
+	EntryJoined          Number = 104
+	EntryGone            Number = 105
+	PeerUp               Number = 110
+	PeerDown             Number = 111
+	LogUnreachable       Number = 200
+	LogReachable         Number = 201
+	LogTrimmed           Number = 202
+	CheckpointWritten    Number = 203
+	TablesFromPeer       Number = 204
+	TailFromPeer         Number = 205
+	RecordRefused        Number = 206
+	ClaimsUnreadable     Number = 207
+	ConfigurationInForce Number = 300
+	PlanProposed         Number = 400
+	PlanOrdered          Number = 401
+	StepAdvanced         Number = 402
+	StepHeld             Number = 403
+	PlanEnded            Number = 404
+	CommandSent          Number = 405
+	CommandUncertain     Number = 406
+	InstanceChanged      Number = 410
+	JobSubmitted         Number = 500
+	JobStarting          Number = 501
+	JobSettled           Number = 502
+	JobParked            Number = 503
+	WorkerQuarantined    Number = 504
+	TaskUncertain        Number = 505
+	RequestUnknown       Number = 600
+	TargetSick           Number = 601
+	TargetRecovered      Number = 602
+	PlatformUnreachable  Number = 700
+	PlatformReachable    Number = 701
+)
+
+// Kind describes one Number for the catalogue.
+type Kind struct {
+	Number Number
+	Name   string
+	// Meaning says what happened, Remedy what a person should do, if anything.
+	Meaning, Remedy string
+}
+
+// Catalogue returns every kind in the order of its number.
+func Catalogue() []Kind { return kinds[:] }
+
+const nothing = "nothing"
+
+var kinds = [...]Kind{
+	{EntryStarted, "entry-started", "The process has read its settings.", nothing},
+	{EntryReady, "entry-ready", "The entry has its tables and serves callers.", nothing},
+	{EntryStopping, "entry-stopping", "A planned stop has begun; the entry is no longer ready.", nothing},
+	{EntryStopped, "entry-stopped", "The last request has ended and the entry has left.", nothing},
+	{EntryJoined, "entry-joined", "The fold has admitted an entry; drains now wait for it.", nothing},
+	{EntryGone, "entry-gone", "An entry has left, or the platform no longer lists it.", nothing},
+	{PeerUp, "peer-up", "A link to another entry is open.", nothing},
+	{PeerDown, "peer-down", "A link to another entry has ended.", "If it stays, look at the network between the data centres."},
+	{LogUnreachable, "log-unreachable", "The platform's log does not answer this entry.", "If it lasts, see docs/operations/outages.md."},
+	{LogReachable, "log-reachable", "The platform's log answers again.", nothing},
+	{LogTrimmed, "log-trimmed", "The log has dropped records that this entry had not read.", "Nothing; the tables come from a checkpoint or a peer."},
+	{CheckpointWritten, "checkpoint-written", "This entry has carried the tables forward in the log.", nothing},
+	{TablesFromPeer, "tables-from-peer", "This entry took its tables from another entry.", nothing},
+	{TailFromPeer, "tail-from-peer", "This entry read records of the log from another entry.", nothing},
+	{RecordRefused, "record-refused", "The fold refused a record that this entry wrote.", "Nothing, unless an operator wrote it: the answer names the remedy."},
+	{ClaimsUnreadable, "claims-unreadable", "A record of the claims log could not be read.", "Upgrade this entry to the version that wrote it."},
+	{ConfigurationInForce, "configuration-in-force", "A new version of the configuration is in force at this entry.", nothing},
+	{PlanProposed, "plan-proposed", "A plan was made and waits for its confirmation.", "Confirm it or leave it."},
+	{PlanOrdered, "plan-ordered", "An operator has confirmed, paused, resumed or cancelled a plan.", nothing},
+	{StepAdvanced, "step-advanced", "A step of a plan has reached its next state.", nothing},
+	{StepHeld, "step-held", "A step of a plan can't go on yet; the text says what it waits for.", "If it lasts, do what the text says."},
+	{PlanEnded, "plan-ended", "A plan is done, or its cancellation is complete.", nothing},
+	{CommandSent, "command-sent", "The platform was asked to reboot or stop an instance.", nothing},
+	{CommandUncertain, "command-uncertain", "The platform gave no answer to a command; the entry asks again by its ID.", nothing},
+	{InstanceChanged, "instance-changed", "The platform reports an instance as new, down, up or leaving.", nothing},
+	{JobSubmitted, "job-submitted", "The fold has admitted a job.", nothing},
+	{JobStarting, "job-starting", "A job was given to an instance.", nothing},
+	{JobSettled, "job-settled", "The platform has said what became of an attempt of a job.", nothing},
+	{JobParked, "job-parked", "A job failed on several sound workers and is not started again.", "Correct the job and submit it under a new ID."},
+	{WorkerQuarantined, "worker-quarantined", "Several different jobs failed on an instance in a row; it gets no jobs.", "Maintain or replace the instance."},
+	{TaskUncertain, "task-uncertain", "The platform gave no answer about a task; the entry asks again by its ID.", nothing},
+	{RequestUnknown, "request-unknown", "A caller was told that the outcome of its request is unknown.", nothing},
+	{TargetSick, "target-sick", "A target fails what it gets; it is tried with single requests only.", "Look at the target."},
+	{TargetRecovered, "target-recovered", "A target that was sick answers again.", nothing},
+	{PlatformUnreachable, "platform-unreachable", "The instance list does not answer this entry.", "If it lasts, see docs/operations/outages.md."},
+	{PlatformReachable, "platform-reachable", "The instance list answers again.", nothing},
+}
+
+// Name returns the event's name, or its number for one that is not in the catalogue.
+func (n Number) Name() string {
+	for i := range kinds {
+		if kinds[i].Number == n {
+			return kinds[i].Name
+		}
+	}
+	return fmt.Sprint(int(n))
+}
+
+// Markdown returns the catalogue as the page docs/EVENTS.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEvery event has a number that never changes its meaning. This page is made from the table in package `event`;\n")
+	b.WriteString("`go run ./cmd/rackstep events > docs/EVENTS.md` writes it and a test compares it.\n\n")
+	b.WriteString("| number | name | what happened | what to do |\n|---|---|---|---|\n")
+	for _, k := range kinds {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", k.Number, k.Name, k.Meaning, k.Remedy)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/feed/log.go
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: MIT
+
+package feed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Errors of a Log.
+var (
+	// ErrUnavailable means that the log did not take the batch; it can be sent again.
+	ErrUnavailable = errors.New("log unavailable; the batch was not appended, try again later")
+	// ErrUncertain means that the batch may have been appended; look for its records before sending it again.
+	ErrUncertain = errors.New("log gave no answer; read on to see whether the batch was appended")
+)
+
+// TrimmedError says that the log no longer keeps the offset asked for.
+type TrimmedError struct {
+	// First is the oldest offset that the log keeps.
+	First int64
+}
+
+// Error returns the first offset kept and the remedy.
+func (e *TrimmedError) Error() string {
+	return fmt.Sprintf("log keeps records from offset %d on; take the tables from a peer", e.First)
+}
+
+// maxPage bounds the bytes of one answer that are read.
+const maxPage = 64 << 20
+
+// Log is one named log of the platform's service.
+type Log struct {
+	// URL is the service's base address.
+	URL  string
+	Name string
+	// Client sends the requests; http.DefaultClient when nil.
+	Client *http.Client
+	// Timeout bounds an append, and a read beyond its wait; 2s when 0.
+	Timeout time.Duration
+	// Clock learns the service's time from its answers; optional.
+	Clock *Clock
+}
+
+// Page is a run of consecutive records.
+type Page struct {
+	// First is the oldest offset kept, Next the offset after the newest record of the log.
+	First, Next int64
+	Records     []Entry
+}
+
+// Entry is one record with its place in the log.
+type Entry struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+func (l *Log) client() *http.Client {
+	if l.Client != nil {
+		return l.Client
+	}
+	return http.DefaultClient
+}
+
+func (l *Log) timeout() time.Duration {
+	if l.Timeout > 0 {
+		return l.Timeout
+	}
+	return 2 * time.Second
+}
+
+func (l *Log) address() string {
+	return l.URL + "/v1/logs/" + url.PathEscape(l.Name) + "/records"
+}
+
+// Append adds the records in one batch and returns the first one's offset, or ErrUnavailable or ErrUncertain.
+func (l *Log) Append(ctx context.Context, records [][]byte) (int64, error) {
+	body, err := json.Marshal(struct {
+		Records [][]byte `json:"records"`
+	}{records})
+	if err != nil {
+		return 0, fmt.Errorf("encode append: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.timeout())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.address(), bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("append to %s: %w", l.Name, err)
+	}
+	req.GetBody = nil // an append must not be sent twice behind our back
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := l.client().Do(req)
+	if err != nil {
+		return 0, appendError(err)
+	}
+	defer resp.Body.Close()
+	l.Clock.learn(resp.Header)
+	var answer struct {
+		Offset int64 `json:"offset"`
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<10)).Decode(&answer); err != nil {
+			return 0, fmt.Errorf("%w: %v", ErrUncertain, err)
+		}
+		return answer.Offset, nil
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		return 0, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
+	}
+	return 0, fmt.Errorf("%w: status %d", ErrUncertain, resp.StatusCode)
+}
+
+// appendError tells a connection that was never made from an answer that never came.
+func appendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %v", ErrUncertain, err)
+}
+
+// Read returns records from the offset on; it waits up to wait for the first one.
+func (l *Log) Read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+l.timeout())
+	defer cancel()
+	q := url.Values{"from": {strconv.FormatInt(from, 10)}, "wait": {wait.String()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.address()+"?"+q.Encode(), nil)
+	if err != nil {
+		return Page{}, fmt.Errorf("read %s: %w", l.Name, err)
+	}
+	resp, err := l.client().Do(req)
+	if err != nil {
+		return Page{}, fmt.Errorf("read %s: %w", l.Name, err)
+	}
+	defer resp.Body.Close()
+	l.Clock.learn(resp.Header)
+	var answer struct {
+		First   int64   `json:"first"`
+		Next    int64   `json:"next"`
+		Records []Entry `json:"records"`
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
+		return Page{}, fmt.Errorf("read %s: status %d", l.Name, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPage)).Decode(&answer); err != nil {
+		return Page{}, fmt.Errorf("read %s: %w", l.Name, err)
+	}
+	if resp.StatusCode == http.StatusGone {
+		return Page{}, &TrimmedError{First: answer.First}
+	}
+	return Page{First: answer.First, Next: answer.Next, Records: answer.Records}, nil
+}
--- /dev/null
+++ b/fleet/check.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+)
+
+// Problem is one fault of a configuration: where it is and what mends it.
+type Problem struct {
+	// Path names the faulty value as a JSON pointer (RFC 6901).
+	Path string
+	// Detail says what is wrong and what to write in its place.
+	Detail string
+}
+
+// String returns the path and the detail on one line.
+func (p Problem) String() string { return p.Path + ": " + p.Detail }
+
+// Check returns every problem of the configuration, none when it can be published.
+func (c *Configuration) Check() []Problem {
+	k := checker{c: c}
+	k.dataCentres()
+	k.pools()
+	k.services()
+	k.teams()
+	k.operators()
+	return k.problems
+}
+
+type checker struct {
+	c        *Configuration
+	problems []Problem
+}
+
+func (k *checker) add(path, format string, args ...any) {
+	k.problems = append(k.problems, Problem{Path: path, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (k *checker) dataCentres() {
+	if len(k.c.DataCentres) == 0 {
+		k.add("/data_centres", "is empty; name at least one data centre")
+	}
+	checkNames(k, "/data_centres", k.c.DataCentres, dataCentreName)
+}
+
+func (k *checker) pools() {
+	checkNames(k, "/pools", k.c.Pools, poolName)
+	owner := make(map[string]string)
+	for i, p := range k.c.Pools {
+		for j, m := range p.Members {
+			if other, ok := owner[m]; ok {
+				k.add(fmt.Sprintf("/pools/%d/members/%d", i, j), "instance %q is in pool %q already; keep it in one", m, other)
+			}
+			owner[m] = p.Name
+		}
+	}
+}
+
+func (k *checker) services() {
+	checkNames(k, "/services", k.c.Services, serviceName)
+	for i, s := range k.c.Services {
+		path := fmt.Sprintf("/services/%d", i)
+		if k.c.Pool(s.Pool) == nil {
+			k.add(path+"/pool", "pool %q is not declared; add it under pools or correct the name", s.Pool)
+		}
+		if len(s.DataCentres) == 0 {
+			k.add(path+"/data_centres", "is empty; name the data centres where the service may run")
+		}
+		for j, d := range s.DataCentres {
+			if k.c.DataCentre(d) == nil {
+				k.add(fmt.Sprintf("%s/data_centres/%d", path, j), "data centre %q is not declared; add it under data_centres", d)
+			}
+		}
+		k.limits(path, s)
+	}
+}
+
+func (k *checker) limits(path string, s Service) {
+	k.notNegative(path+"/min_available", s.MinAvailable)
+	k.notNegative(path+"/min_per_data_centre", s.MinPerDataCentre)
+	k.notNegative(path+"/slots", s.Slots)
+	k.notNegative(path+"/connections", s.Connections)
+	k.notNegative(path+"/queue", s.Queue)
+	k.notNegative(path+"/timeout", int(s.Timeout))
+	if s.ConnectionLimit() < s.SlotLimit() {
+		k.add(path+"/connections", "is below slots; each slot needs a connection")
+	}
+}
+
+func (k *checker) notNegative(path string, v int) {
+	if v < 0 {
+		k.add(path, "is below 0; write 0 for the default or a positive number")
+	}
+}
+
+func (k *checker) teams() {
+	checkNames(k, "/teams", k.c.Teams, teamName)
+	for i, t := range k.c.Teams {
+		path := fmt.Sprintf("/teams/%d", i)
+		k.tokenHash(path, t.TokenHash)
+		k.notNegative(path+"/share", t.Share)
+		k.notNegative(path+"/job_cores", t.JobCores)
+	}
+}
+
+func (k *checker) operators() {
+	checkNames(k, "/operators", k.c.Operators, operatorName)
+	if len(k.c.Operators) == 0 {
+		k.add("/operators", "is empty; name at least one operator, or nobody can publish again")
+	}
+	for i, o := range k.c.Operators {
+		k.tokenHash(fmt.Sprintf("/operators/%d", i), o.TokenHash)
+	}
+}
+
+func (k *checker) tokenHash(path, hash string) {
+	if b, err := hex.DecodeString(hash); err != nil || len(b) != 32 {
+		k.add(path+"/token_hash", "is not a SHA-256 in hexadecimal; make one with 'rackstep token'")
+	}
+}
+
+const maxName = 64
+
+func checkNames[R any](k *checker, path string, rows []R, of func(*R) string) {
+	var seen []string
+	for i := range rows {
+		name, at := of(&rows[i]), fmt.Sprintf("%s/%d/name", path, i)
+		switch {
+		case !validName(name):
+			k.add(at, "%q is not a name; use 1 to %d letters, digits, '.', '_' or '-'", name, maxName)
+		case slices.Contains(seen, name):
+			k.add(at, "%q stands twice; names are unique", name)
+		}
+		seen = append(seen, name)
+	}
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for _, r := range s {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '.', r == '_', r == '-':
+		default:
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/fleet/duration.go
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that reads and writes as text such as "1.5s".
+type Duration time.Duration
+
+// MarshalText returns the duration as time.Duration prints it; it never fails.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText parses text such as "300ms"; it fails on anything else.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration; write a number and a unit, as in \"300ms\" or \"2s\"", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Std returns d as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/fleet/plan.go
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import "time"
+
+// Intent is what an operator wants; exactly one kind of it.
+type Intent struct {
+	Kind IntentKind `json:"kind"`
+	// Rack is set for IntentEmptyRack.
+	Rack string `json:"rack,omitempty"`
+	// DataCentre is set for IntentEmptyDataCentre and narrows IntentEmptyRack.
+	DataCentre string `json:"data_centre,omitempty"`
+	// Pool is the pool to maintain, or the target of a move.
+	Pool string `json:"pool,omitempty"`
+	// Instances are set for IntentMove and IntentReplace.
+	Instances []string `json:"instances,omitempty"`
+	// NotSince limits IntentMaintain to instances that were last maintained before it.
+	NotSince time.Time `json:"not_since,omitzero"`
+}
+
+// IntentKind tells intents apart.
+type IntentKind string
+
+// Kinds of an Intent.
+const (
+	IntentEmptyRack       IntentKind = "empty-rack"        // maintain every instance of a rack
+	IntentEmptyDataCentre IntentKind = "empty-data-centre" // take a data centre out
+	IntentMaintain        IntentKind = "maintain"          // maintain a pool, or all pools
+	IntentMove            IntentKind = "move"              // move instances to a pool
+	IntentReplace         IntentKind = "replace"           // stop instances for good
+)
+
+// Action is what a step does to its instance once it is drained.
+type Action string
+
+// Actions of a Step.
+const (
+	ActionReboot Action = "reboot" // reboot and return to the same pool
+	ActionMove   Action = "move"   // release and assign to another pool
+	ActionStop   Action = "stop"   // stop for good
+)
+
+// PlanState is where a plan stands.
+type PlanState string
+
+// States of a Plan.
+const (
+	PlanProposed  PlanState = "proposed"
+	PlanRunning   PlanState = "running"
+	PlanPaused    PlanState = "paused"
+	PlanCancelled PlanState = "cancelled" // what was taken out is returned, acting steps end
+	PlanDone      PlanState = "done"
+)
+
+// StepState is where a step of a plan stands.
+type StepState string
+
+// States of a Step.
+const (
+	StepWaiting  StepState = "waiting"
+	StepDraining StepState = "draining"
+	StepDrained  StepState = "drained"
+	StepActing   StepState = "acting"
+	StepDone     StepState = "done"
+	StepReturned StepState = "returned" // cancelled before its action, back in service
+	StepSkipped  StepState = "skipped"  // cancelled before its take-out
+)
+
+// Ended says that the step changes no more.
+func (s StepState) Ended() bool {
+	return s == StepDone || s == StepReturned || s == StepSkipped
+}
+
+// Step is one instance's part of a plan.
+type Step struct {
+	Instance string
+	Wave     int
+	Action   Action
+	// From and To are pools; they are equal unless the action is a move.
+	From, To string
+	State    StepState
+}
+
+// Left is an instance that a plan could not include.
+type Left struct {
+	Instance string
+	Reason   string
+}
+
+// Estimate is what a plan is expected to cost, beside the bound that no plan can beat.
+type Estimate struct {
+	RollOut, RollOutBound time.Duration
+	Moves, MovesBound     int
+	// Buffer is the most instances that are out at once.
+	Buffer, BufferBound int
+}
+
+// Plan is the answer to an intent.
+type Plan struct {
+	ID     string
+	By     string
+	Intent Intent
+	// Base is the version of the configuration that the plan was made from.
+	Base     uint64
+	State    PlanState
+	Waves    int
+	Steps    []Step
+	Left     []Left
+	Estimate Estimate
+	// Ended is the offset at which the plan was done or cancelled, 0 before.
+	Ended int64
+}
+
+// Active says that the plan may still change instances.
+func (p *Plan) Active() bool {
+	switch p.State {
+	case PlanRunning, PlanPaused:
+		return true
+	case PlanCancelled:
+		return p.open()
+	}
+	return false
+}
+
+func (p *Plan) open() bool {
+	for i := range p.Steps {
+		if !p.Steps[i].State.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// Propose is the record that stores a plan so that any entry can confirm it.
+type Propose struct {
+	Plan Plan `cbor:"p"`
+}
+
+// Order is what an operator tells a plan to do.
+type Order string
+
+// Orders to a plan.
+const (
+	OrderConfirm Order = "confirm"
+	OrderPause   Order = "pause"
+	OrderResume  Order = "resume"
+	OrderCancel  Order = "cancel"
+)
+
+// Control is the record of an operator's order to a plan.
+type Control struct {
+	Plan  string `cbor:"p"`
+	Order Order  `cbor:"o"`
+}
+
+func (t *Tables) propose(by string, p Propose) *Refusal {
+	plan := p.Plan
+	if t.Plans.Get(plan.ID) != nil {
+		return refuse(ReasonDuplicate, "ask for a new plan", "plan %s is known", plan.ID)
+	}
+	plan.By = by
+	plan.State = PlanProposed
+	plan.Ended = 0
+	for i := range plan.Steps {
+		plan.Steps[i].State = StepWaiting
+	}
+	t.Plans.Put(plan.ID, plan)
+	t.prunePlans()
+	return nil
+}
+
+// prunePlans forgets the oldest plans that can change nothing any more.
+func (t *Tables) prunePlans() {
+	for t.Plans.Len() > maxFinishedPlans {
+		oldest := ""
+		for id, p := range t.Plans.All {
+			if !p.Active() {
+				oldest = id
+				break
+			}
+		}
+		if oldest == "" {
+			return
+		}
+		t.Plans.Delete(oldest)
+	}
+}
+
+func (t *Tables) control(c Control) *Refusal {
+	p := t.Plans.Get(c.Plan)
+	if p == nil {
+		return refuse(ReasonUnknown, "list the plans with 'rackstep plans'", "plan %s is not known", c.Plan)
+	}
+	switch c.Order {
+	case OrderConfirm:
+		return t.confirm(p)
+	case OrderPause:
+		return t.turn(p, PlanRunning, PlanPaused)
+	case OrderResume:
+		return t.turn(p, PlanPaused, PlanRunning)
+	case OrderCancel:
+		return t.cancelPlan(p)
+	}
+	return refuse(ReasonInvalid, "use confirm, pause, resume or cancel", "order %q is not known", c.Order)
+}
+
+func (t *Tables) turn(p *Plan, from, to PlanState) *Refusal {
+	if p.State != from {
+		return refuse(ReasonState, "look at 'rackstep status'", "plan %s is %s, not %s", p.ID, p.State, from)
+	}
+	p.State = to
+	return nil
+}
+
+func (t *Tables) confirm(p *Plan) *Refusal {
+	const remedy = "ask for a new plan and confirm that one"
+	if p.State != PlanProposed {
+		return refuse(ReasonState, "look at 'rackstep status'", "plan %s is %s already", p.ID, p.State)
+	}
+	if p.Base != t.Version {
+		return refuse(ReasonStale, remedy, "plan %s was made from version %d and version %d is in force", p.ID, p.Base, t.Version)
+	}
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		in := t.Instances.Get(s.Instance)
+		if in == nil || in.Pool != s.From {
+			return refuse(ReasonStale, remedy, "instance %s is no longer in pool %q", s.Instance, s.From)
+		}
+		if owner := t.planOf(s.Instance); owner != "" {
+			return refuse(ReasonOccupied, "wait for that plan or cancel it, then ask for a new plan",
+				"instance %s belongs to plan %s", s.Instance, owner)
+		}
+	}
+	p.State = PlanRunning
+	t.finish(p)
+	return nil
+}
+
+// planOf returns the active plan that has a step left for the instance, or an empty string.
+func (t *Tables) planOf(instance string) string {
+	for id, p := range t.Plans.All {
+		if !p.Active() {
+			continue
+		}
+		for i := range p.Steps {
+			if p.Steps[i].Instance == instance && !p.Steps[i].State.Ended() {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+func (t *Tables) cancelPlan(p *Plan) *Refusal {
+	if p.State == PlanDone || p.State == PlanCancelled {
+		return refuse(ReasonState, "nothing is to be done", "plan %s is %s already", p.ID, p.State)
+	}
+	p.State = PlanCancelled
+	for i := range p.Steps {
+		if p.Steps[i].State == StepWaiting {
+			p.Steps[i].State = StepSkipped
+		}
+	}
+	t.finish(p)
+	return nil
+}
+
+// finish marks the plan's end once no step is open.
+func (t *Tables) finish(p *Plan) {
+	if p.State == PlanProposed || p.open() {
+		return
+	}
+	if p.State != PlanCancelled {
+		p.State = PlanDone
+	}
+	p.Ended = t.Offset
+}
--- /dev/null
+++ b/fleet/table.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import "slices"
+
+// Table holds rows of one entity by ID, in an order that depends only on the operations applied.
+type Table[R any] struct {
+	ids   []string
+	rows  map[string]*R
+	dirty bool // ids has changed since it was last sorted
+}
+
+// Len returns the number of rows.
+func (t *Table[R]) Len() int { return len(t.rows) }
+
+// Get returns the row with the ID, or nil; the caller must not keep it across a Put or Delete.
+func (t *Table[R]) Get(id string) *R { return t.rows[id] }
+
+// Put stores the row under the ID and replaces the one that was there.
+func (t *Table[R]) Put(id string, row R) *R {
+	if t.rows == nil {
+		t.rows = make(map[string]*R)
+	}
+	if old := t.rows[id]; old != nil {
+		*old = row
+		return old
+	}
+	t.rows[id] = &row
+	t.ids = append(t.ids, id)
+	t.dirty = true
+	return &row
+}
+
+// Delete removes the row with the ID, if there is one.
+func (t *Table[R]) Delete(id string) {
+	if t.rows[id] == nil {
+		return
+	}
+	delete(t.rows, id)
+	t.ids = slices.DeleteFunc(t.ids, func(s string) bool { return s == id })
+}
+
+// All calls yield for each row in the order of the IDs until it returns false.
+func (t *Table[R]) All(yield func(id string, row *R) bool) {
+	if t.dirty {
+		slices.Sort(t.ids)
+		t.dirty = false
+	}
+	for _, id := range t.ids {
+		if !yield(id, t.rows[id]) {
+			return
+		}
+	}
+}
+
+// Rows returns copies of the rows in the order of their IDs.
+func (t *Table[R]) Rows() []R {
+	rows := make([]R, 0, t.Len())
+	for _, r := range t.All {
+		rows = append(rows, *r)
+	}
+	return rows
+}
