--- a/claim/book.go
+++ b/claim/book.go
@@ -47,6 +47,8 @@
 	DefaultBatch    = 512
 	// RetryPause is how long claims are refused at once after an append that failed.
 	RetryPause = time.Second
+	// clockSlack bounds how far two entries' readings of the platform's clock differ.
+	clockSlack = time.Minute
 )
 
 func (b *Book) now() time.Time {
@@ -56,15 +58,28 @@
 	return time.Now()
 }
 
-// StartAt says that the log was read from the offset on and that its first record there carries the time.
+// StartAt says that the log was read from the offset on, where this record stands.
 //
 // Claims in records that the log has dropped can't be seen. A key whose NotAfter could be theirs is not claimed here.
-func (b *Book) StartAt(offset, first int64) {
+func (b *Book) StartAt(offset int64, first []byte) {
+	if offset == 0 {
+		return
+	}
+	at := b.now().UnixMilli()
+	if batch, err := DecodeBatch(first); err == nil {
+		at = batch.Time
+	}
+	b.notBefore(at)
+}
+
+// Gap says that records were dropped before this entry read them.
+func (b *Book) Gap() { b.notBefore(b.now().UnixMilli()) }
+
+// notBefore refuses claims that could have been made before the time, in Unix milliseconds.
+func (b *Book) notBefore(at int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if offset > 0 {
-		b.since = first + MaxAhead.Milliseconds()
-	}
+	b.since = max(b.since, at+(MaxAhead+clockSlack).Milliseconds())
 }
 
 // SetReady says whether the book has read the log up to its end; until then every claim is refused.
--- /dev/null
+++ b/cmd/rackstep/main.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: MIT
+
+// Command rackstep is the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes; docs/operations/commands.md lists them.
+const (
+	exitFailed  = 1 // the entry refused, or a promise was broken in a trial
+	exitUsage   = 2 // the command line or a file is faulty
+	exitUnknown = 3 // the outcome is unknown; ask again with the ID
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	cmd := &cli.Command{
+		Name:  "rackstep",
+		Usage: "operate a rackstep site",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "entry", Usage: "operator `ADDRESS` of any entry, an IP address and a port", Sources: cli.EnvVars("RACKSTEP_ENTRY")},
+			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operator's token; RACKSTEP_TOKEN otherwise"},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "`FORMAT` of the answer: table or json", Value: "table"},
+		},
+		Commands:       commands(),
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := cmd.Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "rackstep:", err)
+	var exit cli.ExitCoder
+	if errors.As(err, &exit) {
+		os.Exit(exit.ExitCode())
+	}
+	os.Exit(exitUsage)
+}
+
+func commands() []*cli.Command {
+	return []*cli.Command{tryCommand()}
+}
--- /dev/null
+++ b/cmd/rackstep/try.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"rackstep.dev/internal/trial"
+)
+
+func tryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "try",
+		Usage: "run a whole site in this process and print what became of every request",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "sizes", Usage: "`SIZE` of the site: small, muscat or norrskalv", Value: "small"},
+			&cli.StringFlag{Name: "fault", Usage: "throw the fault `NAME` while the plan runs; 'list' lists them"},
+		},
+		Action: try,
+	}
+}
+
+func try(ctx context.Context, c *cli.Command) error {
+	spec, err := trial.Sizes(c.String("sizes"))
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
+	if c.String("fault") == "list" {
+		for _, f := range trial.Faults() {
+			fmt.Printf("%-18s %s\n", f.Name, f.Meaning)
+		}
+		return nil
+	}
+	fault, err := faultNamed(c.String("fault"))
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
+	r, err := trial.Run(ctx, trial.Options{Spec: spec, Fault: fault, Out: os.Stdout})
+	if err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	if len(r.Broken) > 0 {
+		return cli.Exit(fmt.Sprintf("%d promises were broken", len(r.Broken)), exitFailed)
+	}
+	return nil
+}
+
+func faultNamed(name string) (trial.Fault, error) {
+	if name == "" {
+		return trial.Fault{}, nil
+	}
+	var names []string
+	for _, f := range trial.Faults() {
+		if f.Name == name {
+			return f, nil
+		}
+		names = append(names, f.Name)
+	}
+	return trial.Fault{}, fmt.Errorf("fault %q is not known; use one of %s", name, strings.Join(names, ", "))
+}
--- /dev/null
+++ b/cmd/rackstepd/main.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+
+// Command rackstepd is one entry instance: it takes callers' requests, routes them to targets, and carries out operators' plans.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"rackstep.dev/config"
+	"rackstep.dev/entry"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cmd := &cli.Command{
+		Name:  "rackstepd",
+		Usage: "run one entry instance until SIGTERM, which is a planned stop",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: start,
+	}
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "rackstepd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func start(ctx context.Context, c *cli.Command) error {
+	s, problems, err := config.Load(c.String("config"))
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	if len(problems) > 0 {
+		return cli.Exit(fmt.Sprintf("%d problems in the settings", len(problems)), exitSettings)
+	}
+	if c.Bool("check") {
+		fmt.Println("settings are sound")
+		return nil
+	}
+	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "time", log.DefaultTimestampUTC)
+	e, err := entry.New(s, entry.Options{Logger: logger})
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/control/controller.go
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"rackstep.dev/claim"
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/fleet"
+	"rackstep.dev/peer"
+	"rackstep.dev/peer/peerpb"
+	"rackstep.dev/plan"
+	"rackstep.dev/platform"
+	"rackstep.dev/serve"
+)
+
+// Seed is a peer that the settings name.
+type Seed struct {
+	Entry, DataCentre, Address string
+}
+
+// Controller is the control side of one entry.
+type Controller struct {
+	// Self describes this entry.
+	Self fleet.Entry
+	// Seeds are peers to try before the tables name any.
+	Seeds []Seed
+	// Log is the fleet log, Claims the claims log.
+	Log, Claims *feed.Log
+	Platform    *platform.Client
+	Mesh        *peer.Mesh
+	Server      *serve.Server
+	Book        *claim.Book
+	Events      *event.Ring
+	Costs       plan.Costs
+	// Tick is the pause between two runs of the systems; 250ms when 0.
+	Tick time.Duration
+	// CheckpointEvery is the time between two checkpoints; 5m when 0.
+	CheckpointEvery time.Duration
+	// CheckpointRecords is the number of records after which a checkpoint is written early; 2000 when 0.
+	CheckpointRecords int64
+	// Clock returns the platform's time.
+	Clock func() time.Time
+
+	work chan func()
+	// ctx is the context of Run; everything below belongs to the control goroutine.
+	ctx      context.Context
+	tables   *fleet.Tables
+	boot     bootstrap
+	tail     tail
+	writer   writer
+	members  members
+	list     listing
+	commands commands
+	tasks    tasks
+	reach    reach
+	marks    checkpointing
+	// viewed says that the view in force was made from the tables as they are, with viewedWith.
+	viewed     bool
+	viewedWith membership
+}
+
+// Defaults of a Controller.
+const (
+	DefaultTick              = 250 * time.Millisecond
+	DefaultCheckpointEvery   = 5 * time.Minute
+	DefaultCheckpointRecords = 2000
+)
+
+// reach remembers whether the log answers, so that a change is one event.
+type reach struct {
+	log  bool
+	said bool
+}
+
+// ErrStopped means that control has stopped.
+var ErrStopped = errors.New("the entry is stopping; ask another entry")
+
+// Init prepares the controller; it must be called before Run and before any other method.
+func (c *Controller) Init() {
+	c.work = make(chan func(), 256)
+	c.writer.init(c)
+	c.members.byEntry = make(map[string]*member)
+	c.members.sent = make(map[string]map[string]uint64)
+	c.commands.init()
+	c.tasks.init()
+}
+
+// Run works until the context ends and returns its error.
+func (c *Controller) Run(ctx context.Context) error {
+	c.ctx = ctx
+	c.Events.Emit(event.EntryStarted, event.Subject{}, "data centre "+c.Self.DataCentre)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { c.follow(ctx) })
+	group.Go(func() { c.followClaims(ctx) })
+	group.Go(func() { c.followList(ctx) })
+	group.Go(func() { c.writer.run(ctx) })
+	return c.loop(ctx)
+}
+
+func (c *Controller) loop(ctx context.Context) error {
+	period := c.Tick
+	if period == 0 {
+		period = DefaultTick
+	}
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-c.work:
+			f()
+		case <-ticker.C:
+			c.tick()
+		}
+	}
+}
+
+// do runs f on the control goroutine and waits for it.
+func (c *Controller) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	if err := c.post(ctx, func() { f(); close(done) }); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// post runs f on the control goroutine some time later.
+func (c *Controller) post(ctx context.Context, f func()) error {
+	select {
+	case c.work <- f:
+		return nil
+	case <-ctx.Done():
+		return errors.Join(ErrStopped, ctx.Err())
+	}
+}
+
+// tick runs every system once.
+func (c *Controller) tick() {
+	now := time.Now()
+	c.writer.forget(now)
+	c.members.expire(now)
+	c.link()
+	if c.tables != nil {
+		c.observe()
+		c.admitEntries()
+		c.execute()
+		c.runJobs()
+		c.checkpoint(now)
+		c.publish()
+	}
+	c.gossip(now)
+}
+
+// leads says whether this entry does the duty now, among the entries of the data centre, or of all when it is empty.
+func (c *Controller) leads(duty, dataCentre string) bool {
+	if c.Server.Stopping() {
+		return false
+	}
+	return c.members.leader(c, duty, dataCentre) == c.Self.ID
+}
+
+// ServeStream answers one stream of a peer; it is the Mesh's Serve.
+func (c *Controller) ServeStream(ctx context.Context, from peer.Identity, open *peerpb.Open, s *peer.Stream) {
+	switch kind := open.Kind.(type) {
+	case *peerpb.Open_Relay:
+		c.Server.ServeRelay(ctx, kind.Relay, s)
+	case *peerpb.Open_Gossip:
+		_ = c.post(ctx, func() { c.members.merge(kind.Gossip, from.Entry, time.Now()) }) // a lost one comes again
+	case *peerpb.Open_CatchUp:
+		c.serveCatchUp(ctx, kind.CatchUp, s)
+	case *peerpb.Open_Events:
+		c.serveEvents(kind.Events, s)
+	}
+}
--- /dev/null
+++ b/control/jobs.go
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/fleet"
+	"rackstep.dev/place"
+	"rackstep.dev/platform"
+)
+
+// tasks remembers what this entry has asked the platform about running attempts.
+type tasks struct {
+	// asking are the attempts with a call under way, due is when the next call about each is to be made.
+	asking map[string]bool
+	due    map[string]time.Time
+	// since is when this entry first saw each attempt running, by its own clock.
+	since map[string]time.Time
+}
+
+func (m *tasks) init() {
+	m.asking = make(map[string]bool)
+	m.due = make(map[string]time.Time)
+	m.since = make(map[string]time.Time)
+}
+
+// Times and bounds of jobs.
+const (
+	taskLease   = time.Minute
+	taskPeriod  = 2 * time.Second
+	startsATick = 128
+	// learnedMargin is the factor by which declared run times are taken to be too short.
+	learnedMargin = 2.0
+)
+
+func attemptID(j *fleet.Job) string { return fmt.Sprintf("%s.%d", j.ID, j.Attempt) }
+
+// runJobs decides starts and follows what runs.
+func (c *Controller) runJobs() {
+	if c.leads("place", "") {
+		c.startJobs()
+	}
+	current := make(map[string]bool)
+	for _, j := range c.tables.Jobs.All {
+		if !j.State.Held() {
+			continue
+		}
+		id := attemptID(j)
+		current[id] = true
+		if in := c.tables.Instances.Get(j.Instance); in != nil && c.leads("tasks", in.DataCentre) {
+			c.followTask(id, *j, in.Down)
+		}
+	}
+	c.tasks.keep(current)
+}
+
+// keep forgets attempts that have ended.
+func (m *tasks) keep(current map[string]bool) {
+	for id := range m.due {
+		if !current[id] {
+			delete(m.due, id)
+			delete(m.since, id)
+		}
+	}
+}
+
+func (c *Controller) startJobs() {
+	starts, parks := place.Decide(c.tables, place.Options{Most: startsATick, Until: c.until(), Margin: learnedMargin})
+	for _, s := range starts {
+		c.write(fmt.Sprintf("start/%s/%d", s.Job, s.Attempt), fleet.Record{Start: &s})
+	}
+	for _, p := range parks {
+		c.write("park/"+p.Job, fleet.Record{Park: &p})
+	}
+}
+
+// until returns when an active plan is expected to take an instance out.
+func (c *Controller) until() func(string) (time.Duration, bool) {
+	turns := make(map[string]time.Duration)
+	for _, p := range c.tables.Plans.All {
+		if !p.Active() {
+			continue
+		}
+		first := -1
+		for i := range p.Steps {
+			s := &p.Steps[i]
+			if s.State != fleet.StepWaiting {
+				continue
+			}
+			if first < 0 {
+				first = s.Wave
+			}
+			turns[s.Instance] = time.Duration(s.Wave-first) * c.Costs.Time()
+		}
+	}
+	return func(id string) (time.Duration, bool) {
+		d, ok := turns[id]
+		return d, ok
+	}
+}
+
+// remaining returns how long the job is expected to run on, by its declared time and what this entry has seen of it.
+func (c *Controller) remaining(j *fleet.Job) (time.Duration, bool) {
+	since, ok := c.tasks.since[attemptID(j)]
+	if !ok || j.Spec.RunTime == 0 {
+		return 0, false
+	}
+	left := j.Spec.RunTime.Std() - time.Since(since)
+	if left < 0 {
+		return 0, false // the declared time was wrong: nothing is known
+	}
+	return left, true
+}
+
+// patience is how long a job about to end is waited for, by the weights of the site.
+func (c *Controller) patience() time.Duration { return c.Costs.Wait(c.tables.Configuration.Weights) }
+
+// followTask asks the platform about one attempt when that is due.
+func (c *Controller) followTask(id string, j fleet.Job, down bool) {
+	now := time.Now()
+	leaving := c.draining(j.Instance) && c.shouldLeave(&j)
+	if c.tasks.asking[id] || (now.Before(c.tasks.due[id]) && !leaving && j.State == fleet.JobRunning) {
+		return
+	}
+	c.tasks.asking[id] = true
+	c.tasks.due[id] = now.Add(taskPeriod)
+	go func() {
+		state, err := c.askTask(c.ctx, id, j, leaving, down)
+		_ = c.post(c.ctx, func() { c.taskSays(id, j, state, err) }) // it fails only when the entry stops
+	}()
+}
+
+func (c *Controller) draining(instance string) bool {
+	in := c.tables.Instances.Get(instance)
+	return in != nil && in.State == fleet.InstanceDraining
+}
+
+// shouldLeave says whether a job on a draining instance is moved rather than waited for.
+func (c *Controller) shouldLeave(j *fleet.Job) bool {
+	left, known := c.remaining(j)
+	return !known || left > c.patience()
+}
+
+func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (platform.TaskState, error) {
+	switch {
+	case j.State == fleet.JobCancelling || (down && j.State == fleet.JobStarting):
+		return c.Platform.StopTask(ctx, j.Instance, id)
+	case leaving && j.State == fleet.JobRunning:
+		return c.Platform.Checkpoint(ctx, j.Instance, id)
+	case down:
+		return c.Platform.Task(ctx, j.Instance, id)
+	}
+	return c.Platform.StartTask(ctx, j.Instance, id, platform.Task{
+		Cores: j.Spec.Cores, MemoryMB: j.Spec.MemoryMB, Command: j.Spec.Command, Continue: j.Checkpointed, Lease: taskLease,
+	})
+}
+
+// taskSays writes what the platform said when it differs from the tables.
+func (c *Controller) taskSays(id string, j fleet.Job, state platform.TaskState, err error) {
+	delete(c.tasks.asking, id)
+	if err != nil {
+		c.Events.Emit(event.TaskUncertain, event.Subject{Job: j.ID, Instance: j.Instance}, err.Error())
+		return
+	}
+	outcome, ok := outcomeOf(state)
+	if !ok {
+		return
+	}
+	if outcome == fleet.OutcomeRunning {
+		if _, seen := c.tasks.since[id]; !seen {
+			c.tasks.since[id] = time.Now()
+		}
+		if j.State != fleet.JobStarting {
+			return
+		}
+	}
+	s := fleet.Settle{Job: j.ID, Attempt: j.Attempt, Outcome: outcome}
+	c.write(fmt.Sprintf("settle/%s/%s", id, outcome), fleet.Record{Settle: &s})
+}
+
+func outcomeOf(s platform.TaskState) (fleet.Outcome, bool) {
+	switch s {
+	case platform.TaskRunning:
+		return fleet.OutcomeRunning, true
+	case platform.TaskDone:
+		return fleet.OutcomeDone, true
+	case platform.TaskFailed:
+		return fleet.OutcomeFailed, true
+	case platform.TaskStopped:
+		return fleet.OutcomeStopped, true
+	case platform.TaskCheckpointed:
+		return fleet.OutcomeCheckpointed, true
+	case platform.TaskVoid:
+		return fleet.OutcomeNotStarted, true
+	}
+	return "", false
+}
+
+// SubmitJob is serve.Jobs' Submit.
+func (c *Controller) SubmitJob(ctx context.Context, team string, spec fleet.JobSpec) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTime)
+	defer cancel()
+	_, err := c.Publish(ctx, team, fleet.Record{Submit: &fleet.Submit{Team: team, Spec: spec}})
+	return err
+}
+
+// CancelJob is serve.Jobs' Cancel.
+func (c *Controller) CancelJob(ctx context.Context, team, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTime)
+	defer cancel()
+	_, err := c.Publish(ctx, team, fleet.Record{Cancel: &fleet.Cancel{Job: id, Team: team}})
+	return err
+}
+
+// GetJob is serve.Jobs' Get.
+func (c *Controller) GetJob(team, id string) (job fleet.Job, ok bool) {
+	_ = c.do(c.ctx, func() { // it fails only when the entry stops
+		if c.tables == nil {
+			return
+		}
+		if j := c.tables.Jobs.Get(id); j != nil && j.Team == team {
+			job, ok = *j, true
+		}
+	})
+	return job, ok
+}
+
+// publishTime bounds the wait for a record's outcome.
+const publishTime = 10 * time.Second
--- /dev/null
+++ b/control/observe.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/fleet"
+	"rackstep.dev/platform"
+)
+
+// listing is the latest answer of the platform's instance list.
+type listing struct {
+	rows map[string]platform.Listed
+	// seen are the lives of entries that the list has shown; unseen is since when it has not shown a joined one.
+	seen   map[life]bool
+	unseen map[life]time.Time
+	// changes counts the answers that differed in what concerns routing.
+	changes uint64
+	ok      bool
+	said    bool
+}
+
+// life is one run of an entry instance.
+type life struct{ entry, boot string }
+
+// listPeriod is the time between two reads of the instance list.
+const listPeriod = time.Second
+
+// gone says that the list shows the instance as leaving or no longer shows it; it may be ahead of the tables.
+func (l *listing) gone(id string) bool {
+	if l.rows == nil {
+		return false
+	}
+	row, ok := l.rows[id]
+	return !ok || row.Leaving
+}
+
+func (c *Controller) followList(ctx context.Context) {
+	for ctx.Err() == nil {
+		rows, err := c.Platform.Instances(ctx)
+		_ = c.post(ctx, func() { c.listed(rows, err) }) // it fails only when the entry stops
+		sleep(ctx, listPeriod)
+	}
+}
+
+func (c *Controller) listed(rows []platform.Listed, err error) {
+	c.listReached(err == nil)
+	if err != nil {
+		return // an old list is better than none: it says nothing of instances that came or went since
+	}
+	fresh := make(map[string]platform.Listed, len(rows))
+	for _, r := range rows {
+		fresh[r.ID] = r
+	}
+	if c.list.differs(fresh) {
+		c.list.changes++
+	}
+	c.list.rows = fresh
+	if c.list.seen == nil {
+		c.list.seen = make(map[life]bool)
+		c.list.unseen = make(map[life]time.Time)
+	}
+	for _, r := range rows {
+		if r.Role == platform.RoleEntry {
+			c.list.seen[life{r.ID, r.Boot}] = true
+		}
+	}
+}
+
+func (l *listing) differs(fresh map[string]platform.Listed) bool {
+	if len(l.rows) != len(fresh) {
+		return true
+	}
+	for id, r := range fresh {
+		if old, ok := l.rows[id]; !ok || old.Leaving != r.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) listReached(ok bool) {
+	if c.list.said && c.list.ok == ok {
+		return
+	}
+	c.list.ok, c.list.said = ok, true
+	n := event.PlatformUnreachable
+	if ok {
+		n = event.PlatformReachable
+	}
+	c.Events.Emit(n, event.Subject{}, "")
+}
+
+// maxObservations bounds the rows of one record.
+const maxObservations = 200
+
+// observe writes the rows of the list that the tables do not have yet, for the data centres that this entry watches.
+func (c *Controller) observe() {
+	if !c.list.ok {
+		return
+	}
+	var changed []fleet.Observation
+	leads := make(map[string]bool)
+	watch := func(dataCentre string) bool {
+		l, ok := leads[dataCentre]
+		if !ok {
+			l = c.leads("observe", dataCentre)
+			leads[dataCentre] = l
+		}
+		return l
+	}
+	for id, r := range c.list.rows {
+		ob := fleet.Observation{ID: id, DataCentre: r.DataCentre, Rack: r.Rack, Address: r.Address, Cores: r.Cores, MemoryMB: r.MemoryMB, Leaving: r.Leaving}
+		if r.Role == platform.RoleWorker && watch(r.DataCentre) && ob.Differs(c.tables.Instances.Get(id)) {
+			changed = append(changed, ob)
+		}
+	}
+	for id, in := range c.tables.Instances.All {
+		if _, ok := c.list.rows[id]; !ok && watch(in.DataCentre) {
+			if ob := (fleet.Observation{ID: id, Down: true}); ob.Differs(in) {
+				changed = append(changed, ob)
+			}
+		}
+	}
+	c.writeObservations(changed)
+}
+
+func (c *Controller) writeObservations(changed []fleet.Observation) {
+	sortBy(changed, func(o fleet.Observation) string { return o.ID })
+	for len(changed) > 0 {
+		n := min(len(changed), maxObservations)
+		c.write("observe/"+changed[0].ID, fleet.Record{Observe: &fleet.Observe{Instances: changed[:n:n]}})
+		changed = changed[n:]
+	}
+}
+
+// unlistedAfter is how long the list may lag behind a new entry.
+const unlistedAfter = time.Minute
+
+// admitEntries joins this entry and removes those that the platform no longer runs.
+func (c *Controller) admitEntries() {
+	if c.Server.Stopping() {
+		return
+	}
+	e := c.tables.Entries.Get(c.Self.ID)
+	if (e == nil || e.Boot != c.Self.Boot) && !c.over(life{c.Self.ID, c.Self.Boot}) {
+		c.write("join", fleet.Record{Join: &fleet.Join{Entry: c.Self}})
+	}
+	if !c.list.ok || !c.leads("members", "") {
+		return
+	}
+	for id, e := range c.tables.Entries.All {
+		if l := (life{id, e.Boot}); c.over(l) || c.unlisted(l) {
+			c.write("leave/"+id+e.Boot, fleet.Record{Leave: &fleet.Leave{ID: id, Boot: e.Boot}})
+		}
+	}
+}
+
+// over says that the list has shown this life of the entry and shows it no longer.
+func (c *Controller) over(l life) bool {
+	row, listed := c.list.rows[l.entry]
+	return c.list.seen[l] && (!listed || row.Boot != l.boot)
+}
+
+// unlisted says that the list has not shown the joined entry for longer than it lags, and no peer hears of it.
+func (c *Controller) unlisted(l life) bool {
+	row, listed := c.list.rows[l.entry]
+	heard := c.members.byEntry[l.entry]
+	now := time.Now()
+	if (listed && row.Boot == l.boot) || l.entry == c.Self.ID ||
+		(heard != nil && heard.status.Boot == l.boot && now.Sub(heard.heard) < farLiveFor) {
+		delete(c.list.unseen, l)
+		return false
+	}
+	since, ok := c.list.unseen[l]
+	if !ok {
+		c.list.unseen[l] = now
+		return false
+	}
+	return now.Sub(since) > unlistedAfter
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+
+	"rackstep.dev/admin"
+	"rackstep.dev/claim"
+	"rackstep.dev/config"
+	"rackstep.dev/control"
+	"rackstep.dev/event"
+	"rackstep.dev/fleet"
+	"rackstep.dev/peer"
+	"rackstep.dev/serve"
+)
+
+// Entry is one rackstepd.
+type Entry struct {
+	settings  config.Settings
+	self      fleet.Entry
+	listeners listeners
+	mesh      *peer.Mesh
+	book      *claim.Book
+	server    *serve.Server
+	control   *control.Controller
+	admin     *admin.Server
+	metrics   metrics
+	events    *event.Ring
+	cleanup   func()
+}
+
+// New opens the entry's addresses and puts its parts together.
+func New(s config.Settings, o Options) (*Entry, error) {
+	e, cleanup, err := build(s, o)
+	if err != nil {
+		return nil, err
+	}
+	e.cleanup = cleanup
+	return e, nil
+}
+
+// Self returns the entry's name, place, life and addresses.
+func (e *Entry) Self() fleet.Entry { return e.self }
+
+// Ready says whether the entry serves callers.
+func (e *Entry) Ready() bool { return e.server.Ready() }
+
+// Times of a planned stop.
+const (
+	defaultStopDelay = 3 * time.Second
+	drainTime        = 30 * time.Second
+	leaveTime        = 2 * time.Second
+)
+
+// Bounds of the callers' and operators' connections.
+const (
+	readHeaderTime = 5 * time.Second
+	readTime       = 30 * time.Second
+	idleTime       = 75 * time.Second
+	maxHeader      = 32 << 10
+)
+
+// Run serves until the context ends, then stops as planned.
+func (e *Entry) Run(ctx context.Context) error { return e.run(ctx, e.stop) }
+
+// Kill serves until the context ends, then breaks everything off as a crash would; it is for tests.
+func (e *Entry) Kill(ctx context.Context) error { return e.run(ctx, func() {}) }
+
+func (e *Entry) run(ctx context.Context, stop func()) error {
+	defer e.cleanup()
+	defer func() { _ = e.metrics.closer.Close() }() // what is lost are the last metrics
+	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g run.Group
+	end := make(chan struct{})
+	g.Add(func() error { return waitStop(ctx, end, stop) }, func(error) { close(end) })
+	for _, part := range [...]func(context.Context) error{e.mesh.Run, e.book.Run, e.control.Run} {
+		ctx, cancel := context.WithCancel(parts)
+		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
+	}
+	addServer(&g, e.listeners.caller, e.server)
+	addServer(&g, e.listeners.operator, e.admin)
+	err := g.Run()
+	e.events.Emit(event.EntryStopped, event.Subject{}, "")
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return fmt.Errorf("entry %s: %w", e.self.ID, err)
+}
+
+var errStopped = errors.New("stopped as planned")
+
+// waitStop returns when the planned stop is complete, or at once when another part has ended.
+func waitStop(ctx context.Context, end <-chan struct{}, stop func()) error {
+	select {
+	case <-ctx.Done():
+		stop()
+	case <-end:
+	}
+	return errStopped
+}
+
+func addServer(g *run.Group, ln net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+	g.Add(func() error { return srv.Serve(ln) }, func(error) { _ = srv.Close() }) // requests have ended before
+}
+
+// stop finishes what callers have begun and leaves the tables.
+func (e *Entry) stop() {
+	e.events.Emit(event.EntryStopping, event.Subject{}, "")
+	e.server.Stop()
+	delay := e.settings.StopDelay.Std()
+	if delay == 0 {
+		delay = defaultStopDelay
+	}
+	time.Sleep(delay)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	_ = e.server.Drain(ctx) // what takes longer has passed its deadline
+	ctx, cancelLeave := context.WithTimeout(context.Background(), leaveTime)
+	defer cancelLeave()
+	_ = e.control.Leave(ctx) // without it the platform's list says the same a little later
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// metrics is the entry's metric scope and what answers the scraper.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+const reportEvery = time.Second
+
+func newMetrics() metrics {
+	registry := prom.NewRegistry() // of this entry alone: a process may run several
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "rackstep", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportEvery)
+	return metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer}
+}
--- /dev/null
+++ b/entry/providers.go
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/wire"
+	"github.com/uber-go/tally/v4"
+
+	"rackstep.dev/admin"
+	"rackstep.dev/claim"
+	"rackstep.dev/config"
+	"rackstep.dev/control"
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/fleet"
+	"rackstep.dev/peer"
+	"rackstep.dev/plan"
+	"rackstep.dev/platform"
+	"rackstep.dev/serve"
+)
+
+// Options are what a process or a test sets beside the settings; the zero value is what rackstepd uses.
+type Options struct {
+	// Logger receives the events; none when nil.
+	Logger log.Logger
+	// Platform sends requests to the platform; a fault switch of tests.
+	Platform http.RoundTripper
+	// Cut says that no bytes may pass to or from the peer; a fault switch of tests.
+	Cut func(entry string) bool
+}
+
+// providers are the constructors of an entry's parts.
+var providers = wire.NewSet(
+	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
+	newBook, newDispatcher, newServer, newController, newAdmin,
+	wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events"),
+)
+
+// logs are the two streams that entries keep in the platform's service.
+type logs struct{ fleet, claims *feed.Log }
+
+// listeners are the entry's open addresses.
+type listeners struct{ caller, operator, peer net.Listener }
+
+func (l listeners) close() {
+	for _, x := range [...]net.Listener{l.caller, l.operator, l.peer} {
+		if x != nil {
+			_ = x.Close() // it may be closed already
+		}
+	}
+}
+
+func newIdentity(s config.Settings, l listeners) fleet.Entry {
+	return fleet.Entry{
+		ID: s.Entry, DataCentre: s.DataCentre, Boot: rand.Text(),
+		PeerAddress: l.peer.Addr().String(), CallerAddress: l.caller.Addr().String(), OperatorAddress: l.operator.Addr().String(),
+	}
+}
+
+func newClock() *feed.Clock { return new(feed.Clock) }
+
+func newHTTPClient(o Options) *http.Client {
+	if o.Platform != nil {
+		return &http.Client{Transport: o.Platform}
+	}
+	const connections = 16
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute}}
+}
+
+func newPlatform(s config.Settings, c *http.Client) *platform.Client {
+	return &platform.Client{URL: s.Platform, HTTP: c}
+}
+
+func newLogs(s config.Settings, c *http.Client, clock *feed.Clock) logs {
+	name := func(set, def string) string {
+		if set == "" {
+			return def
+		}
+		return set
+	}
+	return logs{
+		fleet:  &feed.Log{URL: s.Platform, Name: name(s.FleetLog, "fleet"), Client: c, Clock: clock},
+		claims: &feed.Log{URL: s.Platform, Name: name(s.ClaimsLog, "claims"), Client: c, Clock: clock},
+	}
+}
+
+func newEvents(s config.Settings, o Options) *event.Ring {
+	r := &event.Ring{Entry: s.Entry}
+	if o.Logger != nil {
+		r.Logger = log.With(o.Logger, "entry", s.Entry)
+	}
+	return r
+}
+
+func newListeners(s config.Settings) (listeners, func(), error) {
+	var l listeners
+	for _, x := range [...]struct {
+		into    *net.Listener
+		address string
+	}{{&l.caller, s.CallerAddress}, {&l.operator, s.OperatorAddress}, {&l.peer, s.PeerAddress}} {
+		ln, err := net.Listen("tcp", x.address)
+		if err != nil {
+			l.close()
+			return listeners{}, nil, fmt.Errorf("listen: %w; set an address of this instance that is free", err)
+		}
+		*x.into = ln
+	}
+	return l, l.close, nil
+}
+
+func newMesh(s config.Settings, self fleet.Entry, l listeners, events *event.Ring, o Options) (*peer.Mesh, error) {
+	secret, err := s.Secret()
+	if err != nil {
+		return nil, err
+	}
+	return &peer.Mesh{
+		Self: peer.Identity{Entry: self.ID, DataCentre: self.DataCentre, Boot: self.Boot}, Secret: secret,
+		Listener: l.peer, Cut: o.Cut, Events: events,
+	}, nil
+}
+
+func newBook(l logs, clock *feed.Clock) *claim.Book {
+	return &claim.Book{Append: l.claims.AppendOne, Clock: clock.Now}
+}
+
+func newDispatcher() *serve.Dispatcher { return new(serve.Dispatcher) }
+
+func newServer(s config.Settings, self fleet.Entry, book *claim.Book, mesh *peer.Mesh, d *serve.Dispatcher, events *event.Ring, m metrics, clock *feed.Clock) *serve.Server {
+	return &serve.Server{
+		Self: self.ID, DataCentre: self.DataCentre, Boot: self.Boot, Book: book, Mesh: mesh, Targets: d,
+		Events: events, Metrics: tally.Scope(m.scope), Clock: clock.Now, MaxBody: int64(s.MaxBody),
+	}
+}
+
+func newController(s config.Settings, self fleet.Entry, l logs, p *platform.Client, mesh *peer.Mesh, server *serve.Server, book *claim.Book, events *event.Ring, clock *feed.Clock) *control.Controller {
+	c := &control.Controller{
+		Self: self, Log: l.fleet, Claims: l.claims, Platform: p, Mesh: mesh, Server: server, Book: book, Events: events,
+		Costs: plan.Costs{Maintenance: s.Maintenance.Std()}, CheckpointEvery: s.CheckpointEvery.Std(), Clock: clock.Now,
+	}
+	for _, x := range s.Peers {
+		c.Seeds = append(c.Seeds, control.Seed{Entry: x.Entry, DataCentre: x.DataCentre, Address: x.Address})
+	}
+	c.Init()
+	mesh.Serve = c.ServeStream
+	server.Jobs = serve.Jobs{Submit: c.SubmitJob, Cancel: c.CancelJob, Get: c.GetJob}
+	return c
+}
+
+func newAdmin(s config.Settings, c *control.Controller, m metrics) *admin.Server {
+	return &admin.Server{
+		Bootstrap: s.BootstrapTokenHash, Metrics: m.handler, Publish: c.Publish, Read: c.Read, Status: c.Status,
+		Plan: func(t *fleet.Tables, id string, intent fleet.Intent) (fleet.Plan, error) {
+			return plan.Make(t, id, intent, c.Costs)
+		},
+		TimeLine: c.TimeLine,
+	}
+}
--- a/feed/log.go
+++ b/feed/log.go
@@ -159,3 +159,9 @@
 	}
 	return Page{First: answer.First, Next: answer.Next, Records: answer.Records}, nil
 }
+
+// AppendOne adds one record; it fails with ErrUnavailable or ErrUncertain.
+func (l *Log) AppendOne(ctx context.Context, record []byte) error {
+	_, err := l.Append(ctx, [][]byte{record})
+	return err
+}
--- a/fleet/advance.go
+++ b/fleet/advance.go
@@ -79,8 +79,8 @@
 		return refuse(ReasonOccupied, "cancel the plan and ask for a new one", "instance %s is %s in pool %q", in.ID, in.State, in.Pool)
 	}
 	for i := range p.Steps {
-		if p.Steps[i].Wave < s.Wave && !p.Steps[i].State.Ended() {
-			return refuse(ReasonState, "wait for the earlier wave", "wave %d of plan %s is not finished", p.Steps[i].Wave, p.ID)
+		if p.Steps[i].Wave < s.Wave && p.Steps[i].State == StepWaiting {
+			return refuse(ReasonState, "wait for the earlier wave", "wave %d of plan %s is not out yet", p.Steps[i].Wave, p.ID)
 		}
 	}
 	if r := t.TakeOutRefusal(in); r != nil {
@@ -94,6 +94,12 @@
 }
 
 func (t *Tables) drained(a Advance, s *Step, in *Instance) *Refusal {
+	if s.State == StepActing && s.Action != ActionMove {
+		// The platform refuses the command for ever. A higher generation gives the next one another ID.
+		in.State = InstanceDrained
+		in.Generation++
+		return nil
+	}
 	if s.State != StepDraining {
 		return refuse(ReasonState, "nothing is to be done", "step of %s is %s", in.ID, s.State)
 	}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -106,6 +106,13 @@
 	Team string `cbor:"t"`
 }
 
+// Park is the record that no instance can ever run a pending job as it is.
+type Park struct {
+	Job     string `cbor:"j"`
+	Attempt int    `cbor:"a"`
+	Note    string `cbor:"n"`
+}
+
 // Failures that tell a bad worker from a bad job.
 const (
 	failedJobsToQuarantine = 3
@@ -202,7 +209,7 @@
 		return refuse(ReasonState, remedy, "instance %s is %s in pool %q", in.ID, in.State, in.Pool)
 	case in.Quarantined:
 		return refuse(ReasonQuarantine, "maintain the instance", "instance %s fails what it starts", in.ID)
-	case !j.mayRunIn(in.DataCentre):
+	case !j.MayRunIn(in.DataCentre):
 		return refuse(ReasonResidency, remedy, "job %s may not run in %s", j.ID, in.DataCentre)
 	}
 	cores, memory := t.Held(in.ID)
@@ -216,7 +223,8 @@
 	return nil
 }
 
-func (j *Job) mayRunIn(dataCentre string) bool {
+// MayRunIn says whether the job's residency allows the data centre.
+func (j *Job) MayRunIn(dataCentre string) bool {
 	return len(j.Spec.DataCentres) == 0 || slices.Contains(j.Spec.DataCentres, dataCentre)
 }
 
@@ -359,3 +367,12 @@
 	j.Changed = t.Offset
 	return nil
 }
+
+func (t *Tables) park(p Park) *Refusal {
+	j := t.Jobs.Get(p.Job)
+	if j == nil || j.State != JobPending || j.Attempt != p.Attempt {
+		return refuse(ReasonStale, "nothing is to be done", "job %s is not pending at attempt %d", p.Job, p.Attempt)
+	}
+	j.State, j.Note, j.Changed = JobParked, p.Note, t.Offset
+	return nil
+}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -2,7 +2,10 @@
 
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Intent is what an operator wants; exactly one kind of it.
 type Intent struct {
@@ -276,3 +279,12 @@
 	}
 	p.Ended = t.Offset
 }
+
+// Clone returns a copy that shares nothing with the plan.
+func (p *Plan) Clone() *Plan {
+	c := *p
+	c.Steps = slices.Clone(p.Steps)
+	c.Left = slices.Clone(p.Left)
+	c.Intent.Instances = slices.Clone(p.Intent.Instances)
+	return &c
+}
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -31,6 +31,7 @@
 	Start      *Start      `cbor:"st,omitempty"`
 	Settle     *Settle     `cbor:"se,omitempty"`
 	Cancel     *Cancel     `cbor:"ca,omitempty"`
+	Park       *Park       `cbor:"pk,omitempty"`
 	Checkpoint *Checkpoint `cbor:"ck,omitempty"`
 }
 
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -90,6 +90,8 @@
 		return t.settle(*r.Settle)
 	case r.Cancel != nil:
 		return t.cancel(*r.Cancel)
+	case r.Park != nil:
+		return t.park(*r.Park)
 	case r.Checkpoint != nil:
 		t.Checkpointed = max(t.Checkpointed, r.Checkpoint.Offset)
 		return nil
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"rackstep.dev/platform"
+)
+
+// Platform is the stand-in for the platform's services.
+type Platform struct {
+	// RebootTime is how long a reboot takes.
+	RebootTime time.Duration
+
+	mu       sync.Mutex
+	faults   Faults
+	logs     map[string]*logStore
+	changed  chan struct{} // closed and replaced when a log grows
+	machines map[string]*machine
+	history  []snapshot
+	appends  int
+	calls    int
+	progress map[string]time.Duration
+	starts   map[string]int
+	cuts     []string
+	mux      *http.ServeMux
+}
+
+// machine is one listed instance.
+type machine struct {
+	listed   platform.Listed
+	down     bool
+	target   *Target // nil for an entry or a worker without one
+	commands map[string]*command
+	tasks    map[string]*task
+}
+
+// snapshot is the instance list at one time.
+type snapshot struct {
+	at   time.Time
+	rows []platform.Listed
+}
+
+// New returns a platform without instances.
+func New() *Platform {
+	p := &Platform{
+		RebootTime: 2 * time.Second,
+		logs:       make(map[string]*logStore), changed: make(chan struct{}), machines: make(map[string]*machine),
+		progress: make(map[string]time.Duration), starts: make(map[string]int), mux: http.NewServeMux(),
+	}
+	p.mux.HandleFunc("POST /v1/logs/{log}/records", p.appendRecords)
+	p.mux.HandleFunc("GET /v1/logs/{log}/records", p.readRecords)
+	p.mux.HandleFunc("GET /v1/instances", p.listInstances)
+	p.mux.HandleFunc("PUT /v1/instances", p.putInstance)
+	p.mux.HandleFunc("DELETE /v1/instances/{instance}", p.deleteInstance)
+	p.mux.HandleFunc("PUT /v1/instances/{instance}/commands/{command}", p.runCommand)
+	p.mux.HandleFunc("GET /v1/instances/{instance}/commands/{command}", p.readCommand)
+	p.mux.HandleFunc("PUT /v1/instances/{instance}/tasks/{task}", p.startTask)
+	p.mux.HandleFunc("GET /v1/instances/{instance}/tasks/{task}", p.readTask)
+	p.mux.HandleFunc("DELETE /v1/instances/{instance}/tasks/{task}", p.stopTask)
+	p.mux.HandleFunc("POST /v1/instances/{instance}/tasks/{task}/checkpoint", p.checkpointTask)
+	p.mux.HandleFunc("PUT /v1/faults", p.putFaults)
+	return p
+}
+
+// ServeHTTP answers entries and tests.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Put lists the instance, or lists it anew; target may be nil.
+func (p *Platform) Put(row platform.Listed, target *Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.machines[row.ID]
+	if m == nil {
+		m = &machine{commands: make(map[string]*command), tasks: make(map[string]*task)}
+		p.machines[row.ID] = m
+	}
+	m.listed = row
+	m.target = target
+	p.snap()
+}
+
+// SetDown takes the instance out of the list and fails its target, or brings both back.
+func (p *Platform) SetDown(id string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.machines[id]; m != nil {
+		p.setDown(m, down)
+	}
+}
+
+func (p *Platform) setDown(m *machine, down bool) {
+	m.down = down
+	if m.target != nil {
+		m.target.SetDown(down)
+	}
+	if down {
+		m.killTasks(time.Now())
+	}
+	p.snap()
+}
+
+// Delete takes the instance out of the list for good.
+func (p *Platform) Delete(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.machines, id)
+	p.snap()
+}
+
+// Cuts returns what the platform saw that must never happen.
+func (p *Platform) Cuts() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.cuts...)
+}
+
+func (p *Platform) snap() {
+	now := time.Now()
+	var rows []platform.Listed
+	for _, m := range p.machines {
+		if !m.down {
+			rows = append(rows, m.listed)
+		}
+	}
+	p.history = append(p.history, snapshot{now, rows})
+	const kept = 256
+	if len(p.history) > kept {
+		p.history = append([]snapshot(nil), p.history[len(p.history)-kept:]...)
+	}
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.ListDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	at := time.Now().Add(-p.faults.ListLag)
+	rows := []platform.Listed{}
+	for _, s := range p.history {
+		if !s.at.After(at) {
+			rows = s.rows
+		}
+	}
+	reply(w, struct {
+		Instances []platform.Listed `json:"instances"`
+	}{rows})
+}
+
+func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
+	var row platform.Listed
+	if err := json.NewDecoder(r.Body).Decode(&row); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	var target *Target
+	if m := p.machines[row.ID]; m != nil {
+		target = m.target
+	}
+	p.mu.Unlock()
+	p.Put(row, target)
+	reply(w, row)
+}
+
+func (p *Platform) deleteInstance(w http.ResponseWriter, r *http.Request) {
+	p.Delete(r.PathValue("instance"))
+	reply(w, struct{}{})
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+	reply(w, f)
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // a client that has gone asks again
+}
+
+// breakOff ends the connection without an answer.
+func breakOff() { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/internal/standin/work.go
@@ -0,0 +1,251 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"rackstep.dev/platform"
+)
+
+// command is a reboot or stop that was asked for.
+type command struct {
+	verb    platform.Verb
+	expired bool
+	until   time.Time
+}
+
+// task is one attempt of a job.
+type task struct {
+	state    platform.TaskState
+	fails    bool
+	ends     time.Time
+	lease    time.Time
+	leaseFor time.Duration
+	began    time.Time
+	duration time.Duration
+}
+
+// machineOf returns the instance of the request, or nil after it has answered; the caller holds mu.
+func (p *Platform) machineOf(w http.ResponseWriter, r *http.Request) *machine {
+	if p.faults.CommandsDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return nil
+	}
+	m := p.machines[r.PathValue("instance")]
+	if m == nil {
+		w.WriteHeader(http.StatusNotFound)
+	}
+	return m
+}
+
+// lose breaks the connection off after every n-th call that took effect; the caller holds mu by defer.
+func (p *Platform) lose() {
+	p.calls++
+	if n := p.faults.LoseCommands; n > 0 && p.calls%n == 0 {
+		breakOff()
+	}
+}
+
+func (p *Platform) runCommand(w http.ResponseWriter, r *http.Request) {
+	var order platform.Command
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.machineOf(w, r)
+	if m == nil {
+		return
+	}
+	id := r.PathValue("command")
+	c := m.commands[id]
+	if c == nil {
+		now := time.Now()
+		c = &command{verb: order.Verb, expired: now.After(order.NotAfter), until: now.Add(p.RebootTime)}
+		m.commands[id] = c
+		if !c.expired {
+			p.begin(m, c)
+		}
+	}
+	p.lose()
+	replyState(w, c.state())
+}
+
+// begin takes the machine down for the command; what still runs on it is cut.
+func (p *Platform) begin(m *machine, c *command) {
+	for id, t := range m.tasks {
+		if t.stateAt(time.Now()) == platform.TaskRunning {
+			p.cuts = append(p.cuts, fmt.Sprintf("%s of %s cut task %s", c.verb, m.listed.ID, id))
+		}
+	}
+	if m.target != nil && m.target.InFlight() > 0 {
+		p.cuts = append(p.cuts, fmt.Sprintf("%s of %s cut a request", c.verb, m.listed.ID))
+	}
+	p.setDown(m, true)
+	if c.verb == platform.VerbReboot {
+		time.AfterFunc(p.RebootTime, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.setDown(m, false)
+		})
+	}
+}
+
+func (c *command) state() platform.CommandState {
+	switch {
+	case c == nil:
+		return platform.CommandUnknown
+	case c.expired:
+		return platform.CommandExpired
+	case time.Now().Before(c.until):
+		return platform.CommandRunning
+	}
+	return platform.CommandDone
+}
+
+func (p *Platform) readCommand(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.machineOf(w, r); m != nil {
+		replyState(w, m.commands[r.PathValue("command")].state())
+	}
+}
+
+func replyState[S ~string](w http.ResponseWriter, s S) {
+	reply(w, struct {
+		State S `json:"state"`
+	}{s})
+}
+
+func (p *Platform) startTask(w http.ResponseWriter, r *http.Request) {
+	var order platform.Task
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.machineOf(w, r)
+	if m == nil {
+		return
+	}
+	if m.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := r.PathValue("task")
+	t := m.tasks[id]
+	if t == nil {
+		t = p.newTask(jobOf(id), order)
+		m.tasks[id] = t
+	}
+	t.lease = time.Now().Add(t.leaseFor)
+	p.lose()
+	replyState(w, t.stateAt(time.Now()))
+}
+
+// newTask begins a task; its command is "run DURATION" or "fail".
+func (p *Platform) newTask(job string, order platform.Task) *task {
+	now := time.Now()
+	t := &task{state: platform.TaskRunning, began: now, leaseFor: order.Lease, lease: now.Add(order.Lease)}
+	word, rest, _ := strings.Cut(order.Command, " ")
+	t.fails = word == "fail"
+	t.duration, _ = time.ParseDuration(rest) // none ends at once
+	if order.Continue {
+		t.duration = max(0, t.duration-p.progress[job])
+	} else {
+		p.starts[job]++
+	}
+	t.ends = now.Add(t.duration)
+	return t
+}
+
+// jobOf returns the job of an attempt's ID.
+func jobOf(id string) string {
+	if i := strings.LastIndexByte(id, '.'); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
+
+// Starts returns how often each job was begun anew.
+func (p *Platform) Starts() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]int, len(p.starts))
+	for id, n := range p.starts {
+		out[id] = n
+	}
+	return out
+}
+
+func (t *task) stateAt(now time.Time) platform.TaskState {
+	switch {
+	case t == nil:
+		return platform.TaskUnknown
+	case t.state != platform.TaskRunning:
+		return t.state
+	case !now.Before(t.ends):
+		if t.fails {
+			return platform.TaskFailed
+		}
+		return platform.TaskDone
+	case now.After(t.lease):
+		return platform.TaskStopped
+	}
+	return platform.TaskRunning
+}
+
+func (m *machine) killTasks(now time.Time) {
+	for _, t := range m.tasks {
+		if t.stateAt(now) == platform.TaskRunning {
+			t.state = platform.TaskStopped
+		}
+	}
+}
+
+func (p *Platform) readTask(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.machineOf(w, r); m != nil {
+		replyState(w, m.tasks[r.PathValue("task")].stateAt(time.Now()))
+	}
+}
+
+func (p *Platform) stopTask(w http.ResponseWriter, r *http.Request) {
+	p.endTask(w, r, platform.TaskStopped)
+}
+
+func (p *Platform) checkpointTask(w http.ResponseWriter, r *http.Request) {
+	p.endTask(w, r, platform.TaskCheckpointed)
+}
+
+func (p *Platform) endTask(w http.ResponseWriter, r *http.Request, as platform.TaskState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.machineOf(w, r)
+	if m == nil {
+		return
+	}
+	id := r.PathValue("task")
+	now := time.Now()
+	t := m.tasks[id]
+	switch {
+	case t == nil:
+		t = &task{state: platform.TaskVoid}
+		m.tasks[id] = t
+	case t.stateAt(now) == platform.TaskRunning:
+		t.state = as
+		p.progress[jobOf(id)] += now.Sub(t.began)
+	default:
+		t.state = t.stateAt(now)
+	}
+	p.lose()
+	replyState(w, t.state)
+}
--- /dev/null
+++ b/internal/trial/load.go
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rackstep.dev/serve"
+)
+
+// Told is what a caller was told of one request.
+type Told struct {
+	Mark       string
+	Repeatable bool
+	Outcome    serve.Outcome
+	Reason     serve.Reason
+	Status     int
+	// Wrong says that the answer belongs to another request.
+	Wrong bool
+	// Lost says that the connection ended without an answer.
+	Lost bool
+	Took time.Duration
+}
+
+// Load sends requests to a site and remembers what became of each.
+type Load struct {
+	Site *Site
+	// Callers is the number of requests under way at once.
+	Callers int
+	// Work is the time of a request at its target.
+	Work time.Duration
+	// Pause is the time between two requests of one caller.
+	Pause time.Duration
+
+	mu   sync.Mutex
+	told []Told
+	next atomic.Int64
+}
+
+// Run sends requests until the context ends; those under way end first.
+func (l *Load) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	for i := range l.Callers {
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		work.Go(func() {
+			for ctx.Err() == nil {
+				l.one(random)
+				pause(ctx, l.Pause)
+			}
+		})
+	}
+	work.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// one sends one request; every tenth must not be repeated, and half of those are sent twice at once.
+func (l *Load) one(random *rand.Rand) {
+	mark := fmt.Sprintf("m%d", l.next.Add(1))
+	service := ServiceName(random.IntN(l.Site.Spec.Services))
+	callers := l.Site.Callers()
+	if len(callers) == 0 {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	entry := func() string { return callers[random.IntN(len(callers))] }
+	if random.IntN(10) > 0 {
+		l.remember(l.Send(entry(), l.request(service, mark, random.IntN(20) == 0)))
+		return
+	}
+	notAfter := time.Now().Add(30 * time.Second)
+	copies := 1 + random.IntN(2)
+	first, second := entry(), entry()
+	var work sync.WaitGroup
+	for i := range copies {
+		to := first
+		if i > 0 {
+			to = second
+		}
+		work.Go(func() { l.remember(l.Send(to, l.single(service, mark, notAfter))) })
+	}
+	work.Wait()
+}
+
+// Request is what a caller sends.
+type Request struct {
+	Service, Mark string
+	Repeatable    bool
+	Header        http.Header
+	Work          time.Duration
+	Size          int
+}
+
+func (l *Load) request(service, mark string, urgent bool) Request {
+	r := Request{Service: service, Mark: mark, Repeatable: true, Header: http.Header{}, Work: l.Work}
+	if urgent {
+		r.Header.Set(serve.HeaderPriority, "urgent")
+	}
+	return r
+}
+
+func (l *Load) single(service, mark string, notAfter time.Time) Request {
+	r := Request{Service: service, Mark: mark, Header: http.Header{}, Work: l.Work}
+	r.Header.Set(serve.HeaderKey, mark)
+	r.Header.Set(serve.HeaderNotAfter, notAfter.UTC().Format(time.RFC3339Nano))
+	return r
+}
+
+// Send sends one request to the entry and returns what the caller was told.
+func (l *Load) Send(entry string, r Request) (t Told) {
+	t = Told{Mark: r.Mark, Repeatable: r.Repeatable}
+	start := time.Now()
+	defer func() { t.Took = time.Since(start) }()
+	method := http.MethodGet
+	if !r.Repeatable {
+		method = http.MethodPost
+	}
+	path := fmt.Sprintf("/v1/services/%s/%s?mark=%s&ms=%g&size=%d", r.Service, r.Mark, r.Mark, float64(r.Work)/float64(time.Millisecond), r.Size)
+	req, err := http.NewRequest(method, "http://"+entry+path, http.NoBody)
+	if err != nil {
+		t.Lost = true
+		return t
+	}
+	for name, v := range r.Header {
+		req.Header[name] = v
+	}
+	if req.Header.Get("Authorization") == "" {
+		req.Header.Set("Authorization", "Bearer "+TeamToken)
+	}
+	resp, err := l.Site.http.Transport.RoundTrip(req)
+	if err != nil {
+		t.Lost = true
+		return t
+	}
+	defer resp.Body.Close()
+	l.read(resp, r, &t)
+	return t
+}
+
+func (l *Load) read(resp *http.Response, r Request, t *Told) {
+	t.Status = resp.StatusCode
+	t.Outcome = serve.Outcome(resp.Header.Get(serve.HeaderOutcome))
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Lost = true
+		return
+	}
+	var answer struct {
+		Path   string       `json:"path"`
+		Mark   string       `json:"mark"`
+		Reason serve.Reason `json:"reason"`
+	}
+	err = json.Unmarshal(body, &answer)
+	t.Reason = answer.Reason
+	if t.Outcome == serve.OutcomeWhole && resp.StatusCode == http.StatusOK {
+		t.Wrong = err != nil || answer.Mark != r.Mark || strings.TrimPrefix(answer.Path, "/") != r.Mark
+	}
+}
+
+func (l *Load) remember(t Told) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, t)
+}
+
+// Told returns what callers were told so far.
+func (l *Load) Told() []Told {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Told(nil), l.told...)
+}
--- /dev/null
+++ b/internal/trial/run.go
@@ -0,0 +1,291 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/fleet"
+	"rackstep.dev/internal/standin"
+)
+
+// Fault is a named switch that a trial throws while the plan runs.
+type Fault struct {
+	Name, Meaning string
+	throw         func(s *Site)
+	mend          func(s *Site)
+}
+
+// Faults returns every fault that a trial can throw.
+func Faults() []Fault {
+	platform := func(f standin.Faults) func(*Site) { return func(s *Site) { s.Platform.SetFaults(f) } }
+	sound := platform(standin.Faults{})
+	target := func(f standin.TargetFaults) func(*Site) {
+		return func(s *Site) { s.Targets[RunnerName(0, 0)].SetFaults(f) }
+	}
+	first, second := Centre(0), Centre(1)
+	return []Fault{
+		{"log-down", "the log refuses everything for 5 s", platform(standin.Faults{LogDown: true}), sound},
+		{"log-slow", "every append takes 300 ms", platform(standin.Faults{LogDelay: 300 * time.Millisecond}), sound},
+		{"log-answers-lost", "every third append's answer is lost after its effect", platform(standin.Faults{LoseEvery: 3}), sound},
+		{"log-duplicates", "every second append is added twice", platform(standin.Faults{TwiceEvery: 2}), sound},
+		{"list-lags", "the instance list is 4 s old", platform(standin.Faults{ListLag: 4 * time.Second}), sound},
+		{"list-down", "the instance list does not answer for 5 s", platform(standin.Faults{ListDown: true}), sound},
+		{"commands-lost", "every second command's answer is lost after its effect", platform(standin.Faults{LoseCommands: 2}), sound},
+		{"target-fails", "one target fails everything at once", target(standin.TargetFaults{Fail: true}), target(standin.TargetFaults{})},
+		{"target-truncates", "one target ends its answers in the middle", target(standin.TargetFaults{Truncate: true}), target(standin.TargetFaults{})},
+		{"target-dies", "one target's instance goes for 5 s", func(s *Site) { s.Platform.SetDown(RunnerName(0, 0), true) }, func(s *Site) { s.Platform.SetDown(RunnerName(0, 0), false) }},
+		{"centre-cut", "a data centre is cut off from the others for 5 s", func(s *Site) { s.cutFromOthers(first, true) }, func(s *Site) { s.cutFromOthers(first, false) }},
+		{"centre-isolated", "a data centre is cut off from the others and the platform for 5 s", func(s *Site) { s.Isolate(second, true) }, func(s *Site) { s.Isolate(second, false) }},
+	}
+}
+
+func (s *Site) cutFromOthers(centre string, cut bool) {
+	for i := range s.Spec.DataCentres {
+		if other := Centre(i); other != centre {
+			s.SetCut(centre, other, cut)
+		}
+	}
+}
+
+// Result is what a trial found.
+type Result struct {
+	Verdict Verdict
+	History History
+	// RollOut is the time from the confirmation to the end of the plan.
+	RollOut time.Duration
+	// Cuts are what the platform saw that must never happen.
+	Cuts   []string
+	Broken []string
+}
+
+// Options of a Trial.
+type Options struct {
+	Spec Spec
+	// Fault is thrown while the plan runs; none when its name is empty.
+	Fault Fault
+	// Out receives what happens as it happens.
+	Out io.Writer
+}
+
+// faultTime is how long a fault lasts.
+const faultTime = 5 * time.Second
+
+// Run makes the whole path: publish, serve, plan, confirm, carry out, replace an entry; it reports every broken promise.
+func Run(ctx context.Context, o Options) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
+	defer cancel()
+	site, err := Start(o.Spec, nil)
+	if err != nil {
+		return Result{}, err
+	}
+	defer site.Stop()
+	t := &trialRun{site: site, o: o, began: time.Now()}
+	t.say("started %d entries in %d data centres, %d targets, %d workers", o.Spec.DataCentres*o.Spec.EntriesEach, o.Spec.DataCentres, len(site.Targets), o.Spec.Workers)
+	if err := site.Publish(ctx); err != nil {
+		return Result{}, err
+	}
+	t.say("configuration version 1 is in force everywhere")
+	return t.underLoad(ctx)
+}
+
+type trialRun struct {
+	site    *Site
+	o       Options
+	began   time.Time
+	rollOut time.Duration
+}
+
+func (t *trialRun) say(format string, args ...any) {
+	fmt.Fprintf(t.o.Out, "%6.2fs  %s\n", time.Since(t.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (t *trialRun) underLoad(ctx context.Context) (Result, error) {
+	load := &Load{Site: t.site, Callers: 24, Work: 10 * time.Millisecond, Pause: 5 * time.Millisecond}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { load.Run(loadCtx); close(done) }()
+	err := t.steps(ctx)
+	stopLoad()
+	<-done
+	if err != nil {
+		return Result{}, err
+	}
+	r := Result{Verdict: t.site.Judge(load.Told()), History: t.site.Replay(), RollOut: t.rollOut, Cuts: t.site.Platform.Cuts()}
+	r.Broken = r.broken()
+	t.report(r)
+	return r, nil
+}
+
+func (t *trialRun) steps(ctx context.Context) error {
+	if err := t.submitJobs(ctx); err != nil {
+		return err
+	}
+	p, err := t.plan(ctx)
+	if err != nil {
+		return err
+	}
+	if t.o.Fault.Name != "" {
+		t.say("fault %s: %s", t.o.Fault.Name, t.o.Fault.Meaning)
+		t.o.Fault.throw(t.site)
+		time.AfterFunc(faultTime, func() {
+			t.o.Fault.mend(t.site)
+			t.say("fault %s is over", t.o.Fault.Name)
+		})
+	}
+	t.replaceEntry()
+	return t.finish(ctx, p)
+}
+
+// submitJobs gives the batch pool work that outlasts the plan's beginning.
+func (t *trialRun) submitJobs(ctx context.Context) error {
+	if t.o.Spec.Workers == 0 {
+		return nil
+	}
+	jobs := 2 * t.o.Spec.Workers
+	for i := range jobs {
+		spec := fleet.JobSpec{ID: fmt.Sprintf("job-%03d", i), Pool: BatchPool, Cores: 4, MemoryMB: 1024, RunTime: fleet.Duration(4 * time.Second),
+			Repeatable: i%2 == 0, Command: fmt.Sprintf("run %dms", 1000+100*(i%40))}
+		if err := t.submit(ctx, spec); err != nil {
+			return err
+		}
+	}
+	t.say("submitted %d jobs, half of them not to be repeated", jobs)
+	return nil
+}
+
+func (t *trialRun) submit(ctx context.Context, spec fleet.JobSpec) error {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return fmt.Errorf("encode job: %w", err)
+	}
+	callers := t.site.Callers()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers[0]+"/v1/jobs", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("submit job: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+TeamToken)
+	resp, err := t.site.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("submit job: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusAccepted {
+		return fmt.Errorf("submit job %s: status %d", spec.ID, resp.StatusCode)
+	}
+	return nil
+}
+
+// plan states the intent "empty the first rack of the first data centre" and confirms the plan.
+func (t *trialRun) plan(ctx context.Context) (fleet.Plan, error) {
+	client := t.site.Operator(OperatorToken)
+	p, err := client.Plan(ctx, fleet.Intent{Kind: fleet.IntentMaintain})
+	if err != nil {
+		return p, fmt.Errorf("plan: %w", err)
+	}
+	t.say("intent %q: plan %s, %d steps in %d waves, at most %d instances out at once, %d left out", p.Intent.Kind, p.ID, len(p.Steps), p.Waves, p.Estimate.Buffer, len(p.Left))
+	for _, l := range p.Left {
+		t.say("  left out: %s: %s", l.Instance, l.Reason)
+	}
+	if _, err := client.Order(ctx, p.ID, fleet.OrderConfirm); err != nil {
+		return p, fmt.Errorf("confirm: %w", err)
+	}
+	t.say("confirmed")
+	t.rollOut = -time.Since(t.began)
+	return p, nil
+}
+
+// replaceEntry stops one entry as planned and starts another in its place.
+func (t *trialRun) replaceEntry() {
+	name := EntryName(t.o.Spec.DataCentres-1, t.o.Spec.EntriesEach-1)
+	centre := Centre(t.o.Spec.DataCentres - 1)
+	go func() {
+		t.site.StopEntry(name)
+		t.say("entry %s was stopped as planned", name)
+		if err := t.site.StartEntry(name+"2", centre); err != nil {
+			t.say("entry %s2 did not start: %v", name, err)
+			return
+		}
+		t.say("entry %s2 was started in its place", name)
+	}()
+}
+
+func (t *trialRun) finish(ctx context.Context, p fleet.Plan) error {
+	last := -1
+	err := t.site.Await(ctx, func() bool {
+		now, err := t.site.Operator(OperatorToken).GetPlan(ctx, p.ID)
+		if err != nil {
+			return false
+		}
+		done := 0
+		for _, s := range now.Steps {
+			if s.State.Ended() {
+				done++
+			}
+		}
+		if done*4/max(1, len(now.Steps)) != last {
+			last = done * 4 / max(1, len(now.Steps))
+			t.say("%d of %d steps done", done, len(now.Steps))
+		}
+		return now.State == fleet.PlanDone
+	})
+	t.rollOut += time.Since(t.began)
+	if err != nil {
+		t.explain(ctx, p.ID)
+	}
+	return err
+}
+
+// explain prints why a plan does not go on.
+func (t *trialRun) explain(ctx context.Context, plan string) {
+	line, err := t.site.Operator(OperatorToken).TimeLine(context.WithoutCancel(ctx), event.Subject{Plan: plan})
+	if err != nil {
+		t.say("time line: %v", err)
+		return
+	}
+	for _, e := range line.Events[max(0, len(line.Events)-20):] {
+		t.say("  %s %s %s %s", e.Entry, e.Name, e.Instance, e.Text)
+	}
+}
+
+func (r Result) broken() []string {
+	broken := r.Verdict.Broken()
+	for name, m := range r.History.Margin {
+		if m < 0 {
+			broken = append(broken, fmt.Sprintf("the budget of %s was broken by %d", name, -m))
+		}
+	}
+	for _, id := range r.History.Doubled {
+		broken = append(broken, "job "+id+" ran twice")
+	}
+	return append(broken, r.Cuts...)
+}
+
+func (t *trialRun) report(r Result) {
+	v := r.Verdict
+	out := t.o.Out
+	fmt.Fprintf(out, "\nrequests %d: whole %d, not run %d, unknown %d; lost %d, doubled %d\n", v.Requests, v.Whole, v.NotRun, v.Unknown, v.Lost, v.Doubled)
+	for _, reason := range slices.Sorted(maps.Keys(v.Reasons)) {
+		fmt.Fprintf(out, "  %-24s %d\n", reason, v.Reasons[reason])
+	}
+	fmt.Fprintf(out, "time of whole answers: p50 %s, p99 %s\n", v.P50.Round(100*time.Microsecond), v.P99.Round(100*time.Microsecond))
+	lowest := slices.Min(slices.Collect(maps.Values(r.History.Margin)))
+	fmt.Fprintf(out, "budgets: lowest margin %d\n", lowest)
+	fmt.Fprintf(out, "jobs: %v\n", r.History.Jobs)
+	fmt.Fprintf(out, "roll-out time %s, buffer %d instances, job moves %d\n", r.RollOut.Round(10*time.Millisecond), r.History.Buffer, r.History.Moves)
+	if len(r.Broken) == 0 {
+		fmt.Fprintln(out, "every promise was kept")
+		return
+	}
+	fmt.Fprintf(out, "BROKEN:\n  %s\n", strings.Join(r.Broken, "\n  "))
+}
--- /dev/null
+++ b/internal/trial/site.go
@@ -0,0 +1,327 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"rackstep.dev/admin"
+	"rackstep.dev/config"
+	"rackstep.dev/entry"
+	"rackstep.dev/fleet"
+	"rackstep.dev/internal/standin"
+	"rackstep.dev/platform"
+	"rackstep.dev/serve"
+)
+
+// Site is a running trial.
+type Site struct {
+	Spec     Spec
+	Platform *standin.Platform
+	Targets  map[string]*standin.Target
+	// Logger receives the entries' events; none when nil.
+	Logger log.Logger
+
+	url     string
+	http    *http.Client
+	work    sync.WaitGroup
+	servers []*http.Server
+
+	mu      sync.Mutex
+	entries map[string]*node
+	cuts    map[[2]string]bool
+}
+
+// node is one running entry.
+type node struct {
+	entry  *entry.Entry
+	centre string
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// PlatformPlace stands for the platform in Cut.
+const PlatformPlace = "platform"
+
+// Start runs a site without a configuration; Stop ends it.
+func Start(spec Spec, logger log.Logger) (*Site, error) {
+	s := &Site{
+		Spec: spec, Platform: standin.New(), Targets: make(map[string]*standin.Target), Logger: logger,
+		entries: make(map[string]*node), cuts: make(map[[2]string]bool),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 20 * time.Second},
+	}
+	s.Platform.RebootTime = spec.RebootTime
+	ln, err := s.serve(s.Platform, nil)
+	if err != nil {
+		return nil, err
+	}
+	s.url = "http://" + ln
+	if err := s.startInstances(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	for dc := range spec.DataCentres {
+		for i := range spec.EntriesEach {
+			if err := s.StartEntry(EntryName(dc, i), Centre(dc)); err != nil {
+				s.Stop()
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+// serve listens on a free loopback port and returns its address.
+func (s *Site) serve(h http.Handler, srv *http.Server) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	if srv == nil {
+		srv = &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	}
+	s.servers = append(s.servers, srv)
+	s.work.Go(func() { _ = srv.Serve(ln) }) // it ends with Stop
+	return ln.Addr().String(), nil
+}
+
+func (s *Site) startInstances() error {
+	for i := range s.Spec.Services {
+		for j := range s.Spec.RunnersEach {
+			t := &standin.Target{Instance: RunnerName(i, j)}
+			address, err := s.serve(nil, t.Server())
+			if err != nil {
+				return err
+			}
+			s.Targets[t.Instance] = t
+			s.put(t.Instance, i*s.Spec.RunnersEach+j, address, t)
+		}
+	}
+	for i := range s.Spec.Workers {
+		s.put(WorkerName(i), s.Spec.Services*s.Spec.RunnersEach+i, "127.0.0.1:9", nil)
+	}
+	return nil
+}
+
+// put lists the n-th instance; racks are filled within a data centre.
+func (s *Site) put(id string, n int, address string, t *standin.Target) {
+	centre := Centre(n % s.Spec.DataCentres)
+	rack := fmt.Sprintf("%s-rack-%d", centre, n/s.Spec.DataCentres/s.Spec.RackSize+1)
+	s.Platform.Put(platform.Listed{ID: id, Role: platform.RoleWorker, DataCentre: centre, Rack: rack, Address: address,
+		Cores: s.Spec.Cores, MemoryMB: s.Spec.MemoryMB}, t)
+}
+
+// StartEntry runs a new entry and lists it.
+func (s *Site) StartEntry(name, centre string) error {
+	const anyPort = "127.0.0.1:0"
+	settings := config.Settings{
+		Entry: name, DataCentre: centre, CallerAddress: anyPort, OperatorAddress: anyPort, PeerAddress: anyPort,
+		Platform: s.url, PeerSecret: "trial-peer-secret", BootstrapTokenHash: serve.TokenHash(BootstrapToken),
+		StopDelay: fleet.Duration(time.Second), Maintenance: fleet.Duration(s.Spec.RebootTime + 2*time.Second), Peers: s.peers(),
+	}
+	e, err := entry.New(settings, entry.Options{
+		Logger:   s.Logger,
+		Platform: &cutTransport{site: s, centre: centre, next: &http.Transport{MaxIdleConnsPerHost: 16}},
+		Cut:      func(peer string) bool { return s.isCut(centre, s.centreOf(peer)) },
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{entry: e, centre: centre, stop: cancel, done: make(chan struct{})}
+	s.mu.Lock()
+	s.entries[name] = n
+	s.mu.Unlock()
+	s.Platform.Put(platform.Listed{ID: name, Role: platform.RoleEntry, DataCentre: centre, Boot: e.Self().Boot}, nil)
+	s.work.Go(func() {
+		defer close(n.done)
+		_ = e.Run(ctx) // it ends with StopEntry
+	})
+	return nil
+}
+
+func (s *Site) peers() []config.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []config.Peer
+	for name, n := range s.entries {
+		peers = append(peers, config.Peer{Entry: name, DataCentre: n.centre, Address: n.entry.Self().PeerAddress})
+	}
+	return peers
+}
+
+// StopEntry stops the entry as planned and takes it out of the list.
+func (s *Site) StopEntry(name string) {
+	s.mu.Lock()
+	n := s.entries[name]
+	delete(s.entries, name)
+	s.mu.Unlock()
+	if n == nil {
+		return
+	}
+	n.stop()
+	<-n.done
+	s.Platform.Delete(name)
+}
+
+// Stop ends everything.
+func (s *Site) Stop() {
+	var all sync.WaitGroup
+	s.mu.Lock()
+	for name := range s.entries {
+		all.Go(func() { s.StopEntry(name) })
+	}
+	s.mu.Unlock()
+	all.Wait()
+	for _, srv := range s.servers {
+		_ = srv.Close() // it is the end
+	}
+	s.work.Wait()
+}
+
+func (s *Site) centreOf(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.entries[name]; n != nil {
+		return n.centre
+	}
+	// A stopped entry's name still tells its place.
+	for i := range s.Spec.DataCentres {
+		if strings.HasPrefix(name, EntryName(i, 0)[:len(EntryName(i, 0))-1]) {
+			return Centre(i)
+		}
+	}
+	return ""
+}
+
+// SetCut cuts two places off from each other, or joins them; PlatformPlace stands for the platform.
+func (s *Site) SetCut(a, b string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts[[2]string{a, b}] = cut
+	s.cuts[[2]string{b, a}] = cut
+}
+
+// Isolate cuts a data centre off from the others and the platform, or joins it again.
+func (s *Site) Isolate(centre string, cut bool) {
+	s.SetCut(centre, PlatformPlace, cut)
+	for i := range s.Spec.DataCentres {
+		if other := Centre(i); other != centre {
+			s.SetCut(centre, other, cut)
+		}
+	}
+}
+
+func (s *Site) isCut(a, b string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts[[2]string{a, b}]
+}
+
+// cutTransport fails while a data centre is cut off from the platform.
+type cutTransport struct {
+	site   *Site
+	centre string
+	next   http.RoundTripper
+}
+
+var errCut = errors.New("cut off from the platform")
+
+// RoundTrip sends the request unless the place is cut off.
+func (t *cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.site.isCut(t.centre, PlatformPlace) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errCut}
+	}
+	return t.next.RoundTrip(r)
+}
+
+// Callers returns the callers' addresses of all running entries.
+func (s *Site) Callers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, n := range s.entries {
+		if n.entry.Ready() {
+			out = append(out, n.entry.Self().CallerAddress)
+		}
+	}
+	return out
+}
+
+// CallerOf returns the callers' address of an entry.
+func (s *Site) CallerOf(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.entries[name]; n != nil {
+		return n.entry.Self().CallerAddress
+	}
+	return ""
+}
+
+// Operator returns a client of some entry's operators' interface; token is its operator's.
+func (s *Site) Operator(token string) *admin.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := ""
+	for name, n := range s.entries {
+		if (best == "" || name < best) && !s.cuts[[2]string{n.centre, PlatformPlace}] {
+			best = name
+		}
+	}
+	if best == "" {
+		return &admin.Client{Token: token, HTTP: s.http}
+	}
+	return &admin.Client{Address: s.entries[best].entry.Self().OperatorAddress, Token: token, HTTP: s.http}
+}
+
+// Publish publishes the first configuration and waits until every entry follows it and sees every target.
+func (s *Site) Publish(ctx context.Context) error {
+	client := s.Operator(BootstrapToken)
+	if _, err := client.Apply(ctx, admin.Apply{Configuration: s.Spec.Configuration()}); err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	return s.Await(ctx, func() bool { return s.settled(ctx) })
+}
+
+func (s *Site) settled(ctx context.Context) bool {
+	st, err := s.Operator(OperatorToken).Status(ctx)
+	if err != nil || len(st.Entries) < s.Spec.DataCentres*s.Spec.EntriesEach {
+		return false
+	}
+	for _, e := range st.Entries {
+		if e.Version != st.Version || e.Offset < 0 {
+			return false
+		}
+	}
+	list, err := s.Operator(OperatorToken).Instances(ctx)
+	if err != nil || len(list) < s.Spec.Services*s.Spec.RunnersEach+s.Spec.Workers {
+		return false
+	}
+	for _, in := range list {
+		if in.State != fleet.InstanceServing {
+			return false
+		}
+	}
+	return len(s.Callers()) == s.Spec.DataCentres*s.Spec.EntriesEach
+}
+
+// Await asks again until ok or the context ends.
+func (s *Site) Await(ctx context.Context, ok func() bool) error {
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the site did not get there in time: %w", ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/trial/verdict.go
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"rackstep.dev/fleet"
+	"rackstep.dev/serve"
+)
+
+// Verdict is what became of the requests of a trial, and which promises were broken.
+type Verdict struct {
+	Requests, Whole, NotRun, Unknown int
+	// Lost are requests without an answer, Wrong those with another one's answer.
+	Lost, Wrong int
+	// Doubled are requests not to be repeated that ran twice, Lied those that ran after "not run".
+	Doubled, Lied int
+	// Reasons counts the problems by their reason.
+	Reasons map[serve.Reason]int
+	// OverSlots are targets that were sent more than their slots, OverConnections more than their connections.
+	OverSlots, OverConnections int
+	// P50 and P99 are times of whole answers.
+	P50, P99 time.Duration
+}
+
+// Judge compares what callers were told with what the targets saw.
+func (s *Site) Judge(told []Told) Verdict {
+	v := Verdict{Reasons: make(map[serve.Reason]int)}
+	ran := make(map[string]int)
+	for _, t := range s.Targets {
+		c := t.Counts()
+		for mark, n := range c.Ran {
+			ran[mark] += n
+		}
+		if c.Refused > 0 {
+			v.OverSlots++
+		}
+		if c.PeakConnections > fleet.DefaultConnections {
+			v.OverConnections++
+		}
+	}
+	var times []time.Duration
+	notRun := make(map[string]bool)
+	others := make(map[string]bool)
+	for _, t := range told {
+		v.add(t)
+		switch {
+		case t.Outcome == serve.OutcomeNotRun:
+			notRun[t.Mark] = true
+		default:
+			others[t.Mark] = true
+		}
+		if t.Outcome == serve.OutcomeWhole {
+			times = append(times, t.Took)
+		}
+		if !t.Repeatable && ran[t.Mark] > 1 {
+			v.Doubled++
+		}
+	}
+	for mark := range notRun {
+		if ran[mark] > 0 && !others[mark] {
+			v.Lied++
+		}
+	}
+	v.P50, v.P99 = quantile(times, 0.5), quantile(times, 0.99)
+	return v
+}
+
+func (v *Verdict) add(t Told) {
+	v.Requests++
+	switch {
+	case t.Lost:
+		v.Lost++
+		return
+	case t.Wrong:
+		v.Wrong++
+	}
+	switch t.Outcome {
+	case serve.OutcomeWhole:
+		v.Whole++
+	case serve.OutcomeNotRun:
+		v.NotRun++
+		v.Reasons[t.Reason]++
+	default:
+		v.Unknown++
+		v.Reasons[t.Reason]++
+	}
+}
+
+func quantile(times []time.Duration, q float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.SortFunc(times, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	return times[min(len(times)-1, int(q*float64(len(times))))]
+}
+
+// Broken lists the promises that the verdict shows broken.
+func (v Verdict) Broken() []string {
+	var broken []string
+	for _, x := range [...]struct {
+		n    int
+		what string
+	}{
+		{v.Lost, "requests ended without an answer"}, {v.Wrong, "answers went to another request"},
+		{v.Doubled, "requests not to be repeated ran twice"}, {v.Lied, "requests ran although the caller was told 'not run'"},
+		{v.OverSlots, "targets were sent more than their slots"}, {v.OverConnections, "targets had more than their connections"},
+	} {
+		if x.n > 0 {
+			broken = append(broken, fmt.Sprintf("%d %s", x.n, x.what))
+		}
+	}
+	return broken
+}
+
+// History is what the fleet log says of a trial.
+type History struct {
+	// Margin is the lowest margin of each service's budget while its plan ran.
+	Margin map[string]int
+	// Buffer is the most instances that were out at once, Moves the jobs displaced.
+	Buffer, Moves int
+	// Doubled are jobs that were begun anew more than once and may not be.
+	Doubled []string
+	// Jobs are the jobs by their last state.
+	Jobs map[fleet.JobState]int
+}
+
+// Replay folds the fleet log again and looks at every state on the way.
+func (s *Site) Replay() History {
+	h := History{Margin: make(map[string]int), Jobs: make(map[fleet.JobState]int)}
+	t := fleet.New()
+	for offset, data := range s.Platform.Records("fleet") {
+		r, err := fleet.DecodeRecord(data)
+		if err != nil {
+			continue
+		}
+		t.Apply(int64(offset), r)
+		if r.Advance != nil {
+			h.look(t)
+		}
+	}
+	starts := s.Platform.Starts()
+	for id, j := range t.Jobs.All {
+		h.Moves += j.Moves
+		h.Jobs[j.State]++
+		if starts[id] > 1 && !j.Spec.Repeatable {
+			h.Doubled = append(h.Doubled, id)
+		}
+	}
+	return h
+}
+
+func (h *History) look(t *fleet.Tables) {
+	out := 0
+	for _, in := range t.Instances.All {
+		if in.State != fleet.InstanceServing {
+			out++
+		}
+	}
+	h.Buffer = max(h.Buffer, out)
+	for i := range t.Configuration.Services {
+		svc := &t.Configuration.Services[i]
+		m := t.Margin(svc)
+		if old, ok := h.Margin[svc.Name]; !ok || m < old {
+			h.Margin[svc.Name] = m
+		}
+	}
+}
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,316 @@
+// SPDX-License-Identifier: MIT
+
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"rackstep.dev/event"
+	"rackstep.dev/peer/peerpb"
+)
+
+// ErrNoLink means that there is no link to the peer and nothing was sent.
+var ErrNoLink = errors.New("no link to the peer; the work was not sent")
+
+// Address names a peer and where it listens.
+type Address struct {
+	Entry string
+	// Address is an IP address and a port.
+	Address string
+}
+
+// Identity is what a peer proved about itself.
+type Identity struct {
+	Entry, DataCentre, Boot string
+}
+
+// Mesh holds the links of one entry.
+type Mesh struct {
+	Self Identity
+	// Secret is shared by all entries of a site.
+	Secret []byte
+	// Listener accepts links from peers.
+	Listener net.Listener
+	// Serve answers one stream; the stream is closed when it returns.
+	Serve func(ctx context.Context, from Identity, open *peerpb.Open, s *Stream)
+	// Dial opens a connection; a net.Dialer's when nil.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Cut says that no bytes may pass to or from the address; a fault switch of tests, nil in operation.
+	Cut func(entry string) bool
+	// Events receives link events.
+	Events *event.Ring
+
+	mu      sync.Mutex
+	links   map[string]*link
+	closing bool
+	work    sync.WaitGroup
+}
+
+type link struct {
+	address Address
+	cancel  context.CancelFunc
+	session *yamux.Session // nil while the link is down
+	refused int            // connections in a row that the peer's host refused
+}
+
+// Times of a Mesh.
+const (
+	dialTimeout  = time.Second
+	redialPause  = 300 * time.Millisecond
+	helloTimeout = 2 * time.Second
+	// refusedToGone is the number of refused connections in a row after which a peer's process counts as ended.
+	refusedToGone = 3
+)
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.KeepAliveInterval = 5 * time.Second
+	c.ConnectionWriteTimeout = 3 * time.Second
+	c.StreamOpenTimeout = 3 * time.Second
+	c.StreamCloseTimeout = 3 * time.Second
+	c.AcceptBacklog = 1024
+	return c
+}
+
+// Run accepts links until the context ends, then closes every link and returns the context's error.
+func (m *Mesh) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = m.Listener.Close() })
+	defer stop()
+	for {
+		conn, err := m.Listener.Accept()
+		if err != nil {
+			m.shutDown()
+			return errors.Join(ctx.Err(), ignoreClosed(err))
+		}
+		m.work.Go(func() { m.accepted(ctx, conn) })
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return fmt.Errorf("accept peers: %w", err)
+}
+
+func (m *Mesh) shutDown() {
+	m.mu.Lock()
+	m.closing = true
+	for _, l := range m.links {
+		l.cancel()
+	}
+	m.mu.Unlock()
+	m.work.Wait()
+}
+
+func (m *Mesh) accepted(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	from, err := m.handshake(conn, false)
+	if err != nil || m.cut(from.Entry) {
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		return
+	}
+	defer session.Close()
+	m.serveSession(ctx, from, session)
+}
+
+func (m *Mesh) serveSession(ctx context.Context, from Identity, session *yamux.Session) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { _ = session.Close() })()
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		conn, err := session.AcceptStream()
+		if err != nil {
+			cancel()
+			return
+		}
+		streams.Go(func() { m.serveStream(ctx, from, conn) })
+	}
+}
+
+func (m *Mesh) serveStream(ctx context.Context, from Identity, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := newStream(ctx, conn)
+	defer s.Close()
+	var open peerpb.Open
+	if m.cut(from.Entry) || s.Receive(&open) != nil {
+		return
+	}
+	m.Serve(ctx, from, &open, s)
+}
+
+func (m *Mesh) cut(entry string) bool { return m.Cut != nil && m.Cut(entry) }
+
+// SetPeers says to which peers links are to be kept; links to others are closed.
+func (m *Mesh) SetPeers(ctx context.Context, peers []Address) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closing {
+		return
+	}
+	if m.links == nil {
+		m.links = make(map[string]*link)
+	}
+	wanted := make(map[string]Address, len(peers))
+	for _, p := range peers {
+		if p.Entry != m.Self.Entry {
+			wanted[p.Entry] = p
+		}
+	}
+	for entry, l := range m.links {
+		if wanted[entry] != l.address {
+			l.cancel()
+			delete(m.links, entry)
+		}
+	}
+	for entry, a := range wanted {
+		if m.links[entry] == nil {
+			m.startLink(ctx, a)
+		}
+	}
+}
+
+func (m *Mesh) startLink(ctx context.Context, a Address) {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &link{address: a, cancel: cancel}
+	m.links[a.Entry] = l
+	m.work.Go(func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			m.keepLink(ctx, l)
+			select {
+			case <-ctx.Done():
+			case <-time.After(redialPause):
+			}
+		}
+	})
+}
+
+// keepLink holds one connection to the peer until it ends.
+func (m *Mesh) keepLink(ctx context.Context, l *link) {
+	session, err := m.connect(ctx, l.address)
+	m.countRefused(l, err)
+	if err != nil {
+		return
+	}
+	defer session.Close()
+	m.setSession(l, session)
+	m.Events.Emit(event.PeerUp, event.Subject{Entry: l.address.Entry}, "")
+	select {
+	case <-ctx.Done():
+	case <-session.CloseChan():
+	}
+	m.setSession(l, nil)
+	m.Events.Emit(event.PeerDown, event.Subject{Entry: l.address.Entry}, "")
+}
+
+func (m *Mesh) countRefused(l *link, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		l.refused++
+		return
+	}
+	l.refused = 0
+}
+
+// Gone returns the peers whose hosts answer that nothing listens there any more, in order of their names.
+func (m *Mesh) Gone() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var gone []string
+	for entry, l := range m.links {
+		if l.refused >= refusedToGone {
+			gone = append(gone, entry)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+func (m *Mesh) setSession(l *link, s *yamux.Session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.session = s
+}
+
+func (m *Mesh) connect(ctx context.Context, a Address) (*yamux.Session, error) {
+	if m.cut(a.Entry) {
+		return nil, ErrNoLink
+	}
+	dial := m.Dial
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+		}
+	}
+	conn, err := dial(ctx, a.Address)
+	if err != nil {
+		return nil, fmt.Errorf("dial peer %s: %w", a.Entry, err)
+	}
+	if _, err := m.handshake(conn, true); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("link to %s: %w", a.Entry, err)
+	}
+	return session, nil
+}
+
+// Up returns the peers with an open link, in order of their names.
+func (m *Mesh) Up() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var up []string
+	for entry, l := range m.links {
+		if l.session != nil && !m.cut(entry) {
+			up = append(up, entry)
+		}
+	}
+	slices.Sort(up)
+	return up
+}
+
+// Open starts a stream to the peer and sends its first message; ErrNoLink means that nothing was sent.
+func (m *Mesh) Open(ctx context.Context, entry string, open *peerpb.Open) (*Stream, error) {
+	m.mu.Lock()
+	l := m.links[entry]
+	var session *yamux.Session
+	if l != nil {
+		session = l.session
+	}
+	m.mu.Unlock()
+	if session == nil || m.cut(entry) {
+		return nil, ErrNoLink
+	}
+	conn, err := session.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoLink, err)
+	}
+	s := newStream(ctx, conn)
+	if err := s.Send(open); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/plan/make.go
@@ -0,0 +1,323 @@
+// SPDX-License-Identifier: MIT
+
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"rackstep.dev/fleet"
+)
+
+// Costs are the expected times by which plans are compared.
+type Costs struct {
+	// Maintenance is the time from a take-out to the return of an instance without jobs; 2m when 0.
+	Maintenance time.Duration
+	// Patience is how long a job about to end is waited for; derived from the weights when 0.
+	Patience time.Duration
+}
+
+const defaultMaintenance = 2 * time.Minute
+
+// Time returns Maintenance or its default.
+func (c Costs) Time() time.Duration {
+	if c.Maintenance > 0 {
+		return c.Maintenance
+	}
+	return defaultMaintenance
+}
+
+// Wait returns Patience, or what the weights make of it: the more a move weighs beside roll-out time, the longer.
+func (c Costs) Wait(w fleet.Weights) time.Duration {
+	switch {
+	case c.Patience > 0:
+		return c.Patience
+	case w.Moves == 0:
+		return 0
+	case w.RollOut == 0:
+		return longestWait * c.Time()
+	}
+	return min(longestWait*c.Time(), time.Duration(w.Moves/w.RollOut*float64(c.Time())))
+}
+
+// longestWait bounds the wait for a job, in times of one maintenance.
+const longestWait = 4
+
+// Make returns the plan for the intent; it fails when the intent can't be understood.
+func Make(t *fleet.Tables, id string, intent fleet.Intent, costs Costs) (fleet.Plan, error) {
+	chosen, left, err := choose(t, intent)
+	if err != nil {
+		return fleet.Plan{}, err
+	}
+	p := fleet.Plan{ID: id, Intent: intent, Base: t.Version, State: fleet.PlanProposed, Left: left}
+	w := newWaves(t, chosen)
+	p.Steps, p.Waves = w.build()
+	p.Left = append(p.Left, w.left...)
+	p.Estimate = estimate(t, p, w, costs)
+	return p, nil
+}
+
+// candidate is an instance that the intent names and that may be planned.
+type candidate struct {
+	in     *fleet.Instance
+	action fleet.Action
+	to     string
+	// held are the cores that jobs hold on it.
+	held int
+}
+
+func choose(t *fleet.Tables, intent fleet.Intent) ([]candidate, []fleet.Left, error) {
+	match, err := matcher(t, intent)
+	if err != nil {
+		return nil, nil, err
+	}
+	var chosen []candidate
+	var left []fleet.Left
+	open := openSteps(t)
+	for id, in := range t.Instances.All {
+		if !match(in) {
+			continue
+		}
+		if reason := unplannable(in, open[id]); reason != "" {
+			left = append(left, fleet.Left{Instance: id, Reason: reason})
+			continue
+		}
+		cores, _ := t.Held(id)
+		chosen = append(chosen, candidate{in: in, action: actionOf(intent), to: target(intent, in), held: cores})
+	}
+	left = append(left, missing(t, intent)...)
+	return chosen, left, nil
+}
+
+func matcher(t *fleet.Tables, i fleet.Intent) (func(*fleet.Instance) bool, error) {
+	switch i.Kind {
+	case fleet.IntentEmptyRack:
+		if i.Rack == "" {
+			return nil, fmt.Errorf("intent %s names no rack; set rack", i.Kind)
+		}
+		return func(in *fleet.Instance) bool {
+			return in.Rack == i.Rack && (i.DataCentre == "" || in.DataCentre == i.DataCentre) && in.Pool != ""
+		}, nil
+	case fleet.IntentEmptyDataCentre:
+		if t.Configuration.DataCentre(i.DataCentre) == nil {
+			return nil, fmt.Errorf("data centre %q is not in the configuration; set data_centre", i.DataCentre)
+		}
+		return func(in *fleet.Instance) bool { return in.DataCentre == i.DataCentre && in.Pool != "" }, nil
+	case fleet.IntentMaintain:
+		if i.Pool != "" && t.Configuration.Pool(i.Pool) == nil {
+			return nil, fmt.Errorf("pool %q is not in the configuration; set pool or leave it out for all", i.Pool)
+		}
+		return func(in *fleet.Instance) bool {
+			due := i.NotSince.IsZero() || in.Maintained.Before(i.NotSince)
+			return in.Pool != "" && (i.Pool == "" || in.Pool == i.Pool) && due
+		}, nil
+	case fleet.IntentMove:
+		if t.Configuration.Pool(i.Pool) == nil {
+			return nil, fmt.Errorf("pool %q is not in the configuration; set pool to where the instances go", i.Pool)
+		}
+		return listed(i)
+	case fleet.IntentReplace:
+		return listed(i)
+	}
+	return nil, fmt.Errorf("intent %q is not known; use empty-rack, empty-data-centre, maintain, move or replace", i.Kind)
+}
+
+func listed(i fleet.Intent) (func(*fleet.Instance) bool, error) {
+	if len(i.Instances) == 0 {
+		return nil, fmt.Errorf("intent %s names no instance; set instances", i.Kind)
+	}
+	return func(in *fleet.Instance) bool { return slices.Contains(i.Instances, in.ID) }, nil
+}
+
+// missing lists the instances that the intent names and nobody knows.
+func missing(t *fleet.Tables, i fleet.Intent) []fleet.Left {
+	var left []fleet.Left
+	for _, id := range i.Instances {
+		if t.Instances.Get(id) == nil {
+			left = append(left, fleet.Left{Instance: id, Reason: "the instance is not known; look at 'rackstep instances'"})
+		}
+	}
+	return left
+}
+
+// openSteps returns the active plan of each instance that has a step left.
+func openSteps(t *fleet.Tables) map[string]string {
+	open := make(map[string]string)
+	for id, p := range t.Plans.All {
+		if !p.Active() {
+			continue
+		}
+		for i := range p.Steps {
+			if !p.Steps[i].State.Ended() {
+				open[p.Steps[i].Instance] = id
+			}
+		}
+	}
+	return open
+}
+
+func unplannable(in *fleet.Instance, plan string) string {
+	switch {
+	case plan != "":
+		return "plan " + plan + " is at work on it; wait for it or cancel it"
+	case in.State == fleet.InstanceIdle:
+		return "it is in no pool; name it as a member of a pool"
+	case in.State != fleet.InstanceServing:
+		return fmt.Sprintf("it is %s", in.State)
+	case in.Down:
+		return "the platform does not list it as live; replace it or wait"
+	}
+	return ""
+}
+
+func actionOf(i fleet.Intent) fleet.Action {
+	switch i.Kind {
+	case fleet.IntentMove:
+		return fleet.ActionMove
+	case fleet.IntentReplace:
+		return fleet.ActionStop
+	}
+	return fleet.ActionReboot
+}
+
+func target(i fleet.Intent, in *fleet.Instance) string {
+	if i.Kind == fleet.IntentMove {
+		return i.Pool
+	}
+	return in.Pool
+}
+
+// waves groups candidates so that each service's budget holds.
+type waves struct {
+	t       *fleet.Tables
+	waiting []candidate
+	margins []margin
+	left    []fleet.Left
+	// largest is the most instances that one wave takes out.
+	largest int
+}
+
+// margin is how many more instances one service can spare.
+type margin struct {
+	service   *fleet.Service
+	total     int
+	perCentre map[string]int // only for services with a budget per data centre
+}
+
+func newWaves(t *fleet.Tables, chosen []candidate) *waves {
+	slices.SortStableFunc(chosen, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.held, b.held), cmp.Compare(a.in.Rack, b.in.Rack), cmp.Compare(a.in.ID, b.in.ID))
+	})
+	w := &waves{t: t, waiting: chosen}
+	for i := range t.Configuration.Services {
+		w.margins = append(w.margins, newMargin(t, &t.Configuration.Services[i]))
+	}
+	return w
+}
+
+func newMargin(t *fleet.Tables, s *fleet.Service) margin {
+	m := margin{service: s, total: -s.MinAvailable}
+	if s.MinPerDataCentre > 0 {
+		m.perCentre = make(map[string]int)
+		for _, dc := range s.DataCentres {
+			m.perCentre[dc] = -s.MinPerDataCentre
+		}
+	}
+	for _, in := range t.Instances.All {
+		if in.Available() && m.covers(in.Pool, in.DataCentre) {
+			m.add(in.DataCentre, 1)
+		}
+	}
+	return m
+}
+
+func (m *margin) covers(pool, dataCentre string) bool {
+	return m.service.Pool == pool && slices.Contains(m.service.DataCentres, dataCentre)
+}
+
+func (m *margin) add(dataCentre string, n int) {
+	m.total += n
+	if m.perCentre != nil {
+		m.perCentre[dataCentre] += n
+	}
+}
+
+func (m *margin) spare(dataCentre string) int {
+	if m.perCentre != nil {
+		return min(m.total, m.perCentre[dataCentre])
+	}
+	return m.total
+}
+
+func (w *waves) build() (steps []fleet.Step, count int) {
+	for len(w.waiting) > 0 {
+		taken := w.next()
+		if len(taken) == 0 {
+			w.giveUp()
+			break
+		}
+		for _, c := range taken {
+			steps = append(steps, fleet.Step{Instance: c.in.ID, Wave: count, Action: c.action, From: c.in.Pool, To: c.to, State: fleet.StepWaiting})
+		}
+		w.back(taken)
+		w.largest = max(w.largest, len(taken))
+		count++
+	}
+	return steps, count
+}
+
+// next takes as many waiting candidates as the budgets allow at once.
+func (w *waves) next() []candidate {
+	var taken, rest []candidate
+	for _, c := range w.waiting {
+		if c.in.Available() && w.blocking(c) != nil {
+			rest = append(rest, c)
+			continue
+		}
+		if c.in.Available() {
+			w.change(c.in.Pool, c.in.DataCentre, -1)
+		}
+		taken = append(taken, c)
+	}
+	w.waiting = rest
+	return taken
+}
+
+func (w *waves) blocking(c candidate) *fleet.Service {
+	for i := range w.margins {
+		m := &w.margins[i]
+		if m.covers(c.in.Pool, c.in.DataCentre) && m.spare(c.in.DataCentre) < 1 {
+			return m.service
+		}
+	}
+	return nil
+}
+
+func (w *waves) change(pool, dataCentre string, n int) {
+	for i := range w.margins {
+		if w.margins[i].covers(pool, dataCentre) {
+			w.margins[i].add(dataCentre, n)
+		}
+	}
+}
+
+// back counts the instances that serve again after the wave.
+func (w *waves) back(taken []candidate) {
+	for _, c := range taken {
+		if c.action != fleet.ActionStop {
+			w.change(c.to, c.in.DataCentre, 1)
+		}
+	}
+}
+
+// giveUp leaves the rest out of the plan, with the budget that keeps each in place.
+func (w *waves) giveUp() {
+	for _, c := range w.waiting {
+		s := w.blocking(c)
+		w.left = append(w.left, fleet.Left{Instance: c.in.ID,
+			Reason: fmt.Sprintf("service %q has no instance to spare in %s; add capacity or lower its budget", s.Name, c.in.DataCentre)})
+	}
+	w.waiting = nil
+}
--- /dev/null
+++ b/serve/handler.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+
+package serve
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+
+	restful "github.com/emicklei/go-restful/v3"
+)
+
+// handlers is built on the first request.
+type handlers struct {
+	once      sync.Once
+	container *restful.Container
+}
+
+// methods are what callers may use on a service.
+var methods = [...]string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions}
+
+// ServeHTTP answers callers.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.handlers.once.Do(func() { s.handlers.container = s.routes() })
+	s.handlers.container.ServeHTTP(w, r)
+}
+
+func (s *Server) routes() *restful.Container {
+	c := restful.NewContainer()
+	c.Router(restful.CurlyRouter{})
+	c.DoNotRecover(true) // net/http recovers, and http.ErrAbortHandler must pass
+	c.ServiceErrorHandler(func(e restful.ServiceError, _ *restful.Request, w *restful.Response) {
+		WriteProblem(w, notRun(e.Code, ReasonBadRequest, "look at docs/PROTOCOLS.md", "%s", e.Message))
+	})
+	ws := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
+	for _, m := range methods {
+		ws.Route(ws.Method(m).Path("/services/{service}").To(s.serveService))
+		ws.Route(ws.Method(m).Path("/services/{service}/{path:*}").To(s.serveService))
+	}
+	if s.Jobs.Submit != nil {
+		s.jobRoutes(ws)
+	}
+	c.Add(ws)
+	health := new(restful.WebService).Path("/health").Produces("*/*")
+	health.Route(health.GET("/ready").To(s.serveReady))
+	c.Add(health)
+	return c
+}
+
+func (s *Server) serveReady(_ *restful.Request, w *restful.Response) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) serveService(rr *restful.Request, rw *restful.Response) {
+	s.active.Add(1)
+	defer s.active.Done()
+	w, r := rw.ResponseWriter, rr.Request
+	since := s.now()
+	v := s.View()
+	if v == nil {
+		WriteProblem(w, notRun(http.StatusServiceUnavailable, ReasonNotReady, "come back later", "this entry has no tables yet"))
+		return
+	}
+	team := v.team(r)
+	if team == nil {
+		WriteProblem(w, unauthorized())
+		return
+	}
+	service := rr.PathParameter("service")
+	req, p := s.admit(v, team, service, targetPath(r, service), r)
+	if p != nil {
+		WriteProblem(w, p)
+		return
+	}
+	a, p := s.run(r.Context(), v, req)
+	if p != nil {
+		w.Header().Set(HeaderRequest, req.ID)
+		s.count(req, p.Outcome, since)
+		WriteProblem(w, p)
+		return
+	}
+	if !a.copyTo(w, req.ID) {
+		s.count(req, OutcomeUnknown, since)
+		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
+	}
+	s.count(req, OutcomeWhole, since)
+}
+
+func unauthorized() *Problem {
+	return notRun(http.StatusUnauthorized, ReasonUnauthorized, "send the team's token as 'Authorization: Bearer TOKEN'", "the token is missing or not known")
+}
+
+// targetPath returns the path and query that the target gets, with their escapes as the caller wrote them.
+func targetPath(r *http.Request, service string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+service)
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
--- /dev/null
+++ b/serve/request.go
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: MIT
+
+package serve
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"rackstep.dev/fleet"
+)
+
+// request is one caller's request after admission.
+type request struct {
+	ID      string
+	Service *Service
+	Team    string
+	Share   int
+	Method  string
+	// Path is the path and query that the target gets.
+	Path   string
+	Header http.Header
+	Body   []byte
+	Urgent bool
+	// Repeatable says that running it twice does no harm.
+	Repeatable bool
+	// Key and NotAfter are set for a request that is not repeatable.
+	Key      string
+	NotAfter time.Time
+	Deadline time.Time
+	// Bound is the data centre of the request's record, or empty.
+	Bound string
+}
+
+// Bounds of a request.
+const (
+	maxHeaderValue = 256
+	maxKey         = 128
+	defaultTimeout = 10 * time.Second
+	defaultMaxBody = 1 << 20
+)
+
+// admit checks the request against the view; after a Problem nothing has happened.
+func (s *Server) admit(v *View, team *fleet.Team, service, path string, r *http.Request) (*request, *Problem) {
+	svc := v.Services[service]
+	if svc == nil {
+		return nil, notRun(http.StatusNotFound, ReasonNoService, "look at the services of the configuration", "service %q is not known", service)
+	}
+	req := &request{
+		ID: s.requestID(r), Service: svc, Team: team.Name, Share: team.Share,
+		Method: r.Method, Path: path, Header: forwarded(r.Header),
+	}
+	for _, step := range [...]func(*request, *http.Request) *Problem{s.readPriority, s.readTimeout, s.readResidency(v), s.readRepeat, s.readBody} {
+		if p := step(req, r); p != nil {
+			return nil, p
+		}
+	}
+	return req, nil
+}
+
+func (s *Server) requestID(r *http.Request) string {
+	if id := r.Header.Get(HeaderRequest); id != "" && len(id) <= maxKey && printable(id) {
+		return id
+	}
+	return rand.Text()
+}
+
+func printable(s string) bool {
+	return !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+func (s *Server) readPriority(req *request, r *http.Request) *Problem {
+	switch v := r.Header.Get(HeaderPriority); v {
+	case "", "ordinary":
+	case "urgent":
+		req.Urgent = true
+	default:
+		return badHeader(HeaderPriority, v, "write urgent or ordinary, or leave it out")
+	}
+	return nil
+}
+
+func (s *Server) readTimeout(req *request, r *http.Request) *Problem {
+	limit := req.Service.Timeout.Std()
+	if limit == 0 {
+		limit = defaultTimeout
+	}
+	if v := r.Header.Get(HeaderTimeout); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 {
+			return badHeader(HeaderTimeout, v, "write a positive duration, as in 500ms")
+		}
+		limit = min(limit, d)
+	}
+	req.Deadline = s.now().Add(limit)
+	return nil
+}
+
+func (s *Server) readResidency(v *View) func(*request, *http.Request) *Problem {
+	return func(req *request, r *http.Request) *Problem {
+		req.Bound = r.Header.Get(HeaderDataCentre)
+		if len(v.Allowed(req.Service, req.Bound)) == 0 {
+			return notRun(http.StatusForbidden, ReasonResidency, "name one of the service's data centres or leave the header out",
+				"service %q may not run in data centre %q", req.Service.Name, req.Bound)
+		}
+		return nil
+	}
+}
+
+func (s *Server) readRepeat(req *request, r *http.Request) *Problem {
+	switch v := r.Header.Get(HeaderRepeatable); v {
+	case "":
+		req.Repeatable = r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
+	case "yes":
+		req.Repeatable = true
+	case "no":
+	default:
+		return badHeader(HeaderRepeatable, v, "write yes or no, or leave it out")
+	}
+	if req.Repeatable {
+		return nil
+	}
+	req.Key = r.Header.Get(HeaderKey)
+	if req.Key == "" || len(req.Key) > maxKey || !printable(req.Key) {
+		return badHeader(HeaderKey, req.Key, "a request that is not repeatable needs a key of 1 to 128 printable characters without spaces")
+	}
+	at, err := http.ParseTime(r.Header.Get(HeaderNotAfter))
+	if err != nil {
+		if at, err = time.Parse(time.RFC3339Nano, r.Header.Get(HeaderNotAfter)); err != nil {
+			return badHeader(HeaderNotAfter, r.Header.Get(HeaderNotAfter), "write the time after which it must not run as in RFC 3339, and the same time in every repeat")
+		}
+	}
+	req.NotAfter = at
+	return nil
+}
+
+func (s *Server) readBody(req *request, r *http.Request) *Problem {
+	limit := s.MaxBody
+	if limit == 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return notRun(http.StatusRequestEntityTooLarge, ReasonTooLarge, "send it in parts", "the body is over %d bytes", limit)
+	case err != nil:
+		return notRun(http.StatusBadRequest, ReasonBadRequest, "send the whole body", "the body could not be read: %v", err)
+	}
+	req.Body = body
+	return nil
+}
+
+func badHeader(name, value, remedy string) *Problem {
+	if len(value) > maxHeaderValue {
+		value = value[:maxHeaderValue]
+	}
+	return notRun(http.StatusBadRequest, ReasonBadRequest, remedy, "header %s is %q", name, value)
+}
+
+// digest is the hash by which two requests with the same key are told apart.
+func (r *request) digest() [16]byte {
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %q %q %q %d\n", r.Service.Name, r.Method, r.Path, r.Bound, len(r.Body))
+	h.Write(r.Body)
+	return [16]byte(h.Sum(nil))
+}
+
+// dropped are headers that concern one connection or rackstep itself, by canonical name.
+var dropped = canonical("Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Authorization", HeaderRequest, HeaderDataCentre, HeaderPriority,
+	HeaderTimeout, HeaderRepeatable, HeaderNotAfter, HeaderTeam, HeaderGeneration, HeaderNotRun, HeaderOutcome, HeaderKey)
+
+func canonical(names ...string) map[string]bool {
+	m := make(map[string]bool, len(names))
+	for _, n := range names {
+		m[textproto.CanonicalMIMEHeaderKey(n)] = true
+	}
+	return m
+}
+
+// forwarded returns the headers that pass through.
+func forwarded(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	listed := h.Values("Connection")
+	for name, values := range h {
+		if !dropped[name] && !named(listed, name) {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+func named(lists []string, name string) bool {
+	for _, list := range lists {
+		for item := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(item), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TokenHash returns the form of a token that configurations hold.
+func TokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/serve/server.go
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: MIT
+
+package serve
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rackstep.dev/claim"
+	"rackstep.dev/event"
+	"rackstep.dev/peer"
+	"rackstep.dev/route"
+)
+
+// Server runs the callers' requests of one entry.
+type Server struct {
+	// Self is the entry's name, DataCentre its place.
+	Self, DataCentre string
+	// Book makes claims.
+	Book *claim.Book
+	// Mesh reaches the other entries.
+	Mesh *peer.Mesh
+	// Targets sends requests to targets.
+	Targets *Dispatcher
+	// Jobs passes callers' jobs to control; without Submit there is no jobs interface.
+	Jobs Jobs
+	// Boot tells two lives of the entry apart.
+	Boot   string
+	Events *event.Ring
+	// Metrics receives counters and timers; tally.NoopScope when nil.
+	Metrics tally.Scope
+	// Clock returns the platform's time; time.Now when nil.
+	Clock func() time.Time
+	// MaxBody bounds a caller's body in bytes; 1 MiB when 0.
+	MaxBody int64
+
+	handlers handlers
+	view     atomic.Pointer[View]
+	stopping atomic.Bool
+	active   sync.WaitGroup
+	attempts atomic.Uint64
+
+	mu    sync.Mutex
+	gates map[string]*gate
+}
+
+// gate is a Gate with the retry budget of its service.
+type gate struct {
+	route.Gate
+	retries route.RetryBudget
+}
+
+func (s *Server) now() time.Time {
+	if s.Clock != nil {
+		return s.Clock()
+	}
+	return time.Now()
+}
+
+func (s *Server) metrics() tally.Scope {
+	if s.Metrics != nil {
+		return s.Metrics
+	}
+	return tally.NoopScope
+}
+
+// View returns the view in force, nil before the first.
+func (s *Server) View() *View { return s.view.Load() }
+
+// SetView puts the view in force; when it returns, no new request is routed by an older one.
+func (s *Server) SetView(v *View) {
+	s.view.Store(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gates == nil {
+		s.gates = make(map[string]*gate)
+	}
+	for name, svc := range v.Services {
+		s.gate(name).Set(s.limits(svc), s.routable(svc))
+	}
+	for name, g := range s.gates {
+		if v.Services[name] == nil {
+			g.Set(route.Limits{}, nil)
+		}
+	}
+}
+
+// MoveView replaces the view by one that differs only in its offset.
+func (s *Server) MoveView(v *View) { s.view.Store(v) }
+
+func (s *Server) limits(svc *Service) route.Limits {
+	return route.Limits{Slots: svc.Slots, Queue: svc.QueueLimit(), Elsewhere: svc.Owner != "" && svc.Owner != s.Self}
+}
+
+// routable returns the targets that this entry may give requests to.
+func (s *Server) routable(svc *Service) []route.Target {
+	if svc.Owner != s.Self {
+		return nil
+	}
+	return svc.Targets
+}
+
+// gate returns the service's gate; the caller holds mu.
+func (s *Server) gate(service string) *gate {
+	g := s.gates[service]
+	if g == nil {
+		g = &gate{}
+		g.Changed = s.targetChanged
+		s.gates[service] = g
+	}
+	return g
+}
+
+func (s *Server) gateOf(service string) *gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate(service)
+}
+
+func (s *Server) targetChanged(instance string, sick bool) {
+	n := event.TargetRecovered
+	if sick {
+		n = event.TargetSick
+	}
+	s.Events.Emit(n, event.Subject{Instance: instance}, "")
+}
+
+// Held returns the requests in flight on instances that this entry no longer routes to, by instance.
+func (s *Server) Held() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(map[string]int)
+	for _, g := range s.gates {
+		for id, n := range g.Held() {
+			held[id] += n
+		}
+	}
+	return held
+}
+
+// Load returns the requests in flight and waiting at this entry, and the slots that it may use.
+func (s *Server) Load() (inFlight, waiting, slots int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.gates {
+		f, w, n := g.Load()
+		inFlight, waiting, slots = inFlight+f, waiting+w, slots+n
+	}
+	return inFlight, waiting, slots
+}
+
+// Ready says whether the balancer should send callers here.
+func (s *Server) Ready() bool { return s.View() != nil && !s.stopping.Load() }
+
+// Stop begins a planned stop: the entry is no longer ready but serves on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Stopping says whether a planned stop has begun.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// Drain waits until no request is in flight or the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// count records what a caller was told.
+func (s *Server) count(req *request, outcome Outcome, since time.Time) {
+	scope := s.metrics().Tagged(map[string]string{"service": req.Service.Name, "outcome": string(outcome)})
+	scope.Counter("requests").Inc(1)
+	scope.Timer("request_time").Record(s.now().Sub(since))
+}
+
+var _ http.Handler = (*Server)(nil)
--- /dev/null
+++ b/serve/view.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+
+package serve
+
+import (
+	"slices"
+
+	"rackstep.dev/fleet"
+	"rackstep.dev/route"
+)
+
+// View is what traffic follows: made by control from the tables, never changed after it was set.
+type View struct {
+	// Offset and Version say which state of the tables the view was made from.
+	Offset  int64
+	Version uint64
+	// Services are the services of the configuration by name.
+	Services map[string]*Service
+	// Teams are the callers' teams by the hash of their token.
+	Teams map[string]*fleet.Team
+	// Entries are the live entries that can be reached, by data centre and in order of their names.
+	Entries map[string][]string
+	// Near lists the data centres, the nearest first.
+	Near []string
+}
+
+// Service is one service as seen from this entry.
+type Service struct {
+	fleet.Service
+	// Owner is the entry of this data centre that runs the service's Gate; empty when there is no target here.
+	Owner string
+	// Slots is the part of each target's slots that this entry may use as the owner.
+	Slots int
+	// Targets are the available targets in this data centre.
+	Targets []route.Target
+	// Serving are the data centres that have an available target.
+	Serving []string
+}
+
+// Allowed returns the data centres where the request may run, the nearest first.
+func (v *View) Allowed(s *Service, bound string) []string {
+	var allowed []string
+	for _, dc := range v.Near {
+		if slices.Contains(s.DataCentres, dc) && (bound == "" || bound == dc) {
+			allowed = append(allowed, dc)
+		}
+	}
+	return allowed
+}
