fleet: give pools budgets of their own and plan room for jobs

Change: budgets of pools in the fold; the planner keeps room for held and pending jobs; a reader does not wait before it was at the end of the log.

--- a/control/status.go
+++ b/control/status.go
@@ -46,7 +46,7 @@
 	st.Version, st.Offset = t.Version, t.Offset
 	for i := range t.Configuration.Services {
 		s := &t.Configuration.Services[i]
-		st.Services = append(st.Services, admin.ServiceStatus{Service: s.Name, Pool: s.Pool, Margin: t.Margin(s)})
+		st.Services = append(st.Services, admin.ServiceStatus{Service: s.Name, Pool: s.Pool, Margin: t.Spare(s.Budget()).Least()})
 	}
 	for _, p := range t.Plans.All {
 		st.Plans = append(st.Plans, c.planStatus(p))
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -23,6 +23,9 @@
 	Trimmed func(ctx context.Context, first int64) (next int64, err error)
 	// Failed is called after each failed read; it returns where to go on.
 	Failed func(ctx context.Context, next int64, err error) int64
+
+	// atEnd says that the reader has been at the end of the log; before that it never waits.
+	atEnd bool
 }
 
 // Run reads until the context ends and returns its error.
@@ -37,7 +40,11 @@
 }
 
 func (r *Reader) once(ctx context.Context) error {
-	page, err := r.Log.Read(ctx, r.Next, orElse(r.Wait, 5*time.Second))
+	var wait time.Duration
+	if r.atEnd {
+		wait = orElse(r.Wait, 5*time.Second)
+	}
+	page, err := r.Log.Read(ctx, r.Next, wait)
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
 		next, err := r.Trimmed(ctx, trimmed.First)
@@ -54,6 +61,7 @@
 		return err
 	}
 	r.Next = next
+	r.atEnd = r.atEnd || next >= page.Next
 	return nil
 }
 
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -50,6 +50,7 @@
 	checkNames(k, "/pools", k.c.Pools, poolName)
 	owner := make(map[string]string)
 	for i, p := range k.c.Pools {
+		k.notNegative(fmt.Sprintf("/pools/%d/min_available", i), p.MinAvailable)
 		for j, m := range p.Members {
 			if other, ok := owner[m]; ok {
 				k.add(fmt.Sprintf("/pools/%d/members/%d", i, j), "instance %q is in pool %q already; keep it in one", m, other)
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -23,6 +23,8 @@
 	Name string `json:"name"`
 	// Members are the IDs of instances that join the pool when they are first seen.
 	Members []string `json:"members"`
+	// MinAvailable is the number of instances that must stay available through planned work, whatever services run on them.
+	MinAvailable int `json:"min_available"`
 }
 
 // Service is a set of requests that the instances of one pool answer.
--- a/internal/trial/spec.go
+++ b/internal/trial/spec.go
@@ -99,7 +99,7 @@
 		c.Services = append(c.Services, svc)
 	}
 	if s.Workers > 0 {
-		c.Pools = append(c.Pools, fleet.Pool{Name: BatchPool, Members: names(s.Workers, WorkerName)})
+		c.Pools = append(c.Pools, fleet.Pool{Name: BatchPool, Members: names(s.Workers, WorkerName), MinAvailable: s.Workers * 3 / 4})
 	}
 	return c
 }
--- a/internal/trial/verdict.go
+++ b/internal/trial/verdict.go
@@ -162,11 +162,10 @@
 		}
 	}
 	h.Buffer = max(h.Buffer, out)
-	for i := range t.Configuration.Services {
-		svc := &t.Configuration.Services[i]
-		m := t.Margin(svc)
-		if old, ok := h.Margin[svc.Name]; !ok || m < old {
-			h.Margin[svc.Name] = m
+	for _, b := range t.Configuration.Budgets() {
+		m := t.Spare(b).Least()
+		if old, ok := h.Margin[b.Name]; !ok || m < old {
+			h.Margin[b.Name] = m
 		}
 	}
 }
--- a/plan/estimate.go
+++ b/plan/estimate.go
@@ -45,16 +45,15 @@
 // wavesBound returns the least number of rounds in which the budgets let the plan's instances be out.
 func wavesBound(t *fleet.Tables, p fleet.Plan) int {
 	bound := 1
-	for i := range t.Configuration.Services {
-		s := &t.Configuration.Services[i]
-		m := newMargin(t, s)
-		steps, out := 0, max(1, m.total)
+	for _, m := range margins(t) {
+		steps := 0
 		for j := range p.Steps {
 			in := t.Instances.Get(p.Steps[j].Instance)
-			if in.Available() && m.covers(p.Steps[j].From, in.DataCentre) {
+			if in.Available() && m.Covers(p.Steps[j].From, in.DataCentre) {
 				steps++
 			}
 		}
+		out := max(1, m.Total)
 		bound = max(bound, (steps+out-1)/out)
 	}
 	return bound
--- a/plan/make.go
+++ b/plan/make.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -199,56 +200,61 @@
 	largest int
 }
 
-// margin is how many more instances one service can spare.
+// margin is a budget and what it can still spare.
 type margin struct {
-	service   *fleet.Service
-	total     int
-	perCentre map[string]int // only for services with a budget per data centre
+	fleet.Budget
+	fleet.Spare
 }
 
 func newWaves(t *fleet.Tables, chosen []candidate) *waves {
 	slices.SortStableFunc(chosen, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.held, b.held), cmp.Compare(a.in.Rack, b.in.Rack), cmp.Compare(a.in.ID, b.in.ID))
 	})
-	w := &waves{t: t, waiting: chosen}
-	for i := range t.Configuration.Services {
-		w.margins = append(w.margins, newMargin(t, &t.Configuration.Services[i]))
+	return &waves{t: t, waiting: chosen, margins: margins(t)}
+}
+
+// margins returns every budget, and for pools that run jobs the room that those need.
+func margins(t *fleet.Tables) []margin {
+	var all []margin
+	for _, b := range append(t.Configuration.Budgets(), roomForJobs(t)...) {
+		all = append(all, margin{b, t.Spare(b)})
 	}
-	return w
+	return all
 }
 
-func newMargin(t *fleet.Tables, s *fleet.Service) margin {
-	m := margin{service: s, total: -s.MinAvailable}
-	if s.MinPerDataCentre > 0 {
-		m.perCentre = make(map[string]int)
-		for _, dc := range s.DataCentres {
-			m.perCentre[dc] = -s.MinPerDataCentre
+// jobRoom is the part of a pool's cores that jobs are planned to fill at most.
+const jobRoom = 0.9
+
+// roomForJobs returns, for each pool with jobs, the instances that are needed to carry what is held and pending.
+//
+// It is a matter of planning: the fold does not know it.
+func roomForJobs(t *fleet.Tables) []fleet.Budget {
+	needed := make(map[string]int)
+	for _, j := range t.Jobs.All {
+		if !j.State.Ended() {
+			needed[j.Spec.Pool] += j.Spec.Cores
 		}
 	}
+	if len(needed) == 0 {
+		return nil
+	}
+	cores, count := make(map[string]int), make(map[string]int)
 	for _, in := range t.Instances.All {
-		if in.Available() && m.covers(in.Pool, in.DataCentre) {
-			m.add(in.DataCentre, 1)
+		if in.Pool != "" && in.Available() {
+			cores[in.Pool] += in.Cores
+			count[in.Pool]++
 		}
 	}
-	return m
-}
-
-func (m *margin) covers(pool, dataCentre string) bool {
-	return m.service.Pool == pool && slices.Contains(m.service.DataCentres, dataCentre)
-}
-
-func (m *margin) add(dataCentre string, n int) {
-	m.total += n
-	if m.perCentre != nil {
-		m.perCentre[dataCentre] += n
-	}
-}
-
-func (m *margin) spare(dataCentre string) int {
-	if m.perCentre != nil {
-		return min(m.total, m.perCentre[dataCentre])
+	var budgets []fleet.Budget
+	for _, p := range t.Configuration.Pools {
+		if needed[p.Name] == 0 || cores[p.Name] == 0 {
+			continue
+		}
+		each := float64(cores[p.Name]) / float64(count[p.Name]) * jobRoom
+		least := int(math.Ceil(float64(needed[p.Name]) / each))
+		budgets = append(budgets, fleet.Budget{Name: "jobs of pool " + p.Name, Pool: p.Name, Min: min(least, count[p.Name]-1)})
 	}
-	return m.total
+	return budgets
 }
 
 func (w *waves) build() (steps []fleet.Step, count int) {
@@ -272,7 +278,7 @@
 func (w *waves) next() []candidate {
 	var taken, rest []candidate
 	for _, c := range w.waiting {
-		if c.in.Available() && w.blocking(c) != nil {
+		if c.in.Available() && w.blocking(c) != "" {
 			rest = append(rest, c)
 			continue
 		}
@@ -285,20 +291,21 @@
 	return taken
 }
 
-func (w *waves) blocking(c candidate) *fleet.Service {
+// blocking returns the name of a budget that needs the candidate in service, or an empty string.
+func (w *waves) blocking(c candidate) string {
 	for i := range w.margins {
 		m := &w.margins[i]
-		if m.covers(c.in.Pool, c.in.DataCentre) && m.spare(c.in.DataCentre) < 1 {
-			return m.service
+		if m.Covers(c.in.Pool, c.in.DataCentre) && m.In(c.in.DataCentre) < 1 {
+			return m.Name
 		}
 	}
-	return nil
+	return ""
 }
 
 func (w *waves) change(pool, dataCentre string, n int) {
 	for i := range w.margins {
-		if w.margins[i].covers(pool, dataCentre) {
-			w.margins[i].add(dataCentre, n)
+		if w.margins[i].Covers(pool, dataCentre) {
+			w.margins[i].Add(dataCentre, n)
 		}
 	}
 }
@@ -315,9 +322,8 @@
 // giveUp leaves the rest out of the plan, with the budget that keeps each in place.
 func (w *waves) giveUp() {
 	for _, c := range w.waiting {
-		s := w.blocking(c)
 		w.left = append(w.left, fleet.Left{Instance: c.in.ID,
-			Reason: fmt.Sprintf("service %q has no instance to spare in %s; add capacity or lower its budget", s.Name, c.in.DataCentre)})
+			Reason: fmt.Sprintf("the budget of %s has no instance to spare in %s; add capacity or lower it", w.blocking(c), c.in.DataCentre)})
 	}
 	w.waiting = nil
 }
--- a/plan/next.go
+++ b/plan/next.go
@@ -56,7 +56,7 @@
 	if !p.Active() {
 		return nil
 	}
-	n := next{t: t, p: p, f: f, spare: make(map[string]int)}
+	n := next{t: t, p: p, f: f}
 	for i := range p.Steps {
 		n.step(&p.Steps[i])
 	}
@@ -68,8 +68,8 @@
 	p   *fleet.Plan
 	f   Facts
 	out []Decision
-	// spare is what each service can still lose in this call, so that no record is written in vain.
-	spare map[string]int
+	// margins are what the budgets can still lose in this call, so that no record is written in vain.
+	margins []margin
 	// first is the earliest wave that still has a waiting step, plus one; 0 when not known yet.
 	first int
 }
@@ -125,27 +125,14 @@
 	if !in.Available() {
 		return true
 	}
-	if n.t.TakeOutRefusal(in) != nil {
-		return false
+	if n.margins == nil {
+		n.margins = margins(n.t)
 	}
-	services := n.t.Configuration.Services
-	for pass := range 2 {
-		for i := range services {
-			s := &services[i]
-			m := margin{service: s}
-			if !m.covers(in.Pool, in.DataCentre) {
-				continue
-			}
-			left, known := n.spare[s.Name]
-			if !known {
-				left = n.t.Margin(s)
-			}
-			if pass == 0 && left < 1 {
-				return false
-			}
-			n.spare[s.Name] = left - pass
-		}
+	w := waves{margins: n.margins}
+	if w.blocking(candidate{in: in}) != "" {
+		return false
 	}
+	w.change(in.Pool, in.DataCentre, -1)
 	return true
 }
 
