control: remove an ended entry even when the duty's leader never saw it

An entry that stopped while the log was down could not write its leave; the leader of the duty was the entry that replaced it, which had never seen it listed and so waited a minute. Ruled out: the log reader (it went on) and the list (it had dropped the entry). Change: any entry that has seen the life listed writes the leave 5 s later. Also: a reader's page counts as proof that the claims log answers; an entry is ready only once it has tried its links; an answer that lacks most of the list must come three times; held steps are told once.

--- a/claim/book.go
+++ b/claim/book.go
@@ -26,14 +26,16 @@
 	// Clock returns the current time; time.Now when nil.
 	Clock func() time.Time
 
-	mu      sync.Mutex
-	tables  Tables
-	ready   bool
-	waiting map[string]*waiter
-	claims  []Claim
-	ends    []Completion
-	retryAt time.Time // after a failed append: when the next claim may try the log
-	since   int64     // claims with a NotAfter up to here may be missing from the tables
+	mu        sync.Mutex
+	tables    Tables
+	ready     bool
+	waiting   map[string]*waiter
+	claims    []Claim
+	ends      []Completion
+	waken     chan struct{}
+	retryAt   time.Time // after a failed append: when the next claim may try the log
+	uncertain bool      // the last append gave no answer
+	since     int64     // claims with a NotAfter up to here may be missing from the tables
 }
 
 type waiter struct {
@@ -129,6 +131,7 @@
 	w := &waiter{verdict: make(chan Verdict, 1), failed: make(chan error, 1)}
 	b.waiting[c.Token] = w
 	b.claims = append(b.claims, c)
+	b.notify()
 	return w, Verdict{}, nil
 }
 
@@ -188,6 +191,7 @@
 	if len(b.ends) < maxEnds {
 		b.ends = append(b.ends, c)
 	}
+	b.notify()
 }
 
 // Fold applies a record of the claims log; records come in the log's order, each once.
@@ -206,6 +210,7 @@
 	if w := b.waiting[c.Token]; w != nil {
 		delete(b.waiting, c.Token)
 		w.verdict <- v
+		b.retryAt, b.uncertain = time.Time{}, false // the log gives back what it was given
 	}
 }
 
@@ -215,17 +220,44 @@
 	if interval == 0 {
 		interval = DefaultInterval
 	}
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-tick.C:
+		case <-b.wake():
 		}
 		if !b.holding() {
 			b.flush(ctx)
 		}
+		pause.Reset(interval)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-pause.C:
+		}
+	}
+}
+
+// wake returns a channel that is ready when something waits to be appended.
+func (b *Book) wake() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.waken == nil {
+		b.waken = make(chan struct{}, 1)
+	}
+	if len(b.claims) > 0 || len(b.ends) > 0 {
+		b.notify()
+	}
+	return b.waken
+}
+
+// notify wakes Run; the caller holds mu.
+func (b *Book) notify() {
+	select {
+	case b.waken <- struct{}{}:
+	default:
 	}
 }
 
@@ -268,10 +300,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
-		b.retryAt = time.Time{}
+		b.retryAt, b.uncertain = time.Time{}, false
 		return
 	}
-	b.retryAt = b.now().Add(RetryPause)
+	if errors.Is(err, feed.ErrUncertain) && !b.uncertain {
+		b.uncertain = true // one lost answer does not mean that the log is down
+	} else {
+		b.retryAt = b.now().Add(RetryPause)
+	}
 	// A completion is harmless when it comes twice, so it is sent again.
 	b.ends = append(batch.Completions, b.ends...)
 	if !errors.Is(err, feed.ErrUnavailable) {
--- a/control/controller.go
+++ b/control/controller.go
@@ -63,6 +63,9 @@
 	// viewed says that the view in force was made from the tables as they are, with viewedWith.
 	viewed     bool
 	viewedWith membership
+	// viewedAt is when the first view came into force, ready whether callers may come.
+	viewedAt time.Time
+	ready    bool
 }
 
 // Defaults of a Controller.
@@ -160,6 +163,7 @@
 		c.runJobs()
 		c.checkpoint(now)
 		c.publish()
+		c.becomeReady(now)
 	}
 	c.gossip(now)
 }
--- a/control/execute.go
+++ b/control/execute.go
@@ -34,6 +34,7 @@
 // execute moves every active plan on that this entry leads.
 func (c *Controller) execute() {
 	c.dropCommands()
+	active := false
 	for id, p := range c.tables.Plans.All {
 		if !p.Active() || !c.leads("plan/"+id, "") {
 			continue
@@ -41,6 +42,10 @@
 		for _, d := range plan.Next(c.tables, p, c.facts()) {
 			c.carryOut(p, d)
 		}
+		active = true
+	}
+	if !active {
+		clear(c.commands.held)
 	}
 }
 
@@ -75,17 +80,14 @@
 
 // dropCommands forgets commands of instances that are no longer acting.
 func (c *Controller) dropCommands() {
-	if len(c.commands.facts) == 0 && len(c.commands.held) == 0 {
+	if len(c.commands.facts) == 0 {
 		return
 	}
 	current := make(map[string]bool)
-	for id, in := range c.tables.Instances.All {
+	for _, in := range c.tables.Instances.All {
 		if in.State == fleet.InstanceActing {
 			current[in.Command] = true
 		}
-		if in.Plan == "" {
-			delete(c.commands.held, id)
-		}
 	}
 	for id := range c.commands.facts {
 		if !current[id] {
@@ -98,6 +100,7 @@
 	switch {
 	case d.Advance != nil:
 		a := d.Advance
+		delete(c.commands.held, a.Instance)
 		c.write(fmt.Sprintf("advance/%s/%s/%s/%d", a.Plan, a.Instance, a.To, a.Generation), fleet.Record{Advance: a})
 	case d.Command != nil:
 		c.send(p, *d.Command)
--- a/control/observe.go
+++ b/control/observe.go
@@ -21,6 +21,27 @@
 	changes uint64
 	ok      bool
 	said    bool
+	// doubted counts the answers in a row that lacked more than half of the rows.
+	doubted int
+}
+
+// doubtsToBelieve is the number of answers in a row that must agree before most instances count as gone.
+const doubtsToBelieve = 3
+
+// believable says whether the answer may replace the one before it.
+func (l *listing) believable(fresh map[string]platform.Listed) bool {
+	kept := 0
+	for id := range l.rows {
+		if _, ok := fresh[id]; ok {
+			kept++
+		}
+	}
+	if 2*kept >= len(l.rows) {
+		l.doubted = 0
+		return true
+	}
+	l.doubted++
+	return l.doubted >= doubtsToBelieve
 }
 
 // life is one run of an entry instance.
@@ -55,6 +76,9 @@
 	for _, r := range rows {
 		fresh[r.ID] = r
 	}
+	if !c.list.believable(fresh) {
+		return
+	}
 	if c.list.differs(fresh) {
 		c.list.changes++
 	}
@@ -140,6 +164,9 @@
 // unlistedAfter is how long the list may lag behind a new entry.
 const unlistedAfter = time.Minute
 
+// seenAfter is how long an entry waits for the leader to remove one that the list has shown and shows no longer.
+const seenAfter = 5 * time.Second
+
 // admitEntries joins this entry and removes those that the platform no longer runs.
 func (c *Controller) admitEntries() {
 	if c.Server.Stopping() {
@@ -149,11 +176,13 @@
 	if (e == nil || e.Boot != c.Self.Boot) && !c.over(life{c.Self.ID, c.Self.Boot}) {
 		c.write("join", fleet.Record{Join: &fleet.Join{Entry: c.Self}})
 	}
-	if !c.list.ok || !c.leads("members", "") {
+	if !c.list.ok {
 		return
 	}
+	leads := c.leads("members", "")
 	for id, e := range c.tables.Entries.All {
-		if l := (life{id, e.Boot}); c.over(l) || c.unlisted(l) {
+		l := life{id, e.Boot}
+		if c.unlistedFor(l) > c.patienceWith(l, leads) {
 			c.write("leave/"+id+e.Boot, fleet.Record{Leave: &fleet.Leave{ID: id, Boot: e.Boot}})
 		}
 	}
@@ -165,20 +194,33 @@
 	return c.list.seen[l] && (!listed || row.Boot != l.boot)
 }
 
-// unlisted says that the list has not shown the joined entry for longer than it lags, and no peer hears of it.
-func (c *Controller) unlisted(l life) bool {
+// patienceWith returns how long the list must lack the entry before this one says that it has gone.
+//
+// The leader of the duty may be too new to have seen the entry in the list; another one that has takes its place.
+func (c *Controller) patienceWith(l life, leads bool) time.Duration {
+	switch {
+	case !c.over(l):
+		return unlistedAfter
+	case leads:
+		return 0
+	}
+	return seenAfter
+}
+
+// unlistedFor returns how long the list has lacked the joined entry, 0 while it is listed or a peer hears of it.
+func (c *Controller) unlistedFor(l life) time.Duration {
 	row, listed := c.list.rows[l.entry]
 	heard := c.members.byEntry[l.entry]
 	now := time.Now()
-	if (listed && row.Boot == l.boot) || l.entry == c.Self.ID ||
-		(heard != nil && heard.status.Boot == l.boot && now.Sub(heard.heard) < farLiveFor) {
+	alive := heard != nil && heard.status.Boot == l.boot && !heard.status.Stopping && now.Sub(heard.heard) < farLiveFor
+	if (listed && row.Boot == l.boot) || l.entry == c.Self.ID || (alive && !c.over(l)) {
 		delete(c.list.unseen, l)
-		return false
+		return 0
 	}
 	since, ok := c.list.unseen[l]
 	if !ok {
 		c.list.unseen[l] = now
-		return false
+		return 0
 	}
-	return now.Sub(since) > unlistedAfter
+	return now.Sub(since)
 }
--- a/control/view.go
+++ b/control/view.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
@@ -41,9 +42,6 @@
 	v := c.view(now)
 	c.Server.SetView(v)
 	c.viewed, c.viewedWith = true, now
-	if old == nil {
-		c.Events.Emit(event.EntryReady, event.Subject{}, "")
-	}
 	if old == nil || old.Version != v.Version {
 		c.Events.Emit(event.ConfigurationInForce, event.Subject{}, versionText(v.Version))
 	}
@@ -59,6 +57,38 @@
 	c.Server.MoveView(&v)
 }
 
+// linkTime is how long a new entry waits for links to all data centres before it serves without them.
+const linkTime = 2 * time.Second
+
+// becomeReady lets callers come once every data centre can be reached, or was tried for some time.
+func (c *Controller) becomeReady(now time.Time) {
+	v := c.Server.View()
+	if c.ready || v == nil {
+		return
+	}
+	if c.viewedAt.IsZero() {
+		c.viewedAt = now
+	}
+	for _, dc := range c.tables.Configuration.DataCentres {
+		if dc.Name != c.Self.DataCentre && len(v.Entries[dc.Name]) == 0 && now.Sub(c.viewedAt) < linkTime && c.expected(dc.Name) {
+			return
+		}
+	}
+	c.ready = true
+	c.Server.SetLinked()
+	c.Events.Emit(event.EntryReady, event.Subject{}, "")
+}
+
+// expected says that the tables or the seeds name an entry of the data centre.
+func (c *Controller) expected(dataCentre string) bool {
+	for _, a := range c.peerAddresses() {
+		if a.DataCentre == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) membership() membership {
 	m := membership{listed: c.list.changes}
 	m.live, m.known = c.members.neighbours(c)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// Settle makes the list as it is now the oldest one that a lag can show.
+func (p *Platform) Settle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.history); n > 0 {
+		p.history = append([]snapshot(nil), p.history[n-1])
+		p.history[0].at = time.Time{}
+	}
+}
+
 func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -289,7 +289,9 @@
 	if _, err := client.Apply(ctx, admin.Apply{Configuration: s.Spec.Configuration()}); err != nil {
 		return fmt.Errorf("publish: %w", err)
 	}
-	return s.Await(ctx, func() bool { return s.settled(ctx) })
+	err := s.Await(ctx, func() bool { return s.settled(ctx) })
+	s.Platform.Settle()
+	return err
 }
 
 func (s *Site) settled(ctx context.Context) bool {
--- a/serve/server.go
+++ b/serve/server.go
@@ -42,6 +42,7 @@
 	handlers handlers
 	view     atomic.Pointer[View]
 	stopping atomic.Bool
+	linked   atomic.Bool
 	active   sync.WaitGroup
 	attempts atomic.Uint64
 
@@ -155,7 +156,10 @@
 }
 
 // Ready says whether the balancer should send callers here.
-func (s *Server) Ready() bool { return s.View() != nil && !s.stopping.Load() }
+func (s *Server) Ready() bool { return s.linked.Load() && s.View() != nil && !s.stopping.Load() }
+
+// SetLinked says that the entry has tried to link to the other data centres.
+func (s *Server) SetLinked() { s.linked.Store(true) }
 
 // Stop begins a planned stop: the entry is no longer ready but serves on.
 func (s *Server) Stop() { s.stopping.Store(true) }
