--- a/cmd/rackstep/main.go
+++ b/cmd/rackstep/main.go
@@ -11,6 +11,8 @@
 	"os/signal"
 
 	"github.com/urfave/cli/v3"
+
+	"rackstep.dev/fleet"
 )
 
 // Exit codes; docs/operations/commands.md lists them.
@@ -47,5 +49,13 @@
 }
 
 func commands() []*cli.Command {
-	return []*cli.Command{tryCommand()}
+	return []*cli.Command{
+		applyCommand(), diffCommand(), planCommand(), showPlanCommand(),
+		orderCommand(fleet.OrderConfirm, "begin a plan"),
+		orderCommand(fleet.OrderPause, "take out no further instance; what is out is finished"),
+		orderCommand(fleet.OrderResume, "go on with a paused plan"),
+		orderCommand(fleet.OrderCancel, "end a plan; what is drained returns, what is rebooting is finished"),
+		statusCommand(), instancesCommand(), jobsCommand(), timelineCommand(), resultCommand(),
+		tokenCommand(), tryCommand(), standinCommand(), eventsCommand(),
+	}
 }
--- /dev/null
+++ b/cmd/rackstep/output.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+)
+
+// table writes lines and aligned rows.
+type table struct{ w *tabwriter.Writer }
+
+func (t *table) line(format string, args ...any) {
+	_ = t.w.Flush() // rows before the line are aligned among themselves
+	fmt.Fprintf(t.w, format+"\n", args...)
+	_ = t.w.Flush()
+}
+
+func (t *table) head(names ...string) {
+	_ = t.w.Flush()
+	fmt.Fprintln(t.w, strings.Join(names, "\t"))
+}
+
+func (t *table) row(values ...any) {
+	for i, v := range values {
+		if i > 0 {
+			fmt.Fprint(t.w, "\t")
+		}
+		fmt.Fprint(t.w, v)
+	}
+	fmt.Fprintln(t.w)
+}
+
+// show prints the answer as the output flag says.
+func show(c *cli.Command, answer any, asTable func(*table)) error {
+	switch format := c.String("output"); format {
+	case "json":
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(answer)
+	case "table":
+		t := &table{tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)}
+		asTable(t)
+		return t.w.Flush()
+	default:
+		return cli.Exit(fmt.Sprintf("output %q is not known; use table or json", format), exitUsage)
+	}
+}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/google/wire"
 	"github.com/uber-go/tally/v4"
 
 	"rackstep.dev/admin"
@@ -36,13 +35,6 @@
 	Cut func(entry string) bool
 }
 
-// providers are the constructors of an entry's parts.
-var providers = wire.NewSet(
-	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
-	newBook, newDispatcher, newServer, newController, newAdmin,
-	wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events"),
-)
-
 // logs are the two streams that entries keep in the platform's service.
 type logs struct{ fleet, claims *feed.Log }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -10,6 +10,13 @@
 	"rackstep.dev/config"
 )
 
+// providers are the constructors of an entry's parts.
+var providers = wire.NewSet(
+	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
+	newBook, newDispatcher, newServer, newController, newAdmin,
+	wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events"),
+)
+
 // build puts an entry together; the function that is compiled is in wire_gen.go.
 func build(s config.Settings, o Options) (*Entry, func(), error) {
 	wire.Build(providers)
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -7,6 +7,7 @@
 package entry
 
 import (
+	"github.com/google/wire"
 	"rackstep.dev/config"
 )
 
@@ -51,3 +52,11 @@
 		cleanup()
 	}, nil
 }
+
+// wire.go:
+
+// providers are the constructors of an entry's parts.
+var providers = wire.NewSet(
+	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
+	newBook, newDispatcher, newServer, newController, newAdmin, wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events"),
+)
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -60,7 +60,7 @@
 	Instances []Observation `cbor:"i"`
 }
 
-// Observation is the platform's view of one instance.
+// Observation is the platform's view of one instance; without a DataCentre only Down and Leaving are news.
 type Observation struct {
 	ID         string `cbor:"i"`
 	DataCentre string `cbor:"d,omitempty"`
@@ -85,7 +85,7 @@
 	if in == nil {
 		in = t.Instances.Put(ob.ID, Instance{ID: ob.ID, State: InstanceIdle, DrainOffset: -1})
 	}
-	if ob.Address != "" {
+	if ob.DataCentre != "" {
 		in.DataCentre, in.Rack, in.Address = ob.DataCentre, ob.Rack, ob.Address
 		in.Cores, in.MemoryMB = ob.Cores, ob.MemoryMB
 	}
@@ -104,6 +104,6 @@
 	if ob.Down != in.Down || ob.Leaving != in.Leaving {
 		return true
 	}
-	return ob.Address != "" && (ob.Address != in.Address || ob.DataCentre != in.DataCentre ||
+	return ob.DataCentre != "" && (ob.Address != in.Address || ob.DataCentre != in.DataCentre ||
 		ob.Rack != in.Rack || ob.Cores != in.Cores || ob.MemoryMB != in.MemoryMB)
 }
