trial: add the request fault matrix on fake time

Cause: the promises about requests had no proof under failure. Change: a network in memory lets a whole site run on testing/synctest's clock. The peers' handshake now speaks in turns (both sides used to write first, which deadlocks on a connection without a buffer).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,8 @@
 	admin     *admin.Server
 	metrics   metrics
 	events    *event.Ring
+	targets   *serve.Dispatcher
+	platform  *http.Client
 	cleanup   func()
 }
 
@@ -69,13 +71,23 @@
 )
 
 // Run serves until the context ends, then stops as planned.
-func (e *Entry) Run(ctx context.Context) error { return e.run(ctx, e.stop) }
+func (e *Entry) Run(ctx context.Context) error {
+	return e.RunUntil(ctx, func() bool { return false })
+}
 
-// Kill serves until the context ends, then breaks everything off as a crash would; it is for tests.
-func (e *Entry) Kill(ctx context.Context) error { return e.run(ctx, func() {}) }
+// RunUntil is Run, but breaks everything off as a crash would when crashed says so at the context's end; it is for tests.
+func (e *Entry) RunUntil(ctx context.Context, crashed func() bool) error {
+	return e.run(ctx, func() {
+		if !crashed() {
+			e.stop()
+		}
+	})
+}
 
 func (e *Entry) run(ctx context.Context, stop func()) error {
 	defer e.cleanup()
+	defer e.targets.CloseIdle()
+	defer e.platform.CloseIdleConnections()
 	defer func() { _ = e.metrics.closer.Close() }() // what is lost are the last metrics
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
 	"fmt"
 	"net"
@@ -31,6 +32,11 @@
 	Logger log.Logger
 	// Platform sends requests to the platform; a fault switch of tests.
 	Platform http.RoundTripper
+	// Listen and Dial replace the network's; for tests on fake time.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Probe is called at each step of a request; a fault switch of tests.
+	Probe func(step serve.Step, after bool)
 	// Cut says that no bytes may pass to or from the peer; a fault switch of tests.
 	Cut func(entry string) bool
 }
@@ -91,13 +97,17 @@
 	return r
 }
 
-func newListeners(s config.Settings) (listeners, func(), error) {
+func newListeners(s config.Settings, o Options) (listeners, func(), error) {
 	var l listeners
+	listen := o.Listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	for _, x := range [...]struct {
 		into    *net.Listener
 		address string
 	}{{&l.caller, s.CallerAddress}, {&l.operator, s.OperatorAddress}, {&l.peer, s.PeerAddress}} {
-		ln, err := net.Listen("tcp", x.address)
+		ln, err := listen(x.address)
 		if err != nil {
 			l.close()
 			return listeners{}, nil, fmt.Errorf("listen: %w; set an address of this instance that is free", err)
@@ -114,7 +124,7 @@
 	}
 	return &peer.Mesh{
 		Self: peer.Identity{Entry: self.ID, DataCentre: self.DataCentre, Boot: self.Boot}, Secret: secret,
-		Listener: l.peer, Cut: o.Cut, Events: events,
+		Listener: l.peer, Dial: o.Dial, Cut: o.Cut, Events: events,
 	}, nil
 }
 
@@ -122,12 +132,12 @@
 	return &claim.Book{Append: l.claims.AppendOne, Clock: clock.Now}
 }
 
-func newDispatcher() *serve.Dispatcher { return new(serve.Dispatcher) }
+func newDispatcher(o Options) *serve.Dispatcher { return &serve.Dispatcher{Dial: o.Dial} }
 
-func newServer(s config.Settings, self fleet.Entry, book *claim.Book, mesh *peer.Mesh, d *serve.Dispatcher, events *event.Ring, m metrics, clock *feed.Clock) *serve.Server {
+func newServer(s config.Settings, self fleet.Entry, book *claim.Book, mesh *peer.Mesh, d *serve.Dispatcher, events *event.Ring, m metrics, clock *feed.Clock, o Options) *serve.Server {
 	return &serve.Server{
 		Self: self.ID, DataCentre: self.DataCentre, Boot: self.Boot, Book: book, Mesh: mesh, Targets: d,
-		Events: events, Metrics: tally.Scope(m.scope), Clock: clock.Now, MaxBody: int64(s.MaxBody),
+		Events: events, Probe: o.Probe, Metrics: tally.Scope(m.scope), Clock: clock.Now, MaxBody: int64(s.MaxBody),
 	}
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -14,7 +14,7 @@
 var providers = wire.NewSet(
 	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
 	newBook, newDispatcher, newServer, newController, newAdmin,
-	wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events"),
+	wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events", "targets", "platform"),
 )
 
 // build puts an entry together; the function that is compiled is in wire_gen.go.
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -15,7 +15,7 @@
 
 // build puts an entry together; the function that is compiled is in wire_gen.go.
 func build(s config.Settings, o Options) (*Entry, func(), error) {
-	entryListeners, cleanup, err := newListeners(s)
+	entryListeners, cleanup, err := newListeners(s, o)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -30,9 +30,9 @@
 	clock := newClock()
 	entryLogs := newLogs(s, client, clock)
 	book := newBook(entryLogs, clock)
-	dispatcher := newDispatcher()
+	dispatcher := newDispatcher(o)
 	entryMetrics := newMetrics()
-	server := newServer(s, entry, book, mesh, dispatcher, ring, entryMetrics, clock)
+	server := newServer(s, entry, book, mesh, dispatcher, ring, entryMetrics, clock, o)
 	platformClient := newPlatform(s, client)
 	controller := newController(s, entry, entryLogs, platformClient, mesh, server, book, ring, clock)
 	adminServer := newAdmin(s, controller, entryMetrics)
@@ -47,6 +47,8 @@
 		admin:     adminServer,
 		metrics:   entryMetrics,
 		events:    ring,
+		targets:   dispatcher,
+		platform:  client,
 	}
 	return entryEntry, func() {
 		cleanup()
@@ -58,5 +60,5 @@
 // providers are the constructors of an entry's parts.
 var providers = wire.NewSet(
 	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
-	newBook, newDispatcher, newServer, newController, newAdmin, wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events"),
+	newBook, newDispatcher, newServer, newController, newAdmin, wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events", "targets", "platform"),
 )
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,6 +36,8 @@
 	http    *http.Client
 	work    sync.WaitGroup
 	servers []*http.Server
+	// transports are closed by Stop.
+	transports []*http.Transport
 
 	mu      sync.Mutex
 	entries map[string]*node
@@ -47,6 +50,8 @@
 	centre string
 	stop   context.CancelFunc
 	done   chan struct{}
+	// crashed says that the end of the context is a crash and not a planned stop.
+	crashed atomic.Bool
 }
 
 // PlatformPlace stands for the platform in Cut.
@@ -57,8 +62,8 @@
 	s := &Site{
 		Spec: spec, Platform: standin.New(), Targets: make(map[string]*standin.Target), Logger: logger,
 		entries: make(map[string]*node), cuts: make(map[[2]string]bool),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 20 * time.Second},
 	}
+	s.http = &http.Client{Transport: s.transport(), Timeout: 20 * time.Second}
 	s.Platform.RebootTime = spec.RebootTime
 	ln, err := s.serve(s.Platform, nil)
 	if err != nil {
@@ -80,9 +85,32 @@
 	return s, nil
 }
 
+func (s *Site) listen(address string) (net.Listener, error) {
+	if s.Spec.Network != nil {
+		return s.Spec.Network.Listen(address)
+	}
+	return net.Listen("tcp", address)
+}
+
+func (s *Site) dial() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if s.Spec.Network != nil {
+		return s.Spec.Network.Dial
+	}
+	return nil
+}
+
+// transport returns a new HTTP transport; Stop closes its idle connections.
+func (s *Site) transport() *http.Transport {
+	t := &http.Transport{MaxIdleConnsPerHost: 256, DialContext: s.dial()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.transports = append(s.transports, t)
+	return t
+}
+
 // serve listens on a free loopback port and returns its address.
 func (s *Site) serve(h http.Handler, srv *http.Server) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := s.listen("127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("listen: %w", err)
 	}
@@ -130,7 +158,10 @@
 	}
 	e, err := entry.New(settings, entry.Options{
 		Logger:   s.Logger,
-		Platform: &cutTransport{site: s, centre: centre, next: &http.Transport{MaxIdleConnsPerHost: 16}},
+		Platform: &cutTransport{site: s, centre: centre, next: s.transport()},
+		Listen:   s.listen,
+		Dial:     s.dial(),
+		Probe:    s.probe(name),
 		Cut:      func(peer string) bool { return s.isCut(centre, s.centreOf(peer)) },
 	})
 	if err != nil {
@@ -144,11 +175,18 @@
 	s.Platform.Put(platform.Listed{ID: name, Role: platform.RoleEntry, DataCentre: centre, Boot: e.Self().Boot}, nil)
 	s.work.Go(func() {
 		defer close(n.done)
-		_ = e.Run(ctx) // it ends with StopEntry
+		_ = e.RunUntil(ctx, n.crashed.Load) // it ends with StopEntry or CrashEntry
 	})
 	return nil
 }
 
+func (s *Site) probe(name string) func(serve.Step, bool) {
+	if s.Spec.Probe == nil {
+		return nil
+	}
+	return func(step serve.Step, after bool) { s.Spec.Probe(name, step, after) }
+}
+
 func (s *Site) peers() []config.Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,6 +211,19 @@
 	s.Platform.Delete(name)
 }
 
+// CrashEntry ends the entry at once, without a planned stop; the platform still lists it.
+func (s *Site) CrashEntry(name string) {
+	s.mu.Lock()
+	n := s.entries[name]
+	delete(s.entries, name)
+	s.mu.Unlock()
+	if n == nil {
+		return
+	}
+	n.crashed.Store(true)
+	n.stop()
+}
+
 // Stop ends everything.
 func (s *Site) Stop() {
 	var all sync.WaitGroup
@@ -186,6 +237,9 @@
 		_ = srv.Close() // it is the end
 	}
 	s.work.Wait()
+	for _, t := range s.transports {
+		t.CloseIdleConnections()
+	}
 }
 
 func (s *Site) centreOf(name string) string {
@@ -327,3 +381,11 @@
 	}
 	return nil
 }
+
+// AwaitPlan waits until the plan is in the state.
+func (s *Site) AwaitPlan(ctx context.Context, id string, state fleet.PlanState) error {
+	return s.Await(ctx, func() bool {
+		p, err := s.Operator(OperatorToken).GetPlan(ctx, id)
+		return err == nil && p.State == state
+	})
+}
--- a/internal/trial/spec.go
+++ b/internal/trial/spec.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rackstep.dev/fleet"
+	"rackstep.dev/internal/memnet"
 	"rackstep.dev/serve"
 )
 
@@ -28,6 +29,10 @@
 	Weights fleet.Weights
 	// RebootTime is how long the platform takes to reboot an instance.
 	RebootTime time.Duration
+	// Network replaces the loopback network, for tests on fake time; may be nil.
+	Network *memnet.Network
+	// Probe is called at each step of a request at an entry; may be nil.
+	Probe func(entry string, step serve.Step, after bool)
 }
 
 // Sizes returns the named size: small, muscat or norrskalv.
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -3,7 +3,6 @@
 package peer
 
 import (
-	"bufio"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -36,34 +35,25 @@
 }
 
 var _ protodelim.Reader = byteReader{}
-var _ protodelim.Reader = (*bufio.Reader)(nil)
 
-// handshake proves both sides to each other; both send a nonce and then a proof.
+// handshake proves both sides to each other: first the dialling side, which speaks first, then the accepting one.
 //
 // Each proof covers the nonce of the other side and the prover's name and role, so that none can be reflected.
 func (m *Mesh) handshake(conn net.Conn, dialled bool) (Identity, error) {
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return Identity{}, fmt.Errorf("peer handshake: %w", err)
 	}
-	mine := make([]byte, nonceSize)
-	_, _ = rand.Read(mine) // it never fails, says its documentation
-	hello := &peerpb.Hello{Entry: m.Self.Entry, DataCentre: m.Self.DataCentre, Boot: m.Self.Boot, Nonce: mine}
-	if _, err := protodelim.MarshalTo(conn, hello); err != nil {
-		return Identity{}, fmt.Errorf("peer handshake: %w", err)
-	}
-	var theirs peerpb.Hello
-	if err := receiveHello(conn, &theirs); err != nil {
+	nonce := make([]byte, nonceSize)
+	_, _ = rand.Read(nonce) // it never fails, says its documentation
+	mine := &peerpb.Hello{Entry: m.Self.Entry, DataCentre: m.Self.DataCentre, Boot: m.Self.Boot, Nonce: nonce}
+	var theirs, proof peerpb.Hello
+	if err := exchange(conn, dialled, mine, &theirs); err != nil {
 		return Identity{}, err
 	}
-	proof := &peerpb.Hello{Proof: m.proof(theirs.Nonce, hello, dialled)}
-	if _, err := protodelim.MarshalTo(conn, proof); err != nil {
-		return Identity{}, fmt.Errorf("peer handshake: %w", err)
-	}
-	var got peerpb.Hello
-	if err := receiveHello(conn, &got); err != nil {
+	if err := exchange(conn, dialled, &peerpb.Hello{Proof: m.proof(theirs.Nonce, mine, dialled)}, &proof); err != nil {
 		return Identity{}, err
 	}
-	if !hmac.Equal(got.Proof, m.proof(mine, &theirs, !dialled)) {
+	if !hmac.Equal(proof.Proof, m.proof(nonce, &theirs, !dialled)) {
 		return Identity{}, ErrSecret
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
@@ -72,6 +62,22 @@
 	return Identity{Entry: theirs.Entry, DataCentre: theirs.DataCentre, Boot: theirs.Boot}, nil
 }
 
+// exchange sends one message and receives one; the dialling side sends first.
+func exchange(conn net.Conn, dialled bool, mine, theirs *peerpb.Hello) error {
+	if !dialled {
+		if err := receiveHello(conn, theirs); err != nil {
+			return err
+		}
+	}
+	if _, err := protodelim.MarshalTo(conn, mine); err != nil {
+		return fmt.Errorf("peer handshake: %w", err)
+	}
+	if dialled {
+		return receiveHello(conn, theirs)
+	}
+	return nil
+}
+
 func receiveHello(conn net.Conn, h *peerpb.Hello) error {
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxHello}).UnmarshalFrom(byteReader{conn}, h); err != nil {
 		return fmt.Errorf("peer handshake: %w", err)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -44,7 +44,7 @@
 	// Serve answers one stream; the stream is closed when it returns.
 	Serve func(ctx context.Context, from Identity, open *peerpb.Open, s *Stream)
 	// Dial opens a connection; a net.Dialer's when nil.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Cut says that no bytes may pass to or from the address; a fault switch of tests, nil in operation.
 	Cut func(entry string) bool
 	// Events receives link events.
@@ -257,11 +257,9 @@
 	}
 	dial := m.Dial
 	if dial == nil {
-		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-		}
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	conn, err := dial(ctx, a.Address)
+	conn, err := dial(ctx, "tcp", a.Address)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", a.Entry, err)
 	}
--- a/serve/dispatcher.go
+++ b/serve/dispatcher.go
@@ -28,6 +28,8 @@
 type Dispatcher struct {
 	// DialTimeout bounds a connection's opening; 1s when 0.
 	DialTimeout time.Duration
+	// Dial opens a connection; a net.Dialer's when nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	once   sync.Once
 	pooled *http.Transport
@@ -55,10 +57,13 @@
 	if timeout == 0 {
 		timeout = defaultDial
 	}
-	dialer := &net.Dialer{Timeout: timeout}
+	dial := d.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: timeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/serve/execute.go
+++ b/serve/execute.go
@@ -19,7 +19,9 @@
 	if r.Repeatable {
 		return s.attempt(ctx, r)
 	}
+	s.probe(StepClaim, false)
 	c, p := s.claim(ctx, r)
+	s.probe(StepClaim, true)
 	if p != nil {
 		return nil, p
 	}
@@ -38,7 +40,9 @@
 		end(whole)
 		cancel()
 		if whole {
+			s.probe(StepCompletion, false)
 			s.Book.Complete(c, a.Status)
+			s.probe(StepCompletion, true)
 		}
 	}
 	return a, nil
@@ -95,14 +99,12 @@
 	mayHaveRun := false
 	var avoid []string
 	for {
+		s.probe(StepSlot, false)
 		lease, err := g.Acquire(ctx, s.ask(r, avoid))
+		s.probe(StepSlot, true)
 		if err != nil {
 			return nil, s.refused(r, err, mayHaveRun)
 		}
-		if !r.Repeatable && !r.NotAfter.After(s.now()) {
-			lease.Done(route.ResultNeutral)
-			return nil, notRun(http.StatusGone, ReasonExpired, "send it as a new request with a new key", "not-after passed while it waited")
-		}
 		a, p := s.dispatch(ctx, r, lease)
 		if p == nil {
 			if a.Status < http.StatusInternalServerError || !r.Repeatable || !g.retries.Retry() {
@@ -164,7 +166,14 @@
 // dispatch sends the request once; the lease ends with the answer.
 func (s *Server) dispatch(ctx context.Context, r *request, lease *route.Lease) (*answer, *Problem) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	s.probe(StepDispatch, false)
+	if !r.Repeatable && !r.NotAfter.After(s.now()) {
+		cancel()
+		lease.Done(route.ResultNeutral)
+		return nil, notRun(http.StatusGone, ReasonExpired, "send it as a new request with a new key", "not-after passed while it waited")
+	}
 	resp, err := s.Targets.send(ctx, lease.Target, r)
+	s.probe(StepDispatch, true)
 	if err != nil {
 		cancel()
 		return nil, s.sendFailed(ctx, r, lease, err)
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -71,7 +71,9 @@
 		return
 	}
 	service := rr.PathParameter("service")
+	s.probe(StepAdmission, false)
 	req, p := s.admit(v, team, service, targetPath(r, service), r)
+	s.probe(StepAdmission, true)
 	if p != nil {
 		WriteProblem(w, p)
 		return
@@ -83,7 +85,10 @@
 		WriteProblem(w, p)
 		return
 	}
-	if !a.copyTo(w, req.ID) {
+	s.probe(StepAnswer, false)
+	whole := a.copyTo(w, req.ID)
+	s.probe(StepAnswer, true)
+	if !whole {
 		s.count(req, OutcomeUnknown, since)
 		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
 	}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -17,6 +17,8 @@
 //
 // direct says that the other entry is to run it itself.
 func (s *Server) relay(ctx context.Context, entry string, r *request, direct bool) (*answer, *Problem) {
+	s.probe(StepRelay, false)
+	defer s.probe(StepRelay, true)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	stream, err := s.Mesh.Open(ctx, entry, &peerpb.Open{Kind: &peerpb.Open_Relay{Relay: s.relayRequest(r, direct)}})
 	if errors.Is(err, peer.ErrNoLink) {
--- a/serve/server.go
+++ b/serve/server.go
@@ -32,6 +32,8 @@
 	// Boot tells two lives of the entry apart.
 	Boot   string
 	Events *event.Ring
+	// Probe is called before and after each step of a request; a fault switch of tests, nil in operation.
+	Probe func(step Step, after bool)
 	// Metrics receives counters and timers; tally.NoopScope when nil.
 	Metrics tally.Scope
 	// Clock returns the platform's time; time.Now when nil.
