serve: tell a repeat what is known of the first copy, never 'not run'

Cause: the matrix showed 'whole, not-run/no-target' for two copies with one key: the second copy did not run, but its caller could take the request as a whole for not run and send it anew. Ruled out: the claim itself, which held. Change: an entry looks the key up before it passes a copy on and before it says 'not run'; the matrix now counts a 'not run' after an earlier copy ran. With claims switched off 220 cells show a request that ran twice, so the matrix sees what it is for. Without the log an entry can't know of copies elsewhere; docs/PROTOCOLS.md says what a caller may conclude then.

--- a/claim/book.go
+++ b/claim/book.go
@@ -98,6 +98,13 @@
 	return b.tables.Len()
 }
 
+// Look returns what is known of the claim's key, and false when nothing is.
+func (b *Book) Look(c Claim) (Verdict, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tables.Look(c)
+}
+
 // Claim asks the log for the key and waits for the verdict; it fails with ErrNotClaimed when none comes in time.
 //
 // After an error the caller must not dispatch the request.
--- a/internal/trial/request_matrix_test.go
+++ b/internal/trial/request_matrix_test.go
@@ -169,6 +169,9 @@
 		}
 		wrong = append(wrong, b)
 	}
+	if !c.noLog() {
+		wrong = append(wrong, denied(told)...)
+	}
 	if c.struck == "" {
 		wrong = append(wrong, "the step was never reached")
 	}
@@ -178,6 +181,21 @@
 	return wrong
 }
 
+// noLog says that the fault keeps an entry from reading of earlier copies.
+func (c *cell) noLog() bool { return c.fault.name == "isolated" || c.fault.name == "log-down" }
+
+// denied finds a copy that was told "not run" after an earlier copy of the same request had run.
+func denied(told []Told) []string {
+	ran := false
+	for _, t := range told {
+		if ran && !t.Repeatable && t.Outcome == serve.OutcomeNotRun {
+			return []string{"a copy was told 'not run' after an earlier copy had run"}
+		}
+		ran = ran || t.Outcome == serve.OutcomeWhole || t.Reason == serve.ReasonRanBefore
+	}
+	return nil
+}
+
 func outcomes(told []Told) string {
 	var out []string
 	for _, t := range told {
--- a/serve/execute.go
+++ b/serve/execute.go
@@ -50,12 +50,7 @@
 
 // claim makes the request's key this entry's; after a Problem it must not be dispatched.
 func (s *Server) claim(ctx context.Context, r *request) (claim.Claim, *Problem) {
-	c := claim.Claim{
-		Key:      r.Team + "/" + r.Key,
-		Digest:   r.digest(),
-		NotAfter: r.NotAfter.UnixMilli(),
-		Token:    fmt.Sprintf("%s.%d", s.Boot, s.attempts.Add(1)),
-	}
+	c := s.claimOf(r, fmt.Sprintf("%s.%d", s.Boot, s.attempts.Add(1)))
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	v, err := s.Book.Claim(ctx, c)
@@ -67,23 +62,45 @@
 		}
 		return c, p
 	}
-	switch v.Kind {
-	case claim.Won:
+	if v.Kind == claim.Won {
 		return c, nil
-	case claim.Open:
+	}
+	return c, s.judged(r, v)
+}
+
+// judged says what is known of the request's key when this copy does not run.
+func (s *Server) judged(r *request, v claim.Verdict) *Problem {
+	switch v.Kind {
+	case claim.Open, claim.Won:
 		p := unknown(http.StatusConflict, ReasonInProgress, "ask again with the same key and the same not-after; it is not run a second time",
-			"another request with the key %q was claimed and its end is not known", r.Key)
+			"another copy of the request with the key %q was claimed and its end is not known", r.Key)
 		p.RetryAfter = time.Second
-		return c, p
+		return p
 	case claim.Complete:
-		p := unknown(http.StatusConflict, ReasonRanBefore, "nothing is to be done; the first answer went to the first request",
+		p := unknown(http.StatusConflict, ReasonRanBefore, "nothing is to be done; the first answer went to the first copy",
 			"the request with the key %q ran and was answered with status %d", r.Key, v.Status)
 		p.FirstStatus = v.Status
-		return c, p
+		return p
 	case claim.Conflict:
-		return c, notRun(http.StatusUnprocessableEntity, ReasonKeyTaken, "use a new key for a new request", "the key %q belongs to a different request", r.Key)
+		return notRun(http.StatusUnprocessableEntity, ReasonKeyTaken, "use a new key for a new request", "the key %q belongs to a different request", r.Key)
+	}
+	return expired(r)
+}
+
+// known says what the claims log tells of an earlier copy of the request, or returns nil.
+func (s *Server) known(r *request) *Problem {
+	if r.Repeatable {
+		return nil
+	}
+	v, ok := s.Book.Look(s.claimOf(r, ""))
+	if !ok {
+		return nil
 	}
-	return c, expired(r)
+	return s.judged(r, v)
+}
+
+func (s *Server) claimOf(r *request, token string) claim.Claim {
+	return claim.Claim{Key: r.Team + "/" + r.Key, Digest: r.digest(), NotAfter: r.NotAfter.UnixMilli(), Token: token}
 }
 
 // expired answers a request whose time has passed and whose key is not known: an earlier copy may have run.
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -78,7 +78,7 @@
 		WriteProblem(w, p)
 		return
 	}
-	a, p := s.run(r.Context(), v, req)
+	a, p := s.runOnce(r.Context(), v, req)
 	if p != nil {
 		w.Header().Set(HeaderRequest, req.ID)
 		s.count(req, p.Outcome, since)
--- a/serve/run.go
+++ b/serve/run.go
@@ -18,6 +18,22 @@
 	maxHandover  = 2 * time.Second
 )
 
+// runOnce runs the request unless an earlier copy of it is known.
+//
+// A copy that did not run is told what is known of an earlier one, so that nobody takes "not run" for the request as a whole.
+func (s *Server) runOnce(ctx context.Context, v *View, r *request) (*answer, *Problem) {
+	if p := s.known(r); p != nil {
+		return nil, p
+	}
+	a, p := s.run(ctx, v, r)
+	if p != nil && p.Outcome == OutcomeNotRun {
+		if earlier := s.known(r); earlier != nil {
+			return nil, earlier
+		}
+	}
+	return a, p
+}
+
 // run takes an admitted request to a data centre where it may run.
 func (s *Server) run(ctx context.Context, v *View, r *request) (*answer, *Problem) {
 	places := s.places(v, r)
