--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -54,8 +54,13 @@
 	} else if f.LogDelay > 0 {
 		time.Sleep(f.LogDelay)
 	}
-	offset, lost := p.Append(r.PathValue("log"), body.Records)
-	if lost {
+	call := Call{Kind: "append", Log: r.PathValue("log"), Records: body.Records}
+	if p.probe(call, false) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	offset, lost := p.Append(call.Log, call.Records)
+	if p.probe(call, true) || lost {
 		breakOff()
 	}
 	reply(w, struct {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -15,6 +15,10 @@
 type Platform struct {
 	// RebootTime is how long a reboot takes.
 	RebootTime time.Duration
+	// Probe is called before and after each call that changes something takes effect; may be nil.
+	//
+	// When it returns true, the call is refused before its effect, or its answer is lost after it.
+	Probe func(call Call, after bool) bool
 
 	mu       sync.Mutex
 	faults   Faults
@@ -30,6 +34,18 @@
 	mux      *http.ServeMux
 }
 
+// Call is one call that changes something.
+type Call struct {
+	// Kind is "append", "command" or "task".
+	Kind string
+	// Log and Records are set for an append, Instance for the others.
+	Log      string
+	Records  [][]byte
+	Instance string
+}
+
+func (p *Platform) probe(c Call, after bool) bool { return p.Probe != nil && p.Probe(c, after) }
+
 // machine is one listed instance.
 type machine struct {
 	listed   platform.Listed
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -57,6 +57,18 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	call := Call{Kind: "command", Instance: r.PathValue("instance")}
+	if p.probe(call, false) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	p.applyCommand(w, r, order)
+	if p.probe(call, true) {
+		breakOff()
+	}
+}
+
+func (p *Platform) applyCommand(w http.ResponseWriter, r *http.Request, order platform.Command) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.machineOf(w, r)
@@ -129,6 +141,18 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	call := Call{Kind: "task", Instance: r.PathValue("instance")}
+	if p.probe(call, false) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	p.applyTask(w, r, order)
+	if p.probe(call, true) {
+		breakOff()
+	}
+}
+
+func (p *Platform) applyTask(w http.ResponseWriter, r *http.Request, order platform.Task) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.machineOf(w, r)
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -17,6 +18,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
 	"rackstep.dev/internal/standin"
+	"rackstep.dev/serve"
 )
 
 // Fault is a named switch that a trial throws while the plan runs.
@@ -165,23 +167,31 @@
 }
 
 func (t *trialRun) submit(ctx context.Context, spec fleet.JobSpec) error {
+	return t.callJob(ctx, http.MethodPost, "", spec)
+}
+
+// callJob submits the job, or cancels the one that the path names.
+func (t *trialRun) callJob(ctx context.Context, method, path string, spec fleet.JobSpec) error {
 	body, err := json.Marshal(spec)
 	if err != nil {
 		return fmt.Errorf("encode job: %w", err)
 	}
 	callers := t.site.Callers()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers[0]+"/v1/jobs", bytes.NewReader(body))
+	if len(callers) == 0 {
+		return errors.New("no entry is ready")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+callers[0]+"/v1/jobs"+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("submit job: %w", err)
+		return fmt.Errorf("call jobs: %w", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+TeamToken)
 	resp, err := t.site.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("submit job: %w", err)
+		return fmt.Errorf("call jobs: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusAccepted {
-		return fmt.Errorf("submit job %s: status %d", spec.ID, resp.StatusCode)
+		return &serve.Problem{Status: resp.StatusCode, Detail: "job call refused"}
 	}
 	return nil
 }
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -58,13 +58,21 @@
 const PlatformPlace = "platform"
 
 // Start runs a site without a configuration; Stop ends it.
-func Start(spec Spec, logger log.Logger) (*Site, error) {
+func Start(spec Spec, logger log.Logger) (*Site, error) { return start(spec, logger, nil) }
+
+// startWith is Start with a switch at the platform.
+func startWith(spec Spec, probe func(standin.Call, bool) bool) (*Site, error) {
+	return start(spec, nil, probe)
+}
+
+func start(spec Spec, logger log.Logger, probe func(standin.Call, bool) bool) (*Site, error) {
 	s := &Site{
 		Spec: spec, Platform: standin.New(), Targets: make(map[string]*standin.Target), Logger: logger,
 		entries: make(map[string]*node), cuts: make(map[[2]string]bool),
 	}
 	s.http = &http.Client{Transport: s.transport(), Timeout: 20 * time.Second}
 	s.Platform.RebootTime = spec.RebootTime
+	s.Platform.Probe = probe
 	ln, err := s.serve(s.Platform, nil)
 	if err != nil {
 		return nil, err
@@ -155,6 +163,7 @@
 		Entry: name, DataCentre: centre, CallerAddress: anyPort, OperatorAddress: anyPort, PeerAddress: anyPort,
 		Platform: s.url, PeerSecret: "trial-peer-secret", BootstrapTokenHash: serve.TokenHash(BootstrapToken),
 		StopDelay: fleet.Duration(time.Second), Maintenance: fleet.Duration(s.Spec.RebootTime + 2*time.Second), Peers: s.peers(),
+		CheckpointEvery: fleet.Duration(s.Spec.CheckpointEvery),
 	}
 	e, err := entry.New(settings, entry.Options{
 		Logger:   s.Logger,
@@ -337,13 +346,28 @@
 	return &admin.Client{Address: s.entries[best].entry.Self().OperatorAddress, Token: token, HTTP: s.http}
 }
 
+// OperatorOf returns a client of the entry's operators' interface.
+func (s *Site) OperatorOf(name, token string) *admin.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &admin.Client{Token: token, HTTP: s.http}
+	if n := s.entries[name]; n != nil {
+		c.Address = n.entry.Self().OperatorAddress
+	}
+	return c
+}
+
 // Publish publishes the first configuration and waits until every entry follows it and sees every target.
 func (s *Site) Publish(ctx context.Context) error {
-	client := s.Operator(BootstrapToken)
-	if _, err := client.Apply(ctx, admin.Apply{Configuration: s.Spec.Configuration()}); err != nil {
+	err := s.Await(ctx, func() bool {
+		_, err := s.Operator(BootstrapToken).Apply(ctx, admin.Apply{ID: "first", Configuration: s.Spec.Configuration()})
+		var refused *serve.Problem
+		return err == nil || (errors.As(err, &refused) && refused.Status == http.StatusUnauthorized) // it is in force already
+	})
+	if err != nil {
 		return fmt.Errorf("publish: %w", err)
 	}
-	err := s.Await(ctx, func() bool { return s.settled(ctx) })
+	err = s.Await(ctx, func() bool { return s.settled(ctx) })
 	s.Platform.Settle()
 	return err
 }
--- a/internal/trial/spec.go
+++ b/internal/trial/spec.go
@@ -29,6 +29,8 @@
 	Weights fleet.Weights
 	// RebootTime is how long the platform takes to reboot an instance.
 	RebootTime time.Duration
+	// CheckpointEvery is the entries' setting; their default when 0.
+	CheckpointEvery time.Duration
 	// Network replaces the loopback network, for tests on fake time; may be nil.
 	Network *memnet.Network
 	// Probe is called at each step of a request at an entry; may be nil.
