trial: count requests that reach an instance during its maintenance

Cause: with the acknowledgements switched off no cell of the fleet matrix turned red: a request that met a rebooting target counted as an ordinary failure. And the judge lost its place when the log kept little.

--- a/fleet/fold_test.go
+++ b/fleet/fold_test.go
@@ -101,9 +101,25 @@
 			}
 		}
 	}
+	if a := r.Advance; a != nil && a.To == StepDrained && o.t.Instances.Get(a.Instance).Generation == a.Generation {
+		o.checkDrained(t, a)
+	}
 	o.checkJobs(t, r)
 }
 
+// checkDrained sees that every entry that could route to the instance has acknowledged, and that nothing runs there.
+func (o *oracle) checkDrained(t *rapid.T, a *Advance) {
+	in := o.t.Instances.Get(a.Instance)
+	for id, e := range o.t.Entries.All {
+		if e.Joined < in.DrainOffset && !slices.Contains(a.Acknowledged, id) {
+			t.Fatalf("%s counts as drained without entry %s", in.ID, id)
+		}
+	}
+	if cores, _ := o.t.Held(in.ID); cores > 0 {
+		t.Fatalf("%s counts as drained and holds %d cores", in.ID, cores)
+	}
+}
+
 func (o *oracle) checkJobs(t *rapid.T, r Record) {
 	if r.Start != nil {
 		o.begun[r.Start.Job]++
@@ -142,7 +158,7 @@
 	case 4:
 		return o.propose(t)
 	case 5:
-		return Record{By: "o", Control: &Control{Plan: o.plan(t), Order: rapid.SampledFrom([]Order{OrderConfirm, OrderConfirm, OrderPause, OrderResume, OrderCancel}).Draw(t, "order")}}
+		return Record{By: "o", Control: &Control{Plan: o.anyPlan(t), Order: rapid.SampledFrom([]Order{OrderConfirm, OrderConfirm, OrderPause, OrderResume, OrderCancel}).Draw(t, "order")}}
 	case 6, 7, 8:
 		return o.advance(t, instance)
 	case 9:
@@ -158,12 +174,29 @@
 	return fmt.Sprintf("plan%d", rapid.IntRange(0, 3).Draw(t, "plan"))
 }
 
+// anyPlan draws a plan that is known, if there is one.
+func (o *oracle) anyPlan(t *rapid.T) string {
+	if rows := o.t.Plans.Rows(); len(rows) > 0 {
+		return rapid.SampledFrom(rows).Draw(t, "known").ID
+	}
+	return o.plan(t)
+}
+
+// mostly says true three times in four, so that whole paths are walked and each step is also left wrong.
+func mostly(t *rapid.T, label string) bool { return rapid.IntRange(0, 3).Draw(t, label) > 0 }
+
 func (o *oracle) propose(t *rapid.T) Record {
 	p := Plan{ID: o.plan(t), Base: rapid.Uint64Range(0, o.t.Version).Draw(t, "base")}
-	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
-		from := rapid.SampledFrom([]string{"p", "p", "q"}).Draw(t, "from")
-		s := Step{Instance: instanceName(rapid.IntRange(0, testInstances-1).Draw(t, "instance")), Wave: i / 2, From: from, To: from, Action: ActionReboot}
-		if rapid.Bool().Draw(t, "move") {
+	if mostly(t, "current") {
+		p.Base = o.t.Version
+	}
+	chosen := rapid.SliceOfNDistinct(rapid.IntRange(0, testInstances-1), 1, 4, rapid.ID).Draw(t, "instances")
+	for i, n := range chosen {
+		s := Step{Instance: instanceName(n), Wave: i / 2, From: "p", To: "p", Action: ActionReboot}
+		if in := o.t.Instances.Get(s.Instance); in != nil && mostly(t, "pool") {
+			s.From, s.To = in.Pool, in.Pool
+		}
+		if rapid.IntRange(0, 2).Draw(t, "move") == 0 {
 			s.Action, s.To = ActionMove, "q"
 		}
 		p.Steps = append(p.Steps, s)
@@ -171,11 +204,35 @@
 	return Record{By: "o", Propose: &Propose{Plan: p}}
 }
 
+// following are the states that may come after each state of a step.
+var following = map[StepState][]StepState{
+	StepWaiting: {StepDraining}, StepDraining: {StepDrained, StepDrained, StepReturned}, StepDrained: {StepActing, StepActing, StepReturned},
+	StepActing: {StepDone, StepDone, StepDrained},
+}
+
 func (o *oracle) advance(t *rapid.T, instance string) Record {
-	a := Advance{Plan: o.plan(t), Instance: instance, Acknowledged: rapid.SliceOfDistinct(rapid.SampledFrom([]string{"e1", "e2", "e3"}), func(s string) string { return s }).Draw(t, "acks")}
-	a.To = rapid.SampledFrom([]StepState{StepDraining, StepDraining, StepDrained, StepActing, StepDone, StepReturned}).Draw(t, "to")
-	if in := o.t.Instances.Get(instance); in != nil {
-		a.Generation = in.Generation - min(in.Generation, rapid.Uint64Range(0, 1).Draw(t, "behind"))
+	all := []string{"e1", "e2", "e3"}
+	a := Advance{Plan: o.plan(t), Instance: instance, Acknowledged: all}
+	a.To = rapid.SampledFrom([]StepState{StepDraining, StepDrained, StepActing, StepDone, StepReturned}).Draw(t, "to")
+	for id, p := range o.t.Plans.All {
+		if !p.Active() || !mostly(t, "follow") {
+			continue
+		}
+		s := p.Steps[rapid.IntRange(0, len(p.Steps)-1).Draw(t, "step")]
+		a.Plan, a.Instance = id, s.Instance
+		if next := following[s.State]; next != nil {
+			a.To = rapid.SampledFrom(next).Draw(t, "next")
+		}
+		break
+	}
+	if !mostly(t, "acknowledged") {
+		a.Acknowledged = rapid.SliceOfDistinct(rapid.SampledFrom(all), rapid.ID).Draw(t, "acks")
+	}
+	if in := o.t.Instances.Get(a.Instance); in != nil {
+		a.Generation = in.Generation
+		if !mostly(t, "generation") {
+			a.Generation -= min(in.Generation, 1)
+		}
 	}
 	return Record{Time: time.Unix(int64(len(o.log)), 0), Advance: &a}
 }
@@ -206,7 +263,7 @@
 func TestFoldKeepsItsRulesWhateverIsWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOracle()
-		for range rapid.IntRange(1, 60).Draw(t, "records") {
+		for range rapid.IntRange(1, 120).Draw(t, "records") {
 			r := o.record(t)
 			if len(o.log) > 8 && rapid.IntRange(0, 4).Draw(t, "again") == 0 {
 				r = o.log[rapid.IntRange(4, len(o.log)-1).Draw(t, "old")] // a duplicate, or a late copy
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -13,6 +13,13 @@
 type logStore struct {
 	first   int64
 	records [][]byte
+	// all is every record ever appended, for those who judge a trial.
+	all [][]byte
+}
+
+func (l *logStore) add(records [][]byte) {
+	l.records = append(l.records, records...)
+	l.all = append(l.all, records...)
 }
 
 func (l *logStore) next() int64 { return l.first + int64(len(l.records)) }
@@ -75,9 +82,9 @@
 	l := p.store(name)
 	p.appends++
 	offset = l.next()
-	l.records = append(l.records, records...)
+	l.add(records)
 	if n := p.faults.TwiceEvery; n > 0 && p.appends%n == 0 {
-		l.records = append(l.records, records...)
+		l.add(records)
 	}
 	l.trim(p.faults.Keep)
 	p.wake()
@@ -153,9 +160,9 @@
 	return out, http.StatusOK, p.changed
 }
 
-// Records returns the records that the log keeps.
+// Records returns every record ever appended to the log, also those that it no longer keeps.
 func (p *Platform) Records(name string) [][]byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([][]byte(nil), p.store(name).records...)
+	return append([][]byte(nil), p.store(name).all...)
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -48,11 +48,13 @@
 
 // machine is one listed instance.
 type machine struct {
-	listed   platform.Listed
-	down     bool
-	target   *Target // nil for an entry or a worker without one
-	commands map[string]*command
-	tasks    map[string]*task
+	listed platform.Listed
+	down   bool
+	// commanded says that a command has taken the machine down.
+	commanded bool
+	target    *Target // nil for an entry or a worker without one
+	commands  map[string]*command
+	tasks     map[string]*task
 }
 
 // snapshot is the instance list at one time.
@@ -112,7 +114,7 @@
 func (p *Platform) setDown(m *machine, down bool) {
 	m.down = down
 	if m.target != nil {
-		m.target.SetDown(down)
+		m.target.setDown(down, m.commanded)
 	}
 	if down {
 		m.killTasks(time.Now())
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -33,23 +33,25 @@
 	// Slots and Connections are its limits; the brief's 8 and 64 when 0.
 	Slots, Connections int
 
-	mu       sync.Mutex
-	faults   TargetFaults
-	down     bool
-	busy     int
-	peak     int
-	conns    map[net.Conn]bool
-	peakConn int
-	late     int
-	refused  int
-	ran      map[string]int
+	mu     sync.Mutex
+	faults TargetFaults
+	down   bool
+	// commanded says that the instance is down for planned work.
+	commanded bool
+	busy      int
+	peak      int
+	conns     map[net.Conn]bool
+	peakConn  int
+	late      int
+	refused   int
+	ran       map[string]int
 }
 
 // Counts is what a target saw.
 type Counts struct {
 	// Peak is the most requests at once, PeakConnections the most connections.
 	Peak, PeakConnections int
-	// Late are requests that came while the instance was down, Refused those above its slots.
+	// Late are requests that came while the instance was down for planned work, Refused those above its slots.
 	Late, Refused int
 	// Ran counts the runs of each request that was marked, by its mark.
 	Ran map[string]int
@@ -62,11 +64,11 @@
 	t.faults = f
 }
 
-// SetDown makes the target break off every connection.
-func (t *Target) SetDown(down bool) {
+// setDown makes the target break off every connection; commanded says that a command took its instance down.
+func (t *Target) setDown(down, commanded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.down = down
+	t.down, t.commanded = down, commanded
 	if down {
 		for c := range t.conns {
 			_ = c.Close() // it may be closed already
@@ -154,7 +156,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		t.late++
+		if t.commanded {
+			t.late++
+		}
 		breakOff()
 	}
 	if t.busy >= orDefault(t.Slots, 8) {
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -99,11 +99,13 @@
 	if m.target != nil && m.target.InFlight() > 0 {
 		p.cuts = append(p.cuts, fmt.Sprintf("%s of %s cut a request", c.verb, m.listed.ID))
 	}
+	m.commanded = true
 	p.setDown(m, true)
 	if c.verb == platform.VerbReboot {
 		time.AfterFunc(p.RebootTime, func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
+			m.commanded = false
 			p.setDown(m, false)
 		})
 	}
--- a/internal/trial/verdict.go
+++ b/internal/trial/verdict.go
@@ -23,6 +23,8 @@
 	Reasons map[serve.Reason]int
 	// OverSlots are targets that were sent more than their slots, OverConnections more than their connections.
 	OverSlots, OverConnections int
+	// Late are requests that reached an instance during its maintenance.
+	Late int
 	// P50 and P99 are times of whole answers.
 	P50, P99 time.Duration
 }
@@ -36,6 +38,7 @@
 		for mark, n := range c.Ran {
 			ran[mark] += n
 		}
+		v.Late += c.Late
 		if c.Refused > 0 {
 			v.OverSlots++
 		}
@@ -109,6 +112,7 @@
 		{v.Lost, "requests ended without an answer"}, {v.Wrong, "answers went to another request"},
 		{v.Doubled, "requests not to be repeated ran twice"}, {v.Lied, "requests ran although the caller was told 'not run'"},
 		{v.OverSlots, "targets were sent more than their slots"}, {v.OverConnections, "targets had more than their connections"},
+		{v.Late, "requests reached an instance during its maintenance"},
 	} {
 		if x.n > 0 {
 			broken = append(broken, fmt.Sprintf("%d %s", x.n, x.what))
