serve: run a request where a slot is free before it waits

Change: an entry asks the owners of the allowed data centres for a free slot, the nearest first, and waits at the nearest when none has one; who was full is not asked again for 5 ms.

--- a/route/gate.go
+++ b/route/gate.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// Free says whether the request would get a slot without waiting.
+func (g *Gate) Free(r Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idle(r) && g.pick(r, g.now()) != nil
+}
+
 // leave takes the request out of the queue; a slot that it got at the same moment goes to the next one.
 func (g *Gate) leave(w *waiter, kind Kind) (*Lease, error) {
 	g.mu.Lock()
--- a/serve/problem.go
+++ b/serve/problem.go
@@ -33,6 +33,7 @@
 	ReasonResidency    Reason = "residency"
 	ReasonCutOff       Reason = "data-centre-unreachable"
 	ReasonNoTarget     Reason = "no-target"
+	ReasonBusy         Reason = "busy"
 	ReasonQueueFull    Reason = "queue-full"
 	ReasonDeadline     Reason = "deadline"
 	ReasonStopping     Reason = "stopping"
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -65,6 +65,7 @@
 		Id: r.ID, Service: r.Service.Name, Team: r.Team, Share: int32(r.Share), Method: r.Method, Path: r.Path, Body: r.Body,
 		Headers: headersTo(r.Header), Urgent: r.Urgent, Repeatable: r.Repeatable, Key: r.Key,
 		RemainingUs: r.Deadline.Sub(s.now()).Microseconds(), Direct: direct, DataCentre: r.Bound,
+		NoWait: r.NoWait,
 	}
 	if !r.Repeatable {
 		m.NotAfterUnixMs = r.NotAfter.UnixMilli()
@@ -110,7 +111,7 @@
 	r := &request{
 		ID: m.Id, Service: svc, Team: m.Team, Share: int(m.Share), Method: m.Method, Path: m.Path, Header: headerFrom(m.Headers),
 		Body: m.Body, Urgent: m.Urgent, Repeatable: m.Repeatable, Key: m.Key, NotAfter: time.UnixMilli(m.NotAfterUnixMs),
-		Deadline: s.now().Add(time.Duration(m.RemainingUs) * time.Microsecond), Bound: m.DataCentre,
+		Deadline: s.now().Add(time.Duration(m.RemainingUs) * time.Microsecond), Bound: m.DataCentre, NoWait: m.NoWait,
 	}
 	if !contains(v.Allowed(svc, r.Bound), s.DataCentre) {
 		return nil, notRun(http.StatusForbidden, ReasonResidency, "come back later", "service %q may not run in %s", svc.Name, s.DataCentre)
--- a/serve/request.go
+++ b/serve/request.go
@@ -37,6 +37,8 @@
 	Deadline time.Time
 	// Bound is the data centre of the request's record, or empty.
 	Bound string
+	// NoWait says that the request is to be refused when no slot is free at once.
+	NoWait bool
 }
 
 // Bounds of a request.
--- a/serve/run.go
+++ b/serve/run.go
@@ -16,6 +16,8 @@
 	maxPlaces    = 3
 	handoverWait = 25 * time.Millisecond
 	maxHandover  = 2 * time.Second
+	// fullFor is how long a data centre that had no free slot is not asked for one again.
+	fullFor = 5 * time.Millisecond
 )
 
 // runOnce runs the request unless an earlier copy of it is known.
@@ -35,8 +37,16 @@
 }
 
 // run takes an admitted request to a data centre where it may run.
+//
+// It first asks each for a free slot, the nearest first, and waits in the nearest one's queue when there is none.
 func (s *Server) run(ctx context.Context, v *View, r *request) (*answer, *Problem) {
 	places := s.places(v, r)
+	if len(places) > 1 {
+		a, p := s.runFree(ctx, v, r, places)
+		if p == nil || !s.goOn(ctx, r, p) {
+			return a, p
+		}
+	}
 	var last *Problem
 	for i, dc := range places {
 		if i == maxPlaces {
@@ -56,6 +66,24 @@
 	return nil, p
 }
 
+// runFree runs the request in the nearest data centre that has a free slot; the problem is busy when none has.
+func (s *Server) runFree(ctx context.Context, v *View, r *request, places []string) (*answer, *Problem) {
+	r.NoWait = true
+	defer func() { r.NoWait = false }()
+	busy := notRun(http.StatusServiceUnavailable, ReasonBusy, "come back later", "no slot of %s is free", r.Service.Name)
+	for i, dc := range places {
+		if i > 0 && s.full.is(r.Service.Name, dc, s.now()) {
+			continue
+		}
+		a, p := s.runIn(ctx, v, r, dc)
+		if p == nil || !s.goOn(ctx, r, p) {
+			return a, p
+		}
+		s.full.set(r.Service.Name, dc, s.now().Add(fullFor))
+	}
+	return nil, busy
+}
+
 // places returns the data centres to try, the nearest first.
 func (s *Server) places(v *View, r *request) []string {
 	var places []string
@@ -76,7 +104,7 @@
 		return r.Repeatable && p.Reason == ReasonRelay && s.gateOf(r.Service.Name).retries.Retry()
 	}
 	switch p.Reason {
-	case ReasonNoTarget, ReasonQueueFull, ReasonCutOff, ReasonNotOwner, ReasonNotReady, ReasonStopping, ReasonDeadline, ReasonRefused:
+	case ReasonBusy, ReasonNoTarget, ReasonQueueFull, ReasonCutOff, ReasonNotOwner, ReasonNotReady, ReasonStopping, ReasonDeadline, ReasonRefused:
 		return true
 	}
 	return false
--- a/serve/server.go
+++ b/serve/server.go
@@ -47,6 +47,7 @@
 	linked   atomic.Bool
 	active   sync.WaitGroup
 	attempts atomic.Uint64
+	full     fullPlaces
 
 	mu    sync.Mutex
 	gates map[string]*gate
