--- a/control/jobs.go
+++ b/control/jobs.go
@@ -10,6 +10,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
 	"rackstep.dev/place"
+	"rackstep.dev/plan"
 	"rackstep.dev/platform"
 )
 
@@ -69,7 +70,7 @@
 }
 
 func (c *Controller) startJobs() {
-	starts, parks := place.Decide(c.tables, place.Options{Most: startsATick, Until: c.until(), Margin: learnedMargin})
+	starts, parks := place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs), Margin: learnedMargin})
 	for _, s := range starts {
 		c.write(fmt.Sprintf("start/%s/%d", s.Job, s.Attempt), fleet.Record{Start: &s})
 	}
@@ -78,44 +79,6 @@
 	}
 }
 
-// until returns when an active plan is expected to take an instance out.
-func (c *Controller) until() func(string) (time.Duration, bool) {
-	turns := make(map[string]time.Duration)
-	for _, p := range c.tables.Plans.All {
-		if !p.Active() {
-			continue
-		}
-		first := -1
-		for i := range p.Steps {
-			s := &p.Steps[i]
-			if s.State != fleet.StepWaiting {
-				continue
-			}
-			if first < 0 {
-				first = s.Wave
-			}
-			turns[s.Instance] = time.Duration(s.Wave-first) * c.Costs.Time()
-		}
-	}
-	return func(id string) (time.Duration, bool) {
-		d, ok := turns[id]
-		return d, ok
-	}
-}
-
-// remaining returns how long the job is expected to run on, by its declared time and what this entry has seen of it.
-func (c *Controller) remaining(j *fleet.Job) (time.Duration, bool) {
-	since, ok := c.tasks.since[attemptID(j)]
-	if !ok || j.Spec.RunTime == 0 {
-		return 0, false
-	}
-	left := j.Spec.RunTime.Std() - time.Since(since)
-	if left < 0 {
-		return 0, false // the declared time was wrong: nothing is known
-	}
-	return left, true
-}
-
 // patience is how long a job about to end is waited for, by the weights of the site.
 func (c *Controller) patience() time.Duration { return c.Costs.Wait(c.tables.Configuration.Weights) }
 
@@ -141,8 +104,8 @@
 
 // shouldLeave says whether a job on a draining instance is moved rather than waited for.
 func (c *Controller) shouldLeave(j *fleet.Job) bool {
-	left, known := c.remaining(j)
-	return !known || left > c.patience()
+	since, ok := c.tasks.since[attemptID(j)]
+	return !ok || plan.Leaves(j, time.Since(since), c.patience())
 }
 
 func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (platform.TaskState, error) {
--- a/fleet/advance.go
+++ b/fleet/advance.go
@@ -107,8 +107,8 @@
 		return refuse(ReasonUnproved, "wait until the entry acknowledges or the platform says that it is gone",
 			"entry %s has not acknowledged the drain of %s", missing, in.ID)
 	}
-	if id := t.jobOn(in.ID); id != "" {
-		return refuse(ReasonOccupied, "wait for the job or move it", "job %s still runs on %s", id, in.ID)
+	if n := t.JobsOn(in.ID); n > 0 {
+		return refuse(ReasonOccupied, "wait for the jobs or move them", "%d jobs still run on %s", n, in.ID)
 	}
 	in.State = InstanceDrained
 	return nil
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -194,10 +194,9 @@
 	if r := t.StartRefusal(j, in, s.Generation); r != nil {
 		return r
 	}
-	j.State = JobStarting
 	j.Attempt = s.Attempt
-	j.Instance = s.Instance
 	j.Changed = t.Offset
+	t.put(j, JobStarting, s.Instance)
 	return nil
 }
 
@@ -228,37 +227,6 @@
 	return len(j.Spec.DataCentres) == 0 || slices.Contains(j.Spec.DataCentres, dataCentre)
 }
 
-// Held returns the cores and MB that jobs hold on the instance.
-func (t *Tables) Held(instance string) (cores, memoryMB int) {
-	for _, j := range t.Jobs.All {
-		if j.Instance == instance && j.State.Held() {
-			cores += j.Spec.Cores
-			memoryMB += j.Spec.MemoryMB
-		}
-	}
-	return cores, memoryMB
-}
-
-// TeamCores returns the cores that the team's jobs hold.
-func (t *Tables) TeamCores(team string) int {
-	cores := 0
-	for _, j := range t.Jobs.All {
-		if j.Team == team && j.State.Held() {
-			cores += j.Spec.Cores
-		}
-	}
-	return cores
-}
-
-func (t *Tables) jobOn(instance string) string {
-	for id, j := range t.Jobs.All {
-		if j.Instance == instance && j.State.Held() {
-			return id
-		}
-	}
-	return ""
-}
-
 func (t *Tables) settle(s Settle) *Refusal {
 	j := t.Jobs.Get(s.Job)
 	if j == nil || j.Attempt != s.Attempt || !j.State.Held() {
@@ -271,9 +239,9 @@
 	in := t.Instances.Get(j.Instance)
 	switch s.Outcome {
 	case OutcomeRunning:
-		j.State = JobRunning
+		t.put(j, JobRunning, j.Instance)
 	case OutcomeDone:
-		j.State = JobDone
+		t.put(j, JobDone, j.Instance)
 		if in != nil {
 			in.FailedJobs = nil
 		}
@@ -293,12 +261,11 @@
 
 // release makes the job pending again, unless it was cancelled.
 func (t *Tables) release(j *Job) {
-	j.Instance = ""
 	if j.State == JobCancelling {
-		j.State = JobCancelled
+		t.put(j, JobCancelled, "")
 		return
 	}
-	j.State = JobPending
+	t.put(j, JobPending, "")
 }
 
 func (t *Tables) stopped(j *Job) {
@@ -314,7 +281,8 @@
 		t.release(j)
 		return
 	}
-	j.State, j.Note, j.Instance = JobFailed, note, ""
+	j.Note = note
+	t.put(j, JobFailed, "")
 }
 
 func (t *Tables) failed(j *Job, in *Instance) {
@@ -362,7 +330,7 @@
 	case j.State == JobPending:
 		j.State = JobCancelled
 	default:
-		j.State = JobCancelling
+		t.put(j, JobCancelling, j.Instance)
 	}
 	j.Changed = t.Offset
 	return nil
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/klauspost/compress/zstd"
 )
@@ -26,6 +25,9 @@
 	Results []Result
 	// Checkpointed is the offset of the newest checkpoint seen in the log.
 	Checkpointed int64
+
+	// onInstance and ofTeam are what jobs hold, by instance and by team.
+	onInstance, ofTeam map[string]usage
 }
 
 // Result is what became of a record that somebody may ask about.
@@ -173,6 +175,9 @@
 	fill(&t.Entries, im.Entries, func(r *Entry) string { return r.ID })
 	fill(&t.Plans, im.Plans, func(r *Plan) string { return r.ID })
 	fill(&t.Jobs, im.Jobs, func(r *Job) string { return r.ID })
+	for _, j := range t.Jobs.All {
+		t.charge(j, 1)
+	}
 	return t, nil
 }
 
@@ -181,6 +186,3 @@
 		t.Put(id(&rows[i]), rows[i])
 	}
 }
-
-// Age returns how long ago at was, never below 0.
-func Age(now, at time.Time) time.Duration { return max(0, now.Sub(at)) }
--- a/plan/next.go
+++ b/plan/next.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"rackstep.dev/fleet"
 )
@@ -56,13 +57,24 @@
 	if !p.Active() {
 		return nil
 	}
-	n := next{t: t, p: p, f: f}
+	n := next{t: t, p: p, f: f, first: firstWave(p)}
 	for i := range p.Steps {
 		n.step(&p.Steps[i])
 	}
 	return n.out
 }
 
+// firstWave returns the earliest wave that still has a waiting step.
+func firstWave(p *fleet.Plan) int {
+	first := p.Waves
+	for i := range p.Steps {
+		if p.Steps[i].State == fleet.StepWaiting {
+			first = min(first, p.Steps[i].Wave)
+		}
+	}
+	return first
+}
+
 type next struct {
 	t   *fleet.Tables
 	p   *fleet.Plan
@@ -70,7 +82,7 @@
 	out []Decision
 	// margins are what the budgets can still lose in this call, so that no record is written in vain.
 	margins []margin
-	// first is the earliest wave that still has a waiting step, plus one; 0 when not known yet.
+	// first is the earliest wave that still has a waiting step.
 	first int
 }
 
@@ -103,10 +115,7 @@
 	if n.p.State != fleet.PlanRunning {
 		return
 	}
-	if n.first == 0 {
-		n.first = s.Wave + 1
-	}
-	if s.Wave+1 != n.first {
+	if s.Wave != n.first {
 		return // an earlier wave has a step that is not out yet
 	}
 	if in.State != fleet.InstanceServing || in.Plan != "" {
@@ -150,18 +159,13 @@
 		n.hold(in, "entry %s is listed by the platform and has not acknowledged the drain", id)
 		return
 	}
-	if n.occupied(in) {
+	if n.t.JobsOn(in.ID) > 0 {
 		n.hold(in, "a job still runs on it")
 		return
 	}
 	n.advance(s, in, fleet.StepDrained, acks)
 }
 
-func (n *next) occupied(in *fleet.Instance) bool {
-	cores, _ := n.t.Held(in.ID)
-	return cores > 0
-}
-
 func (n *next) drained(s *fleet.Step, in *fleet.Instance) {
 	if n.p.State == fleet.PlanCancelled {
 		n.advance(s, in, fleet.StepReturned, nil)
@@ -188,3 +192,35 @@
 		n.advance(s, in, fleet.StepDone, nil)
 	}
 }
+
+// Turns returns a function that says how long an instance stays in service before an active plan is expected to take it
+// out, and false when no plan will.
+func Turns(t *fleet.Tables, c Costs) func(instance string) (time.Duration, bool) {
+	turns := make(map[string]time.Duration)
+	for _, p := range t.Plans.All {
+		if !p.Active() {
+			continue
+		}
+		first := firstWave(p)
+		for i := range p.Steps {
+			if s := &p.Steps[i]; s.State == fleet.StepWaiting {
+				turns[s.Instance] = time.Duration(s.Wave-first) * c.Time()
+			}
+		}
+	}
+	return func(id string) (time.Duration, bool) {
+		d, ok := turns[id]
+		return d, ok
+	}
+}
+
+// Leaves says whether a job on a draining instance is moved rather than waited for, after it has run for that long.
+//
+// Declared run times are far off: when the declared one has passed, the job is taken to run on for as long again.
+func Leaves(j *fleet.Job, ran, patience time.Duration) bool {
+	left := j.Spec.RunTime.Std() - ran
+	if left < 0 {
+		left = ran
+	}
+	return j.Spec.RunTime == 0 || left > patience
+}
--- a/serve/dispatcher_test.go
+++ b/serve/dispatcher_test.go
@@ -79,10 +79,13 @@
 
 func TestARequestNotToBeRepeatedIsSentOnceWhateverTheConnectionDoes(t *testing.T) {
 	answers := map[string]func(net.Conn, int64){
-		"closed without an answer":     func(c net.Conn, _ int64) { _ = c.Close() },
-		"closed in the head":           func(c net.Conn, _ int64) { say(c, "HTTP/1.1 200 OK\r\nCont"); _ = c.Close() },
-		"closed in the body":           func(c net.Conn, _ int64) { say(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"); _ = c.Close() },
-		"closed in a chunk":            func(c net.Conn, _ int64) { say(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok"); _ = c.Close() },
+		"closed without an answer": func(c net.Conn, _ int64) { _ = c.Close() },
+		"closed in the head":       func(c net.Conn, _ int64) { say(c, "HTTP/1.1 200 OK\r\nCont"); _ = c.Close() },
+		"closed in the body":       func(c net.Conn, _ int64) { say(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"); _ = c.Close() },
+		"closed in a chunk": func(c net.Conn, _ int64) {
+			say(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok")
+			_ = c.Close()
+		},
 		"answered with something else": func(c net.Conn, _ int64) { say(c, "hello\r\n\r\n"); _ = c.Close() },
 	}
 	for name, answer := range answers {
