place: prefer the worker whose turn comes last

Cause: a job that every worker's turn will displace went to the fullest worker. Change: among such workers the one with the latest turn is taken.

--- a/internal/drive/wave.go
+++ b/internal/drive/wave.go
@@ -21,13 +21,40 @@
 	RackFails bool
 }
 
+// Sum returns the sums of several results, so that ratios of them are means.
+func Sum(s Size, p Policy, seeds int) Result {
+	sum := Result{Size: s.Name, Policy: p, Ended: true}
+	for seed := range seeds {
+		r := Wave(s, p, uint64(seed))
+		sum.RollOut += r.RollOut
+		sum.RollOutBound += r.RollOutBound
+		sum.Moves += r.Moves
+		sum.MovesBound += r.MovesBound
+		sum.Unavoidable += r.Unavoidable
+		sum.Twice += r.Twice
+		sum.Buffer += r.Buffer
+		sum.BufferBound += r.BufferBound
+		sum.Peak = max(sum.Peak, r.Peak)
+		sum.Jobs += r.Jobs
+		sum.Ended = sum.Ended && r.Ended
+		sum.LowestMargin = min(sum.LowestMargin, r.LowestMargin)
+	}
+	return sum
+}
+
 // Result is what one maintenance wave cost, beside the bounds.
 type Result struct {
-	Size              string
-	Policy            Policy
-	RollOut           time.Duration
-	RollOutBound      time.Duration
-	Moves, MovesBound int
+	Size         string
+	Policy       Policy
+	RollOut      time.Duration
+	RollOutBound time.Duration
+	Moves        int
+	// MovesBound counts the jobs of the beginning that could not end before their worker's turn.
+	MovesBound int
+	// Unavoidable counts those that outlast the shortest wave, whatever the order of the turns.
+	Unavoidable int
+	// Twice counts the moves of jobs that had been moved before.
+	Twice int
 	// Buffer is the mean number of instances out while the wave ran, BufferBound the least mean for its length.
 	Buffer, BufferBound float64
 	// Peak is the most instances out at once.
@@ -52,6 +79,7 @@
 	left    time.Duration // of its true run time
 	since   time.Time     // of the current attempt
 	leaving time.Time     // when its checkpoint is complete; zero when it stays
+	first   bool          // it has been on its first worker since before the wave
 }
 
 // run drives one wave.
@@ -70,13 +98,15 @@
 }
 
 // Wave maintains every instance of the fleet once and returns what that cost.
-func Wave(s Size, p Policy) Result {
-	r := &run{size: s, policy: p, t: s.Tables(), now: time.Unix(1_000_000, 0), offset: 2, random: rand.New(rand.NewPCG(3, 5)),
+func Wave(s Size, p Policy, seed uint64) Result {
+	r := &run{size: s, policy: p, t: s.Tables(), now: time.Unix(1_000_000, 0), offset: 2, random: rand.New(rand.NewPCG(3, seed)),
 		jobs: make(map[string]*work), cmds: make(map[string]time.Time), res: Result{Size: s.Name, Policy: p, LowestMargin: math.MaxInt}}
 	r.fill()
 	r.place()
 	// Jobs in the middle of their course: the fleet has been running for long.
-	for _, w := range r.jobs {
+	for id := range r.t.Jobs.All {
+		w := r.jobs[id]
+		w.first = true
 		w.since = r.now.Add(-time.Duration(r.random.Float64() * float64(w.left) / 2))
 	}
 	r.maintain()
@@ -146,7 +176,7 @@
 		return
 	}
 	r.res.RollOutBound = p.Estimate.RollOutBound
-	r.res.MovesBound = r.movesBound(p.Estimate.RollOutBound)
+	r.res.Unavoidable = r.outlast(p.Estimate.RollOutBound)
 	if r.policy.Baseline {
 		r.rackByRack(&p)
 	}
@@ -163,6 +193,7 @@
 	r.res.BufferBound = float64(len(p.Steps)) * r.size.Maintenance.Seconds() / r.res.RollOut.Seconds()
 	for _, j := range r.t.Jobs.All {
 		r.res.Moves += j.Moves
+		r.res.Twice += max(0, j.Moves-1)
 	}
 }
 
@@ -179,8 +210,8 @@
 	p.Waves = len(waves)
 }
 
-// movesBound counts the jobs that outlast even the shortest wave, whatever their worker's turn is.
-func (r *run) movesBound(shortest time.Duration) int {
+// outlast counts the jobs that outlast even the shortest wave, whatever their worker's turn is.
+func (r *run) outlast(shortest time.Duration) int {
 	n := 0
 	for id, w := range r.jobs {
 		if j := r.t.Jobs.Get(id); j.State == fleet.JobRunning && w.left-r.now.Sub(w.since) > shortest {
@@ -223,9 +254,9 @@
 	if !down {
 		return
 	}
-	for id, w := range r.jobs {
-		j := r.t.Jobs.Get(id)
-		if j != nil && j.State == fleet.JobRunning && r.t.Instances.Get(j.Instance).Down {
+	for id, j := range r.t.Jobs.All {
+		w := r.jobs[id]
+		if w != nil && j.State == fleet.JobRunning && r.t.Instances.Get(j.Instance).Down {
 			r.settle(j, fleet.OutcomeStopped)
 			w.leaving = time.Time{}
 		}
@@ -237,10 +268,11 @@
 }
 
 func (r *run) endJobs() {
-	for id, w := range r.jobs {
-		j := r.t.Jobs.Get(id)
+	for id, j := range r.t.Jobs.All {
+		w := r.jobs[id]
 		switch {
-		case j == nil || j.State.Ended():
+		case w == nil:
+		case j.State.Ended():
 			delete(r.jobs, id)
 		case j.State != fleet.JobRunning:
 		case r.now.Sub(w.since) >= w.left:
@@ -260,9 +292,9 @@
 	if r.policy.Baseline {
 		patience = 0
 	}
-	for id, w := range r.jobs {
-		j := r.t.Jobs.Get(id)
-		if j.State != fleet.JobRunning || !w.leaving.IsZero() || r.t.Instances.Get(j.Instance).State != fleet.InstanceDraining {
+	for id, j := range r.t.Jobs.All {
+		w := r.jobs[id]
+		if w == nil || j.State != fleet.JobRunning || !w.leaving.IsZero() || r.t.Instances.Get(j.Instance).State != fleet.InstanceDraining {
 			continue
 		}
 		if plan.Leaves(j, r.now.Sub(w.since), patience) {
@@ -310,6 +342,12 @@
 	if a.To != fleet.StepDraining {
 		return
 	}
+	for id, w := range r.jobs {
+		if j := r.t.Jobs.Get(id); w.first && j.Instance == a.Instance && j.State == fleet.JobRunning && r.now.Sub(w.since) < w.left {
+			r.res.MovesBound++
+			w.first = false
+		}
+	}
 	for _, b := range r.t.Configuration.Budgets() {
 		r.res.LowestMargin = min(r.res.LowestMargin, r.t.Spare(b).Total)
 	}
--- a/place/decide.go
+++ b/place/decide.go
@@ -183,9 +183,13 @@
 
 // better says whether the job should rather go to a than to b.
 func (d *decision) better(j *fleet.Job, a, b *room) bool {
-	if x, y := d.displaced(j, a), d.displaced(j, b); x != y {
+	x, y := d.displaced(j, a), d.displaced(j, b)
+	if x != y {
 		return y
 	}
+	if x && a.until != b.until {
+		return a.until > b.until // the later the turn, the likelier the job ends before it
+	}
 	if a.cores != b.cores {
 		return a.cores < b.cores
 	}
