--- a/admin/wire.go
+++ b/admin/wire.go
@@ -81,6 +81,11 @@
 	Waiting  int `json:"waiting"`
 	Slots    int `json:"slots"`
 	Claims   int `json:"claims"`
+	// PeerIn, PeerOut, PlatformIn and PlatformOut are bytes since the entry's start.
+	PeerIn      int64 `json:"peer_in"`
+	PeerOut     int64 `json:"peer_out"`
+	PlatformIn  int64 `json:"platform_in"`
+	PlatformOut int64 `json:"platform_out"`
 }
 
 // Line is the time line, with the entries that could not be asked.
--- /dev/null
+++ b/cmd/rackstep/capacity.go
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"rackstep.dev/internal/capacity"
+)
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name: "capacity", Usage: "measure what entries cost and fit slopes; tools/capacity.sh starts the processes",
+		Commands: []*cli.Command{
+			{
+				Name: "write", Usage: "lay down the settings of a site",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "dir", Usage: "`FOLDER` of the settings", Required: true},
+					&cli.IntFlag{Name: "entries", Value: 8}, &cli.IntFlag{Name: "centres", Value: 4}, &cli.IntFlag{Name: "workers", Value: 50},
+					&cli.IntFlag{Name: "pools", Value: 5}, &cli.IntFlag{Name: "teams", Value: 4},
+				},
+				Action: func(_ context.Context, c *cli.Command) error {
+					s := capacity.Size{Entries: c.Int("entries"), Centres: c.Int("centres"), Workers: c.Int("workers"), Pools: c.Int("pools"), Teams: c.Int("teams")}
+					return s.Write(c.String("dir"))
+				},
+			},
+			{
+				Name: "sample", Usage: "watch the processes and print one point as JSON",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "dir", Usage: "`FOLDER` of the settings and process ids", Required: true},
+					&cli.DurationFlag{Name: "time", Value: 30 * time.Second}, &cli.StringFlag{Name: "load", Value: "idle"},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					p, err := capacity.Sample(ctx, c.String("dir"), c.String("load"), c.Duration("time"))
+					if err != nil {
+						return cli.Exit(err, exitFailed)
+					}
+					return json.NewEncoder(os.Stdout).Encode(p)
+				},
+			},
+			{
+				Name: "report", Usage: "fit the points of FILE, print the table and draw the plots", ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "plots", Usage: "`FOLDER` for the plots; none are drawn without it"},
+					&cli.IntFlag{Name: "entries", Usage: "entries of the size to work out", Value: 32}, &cli.IntFlag{Name: "workers", Usage: "workers of that size", Value: 780},
+				},
+				Action: reportCapacity,
+			},
+		},
+	}
+}
+
+func readPoints(name string) ([]capacity.Point, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, cli.Exit(fmt.Errorf("read the points: %w", err), exitUsage)
+	}
+	defer f.Close()
+	var points []capacity.Point
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var p capacity.Point
+		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+			return nil, cli.Exit(fmt.Errorf("read the points: %w", err), exitUsage)
+		}
+		points = append(points, p)
+	}
+	return points, lines.Err()
+}
+
+func reportCapacity(_ context.Context, c *cli.Command) error {
+	points, err := readPoints(c.Args().First())
+	if err != nil {
+		return err
+	}
+	var idle []capacity.Point
+	for _, p := range points {
+		if p.Load == "idle" {
+			idle = append(idle, p)
+		}
+	}
+	at := capacity.Size{Entries: c.Int("entries"), Workers: c.Int("workers")}
+	var fits []capacity.Fit
+	for _, fig := range capacity.Figures() {
+		f, err := capacity.FitOf(fig, idle)
+		if err != nil {
+			return cli.Exit(err, exitFailed)
+		}
+		fits = append(fits, f)
+		if dir := c.String("plots"); dir != "" {
+			if err := draw(dir, fig, points); err != nil {
+				return cli.Exit(err, exitFailed)
+			}
+		}
+	}
+	return show(c, fits, func(w *table) { printFits(w, points, fits, at) })
+}
+
+func printFits(w *table, points []capacity.Point, fits []capacity.Fit, at capacity.Size) {
+	w.head("LOAD", "ENTRIES", "CENTRES", "WORKERS", "POOLS", "TEAMS", "CPU %", "MEMORY MB", "PEERS KB/s", "PLATFORM KB/s", "RECORDS/s")
+	for _, p := range points {
+		w.row(p.Load, p.Entries, p.Centres, p.Workers, p.Pools, p.Teams, fmt.Sprintf("%.2f", p.CPU), fmt.Sprintf("%.1f", p.Memory/1e6),
+			fmt.Sprintf("%.2f", p.PeerBytes/1e3), fmt.Sprintf("%.2f", p.PlatformBytes/1e3), fmt.Sprintf("%.2f", p.Records))
+	}
+	w.head("FIGURE", "BASE", "PER ENTRY", "PER WORKER", "ERROR", fmt.Sprintf("AT %d ENTRIES, %d WORKERS", at.Entries, at.Workers), "LIMIT")
+	for _, f := range fits {
+		limit := "-"
+		if f.Figure.Limit > 0 {
+			limit = fmt.Sprint(f.Figure.Limit)
+		}
+		w.row(f.Figure.Name+" "+f.Figure.Unit, fmt.Sprintf("%.3f", f.Base), fmt.Sprintf("%.4f", f.PerEntry), fmt.Sprintf("%.5f", f.PerWorker),
+			fmt.Sprintf("%.3f", f.Error), fmt.Sprintf("%.2f", f.At(at)), limit)
+	}
+}
+
+// draw plots the figure over the number of entries, a line for each number of workers.
+func draw(dir string, fig capacity.Figure, points []capacity.Point) error {
+	p := plot.New()
+	p.Title.Text = fig.Name + " of one entry"
+	p.X.Label.Text, p.Y.Label.Text = "entries", fig.Unit
+	p.Y.Min = 0
+	lines := make(map[int]plotter.XYs)
+	var args []any
+	for _, x := range points {
+		if x.Load != "idle" {
+			continue
+		}
+		lines[x.Workers] = append(lines[x.Workers], plotter.XY{X: float64(x.Entries), Y: fig.Of(x)})
+	}
+	for _, workers := range sortedInts(lines) {
+		args = append(args, fmt.Sprintf("%d workers", workers), lines[workers])
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return fmt.Errorf("draw %s: %w", fig.Name, err)
+	}
+	if err := p.Save(14*vg.Centimeter, 9*vg.Centimeter, filepath.Join(dir, "capacity-"+fig.Name+".svg")); err != nil {
+		return fmt.Errorf("draw %s: %w", fig.Name, err)
+	}
+	return nil
+}
--- a/cmd/rackstep/main.go
+++ b/cmd/rackstep/main.go
@@ -56,6 +56,6 @@
 		orderCommand(fleet.OrderResume, "go on with a paused plan"),
 		orderCommand(fleet.OrderCancel, "end a plan; what is drained returns, what is rebooting is finished"),
 		statusCommand(), instancesCommand(), jobsCommand(), timelineCommand(), resultCommand(),
-		tokenCommand(), tryCommand(), standinCommand(), eventsCommand(),
+		tokenCommand(), tryCommand(), standinCommand(), capacityCommand(), eventsCommand(),
 	}
 }
--- a/cmd/rackstep/output.go
+++ b/cmd/rackstep/output.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -51,3 +53,5 @@
 		return cli.Exit(fmt.Sprintf("output %q is not known; use table or json", format), exitUsage)
 	}
 }
+
+func sortedInts[V any](m map[int]V) []int { return slices.Sorted(maps.Keys(m)) }
--- a/control/controller.go
+++ b/control/controller.go
@@ -12,6 +12,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/fleet"
+	"rackstep.dev/internal/meter"
 	"rackstep.dev/peer"
 	"rackstep.dev/peer/peerpb"
 	"rackstep.dev/plan"
@@ -38,6 +39,8 @@
 	Book        *claim.Book
 	Events      *event.Ring
 	Costs       plan.Costs
+	// PeerMeter and PlatformMeter count the bytes of the links and of the platform's services; may be nil.
+	PeerMeter, PlatformMeter *meter.Meter
 	// Tick is the pause between two runs of the systems; 250ms when 0.
 	Tick time.Duration
 	// CheckpointEvery is the time between two checkpoints; 5m when 0.
--- a/control/status.go
+++ b/control/status.go
@@ -20,6 +20,12 @@
 	st := admin.Status{Entry: c.Self.ID, Offset: -1, Jobs: make(admin.JobCounts)}
 	st.InFlight, st.Waiting, st.Slots = c.Server.Load()
 	st.Claims = c.Book.Len()
+	if c.PeerMeter != nil {
+		st.PeerIn, st.PeerOut = c.PeerMeter.Bytes()
+	}
+	if c.PlatformMeter != nil {
+		st.PlatformIn, st.PlatformOut = c.PlatformMeter.Bytes()
+	}
 	err := c.do(ctx, func() {
 		c.entryStatus(&st)
 		if c.tables != nil {
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -20,6 +20,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/fleet"
+	"rackstep.dev/internal/meter"
 	"rackstep.dev/peer"
 	"rackstep.dev/plan"
 	"rackstep.dev/platform"
@@ -64,12 +65,19 @@
 
 func newClock() *feed.Clock { return new(feed.Clock) }
 
-func newHTTPClient(o Options) *http.Client {
+// meters count what control sends and receives.
+type meters struct{ peers, platform *meter.Meter }
+
+func newMeters() meters { return meters{peers: new(meter.Meter), platform: new(meter.Meter)} }
+
+func newHTTPClient(o Options, m meters) *http.Client {
 	if o.Platform != nil {
 		return &http.Client{Transport: o.Platform}
 	}
 	const connections = 16
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: m.platform.Dial(o.Dial), MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute,
+	}}
 }
 
 func newPlatform(s config.Settings, c *http.Client) *platform.Client {
@@ -117,14 +125,14 @@
 	return l, l.close, nil
 }
 
-func newMesh(s config.Settings, self fleet.Entry, l listeners, events *event.Ring, o Options) (*peer.Mesh, error) {
+func newMesh(s config.Settings, self fleet.Entry, l listeners, events *event.Ring, m meters, o Options) (*peer.Mesh, error) {
 	secret, err := s.Secret()
 	if err != nil {
 		return nil, err
 	}
 	return &peer.Mesh{
 		Self: peer.Identity{Entry: self.ID, DataCentre: self.DataCentre, Boot: self.Boot}, Secret: secret,
-		Listener: l.peer, Dial: o.Dial, Cut: o.Cut, Events: events,
+		Listener: l.peer, Dial: o.Dial, Cut: o.Cut, Events: events, Meter: m.peers,
 	}, nil
 }
 
@@ -141,9 +149,10 @@
 	}
 }
 
-func newController(s config.Settings, self fleet.Entry, l logs, p *platform.Client, mesh *peer.Mesh, server *serve.Server, book *claim.Book, events *event.Ring, clock *feed.Clock) *control.Controller {
+func newController(s config.Settings, self fleet.Entry, l logs, p *platform.Client, mesh *peer.Mesh, server *serve.Server, book *claim.Book, events *event.Ring, clock *feed.Clock, m meters) *control.Controller {
 	c := &control.Controller{
 		Self: self, Log: l.fleet, Claims: l.claims, Platform: p, Mesh: mesh, Server: server, Book: book, Events: events,
+		PeerMeter: m.peers, PlatformMeter: m.platform,
 		Costs: plan.Costs{Maintenance: s.Maintenance.Std()}, CheckpointEvery: s.CheckpointEvery.Std(), Clock: clock.Now,
 	}
 	for _, x := range s.Peers {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -12,7 +12,7 @@
 
 // providers are the constructors of an entry's parts.
 var providers = wire.NewSet(
-	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
+	newIdentity, newClock, newMeters, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
 	newBook, newDispatcher, newServer, newController, newAdmin,
 	wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events", "targets", "platform"),
 )
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -21,12 +21,13 @@
 	}
 	entry := newIdentity(s, entryListeners)
 	ring := newEvents(s, o)
-	mesh, err := newMesh(s, entry, entryListeners, ring, o)
+	entryMeters := newMeters()
+	mesh, err := newMesh(s, entry, entryListeners, ring, entryMeters, o)
 	if err != nil {
 		cleanup()
 		return nil, nil, err
 	}
-	client := newHTTPClient(o)
+	client := newHTTPClient(o, entryMeters)
 	clock := newClock()
 	entryLogs := newLogs(s, client, clock)
 	book := newBook(entryLogs, clock)
@@ -34,7 +35,7 @@
 	entryMetrics := newMetrics()
 	server := newServer(s, entry, book, mesh, dispatcher, ring, entryMetrics, clock, o)
 	platformClient := newPlatform(s, client)
-	controller := newController(s, entry, entryLogs, platformClient, mesh, server, book, ring, clock)
+	controller := newController(s, entry, entryLogs, platformClient, mesh, server, book, ring, clock, entryMeters)
 	adminServer := newAdmin(s, controller, entryMetrics)
 	entryEntry := &Entry{
 		settings:  s,
@@ -59,6 +60,6 @@
 
 // providers are the constructors of an entry's parts.
 var providers = wire.NewSet(
-	newIdentity, newClock, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
+	newIdentity, newClock, newMeters, newHTTPClient, newPlatform, newLogs, newMetrics, newEvents, newListeners, newMesh,
 	newBook, newDispatcher, newServer, newController, newAdmin, wire.Struct(new(Entry), "settings", "self", "listeners", "mesh", "book", "server", "control", "admin", "metrics", "events", "targets", "platform"),
 )
--- /dev/null
+++ b/internal/capacity/site.go
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: MIT
+
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"rackstep.dev/config"
+	"rackstep.dev/fleet"
+	"rackstep.dev/serve"
+)
+
+// Size is what the cost of an entry may depend on.
+type Size struct {
+	Entries int `json:"entries"`
+	Centres int `json:"centres"`
+	Workers int `json:"workers"`
+	Pools   int `json:"pools"`
+	Teams   int `json:"teams"`
+}
+
+// Ports and tokens of a measured site.
+const (
+	platformPort  = 20000
+	firstPort     = 20010
+	portsEach     = 3
+	OperatorToken = "capacity-operator-token"
+)
+
+// EntryName returns the name of the i-th entry.
+func EntryName(i int) string { return fmt.Sprintf("entry-%03d", i) }
+
+// OperatorAddress returns the address of the i-th entry's operators' interface.
+func OperatorAddress(i int) string { return loopback(firstPort + portsEach*i + 1) }
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func (s Size) centre(i int) string { return fmt.Sprintf("dc-%d", i%s.Centres+1) }
+
+// Write lays down the settings of the stand-in, the entries and the configuration in the folder.
+func (s Size) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("make the folder: %w", err)
+	}
+	if err := writeJSON(dir, "size.json", s); err != nil {
+		return err
+	}
+	if err := writeJSON(dir, "standin.json", s.standin()); err != nil {
+		return err
+	}
+	if err := writeJSON(dir, "configuration.json", s.configuration()); err != nil {
+		return err
+	}
+	for i := range s.Entries {
+		if err := writeJSON(dir, EntryName(i)+".json", s.settings(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeJSON(dir, name string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", name, err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, name), b, 0o644); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
+// Instance is one row of the stand-in's settings.
+type Instance struct {
+	ID         string `json:"id"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	Rack       string `json:"rack"`
+	Cores      int    `json:"cores"`
+	MemoryMB   int    `json:"memory_mb"`
+}
+
+// Standin are the stand-in's settings.
+type Standin struct {
+	Address   string     `json:"address"`
+	Instances []Instance `json:"instances"`
+}
+
+const rackSize = 4
+
+func (s Size) standin() Standin {
+	out := Standin{Address: loopback(platformPort)}
+	for i := range s.Workers {
+		out.Instances = append(out.Instances, Instance{ID: worker(i), Role: "worker", DataCentre: s.centre(i),
+			Rack: fmt.Sprintf("%s-rack-%d", s.centre(i), i/s.Centres/rackSize), Cores: 32, MemoryMB: 64 << 10})
+	}
+	for i := range s.Entries {
+		out.Instances = append(out.Instances, Instance{ID: EntryName(i), Role: "entry", DataCentre: s.centre(i)})
+	}
+	return out
+}
+
+func worker(i int) string { return fmt.Sprintf("worker-%04d", i) }
+
+func (s Size) configuration() fleet.Configuration {
+	c := fleet.Configuration{Operators: []fleet.Operator{{Name: "operator", TokenHash: serve.TokenHash(OperatorToken)}}}
+	var all []string
+	for i := range s.Centres {
+		all = append(all, s.centre(i))
+		c.DataCentres = append(c.DataCentres, fleet.DataCentre{Name: s.centre(i), Region: fmt.Sprintf("region-%d", 1+2*i/s.Centres)})
+	}
+	for i := range s.Pools {
+		p := fleet.Pool{Name: fmt.Sprintf("pool-%02d", i)}
+		for w := i; w < s.Workers; w += s.Pools {
+			p.Members = append(p.Members, worker(w))
+		}
+		c.Pools = append(c.Pools, p)
+		c.Services = append(c.Services, fleet.Service{Name: p.Name, Pool: p.Name, DataCentres: all, MinAvailable: len(p.Members) * 4 / 5})
+	}
+	for i := range s.Teams {
+		name := fmt.Sprintf("team-%03d", i)
+		c.Teams = append(c.Teams, fleet.Team{Name: name, TokenHash: serve.TokenHash(name), JobCores: 256})
+	}
+	return c
+}
+
+// seeds is the number of other entries that an entry's settings name; the log tells it of the rest.
+const seeds = 6
+
+func (s Size) settings(i int) config.Settings {
+	out := config.Settings{
+		Entry: EntryName(i), DataCentre: s.centre(i), CallerAddress: loopback(firstPort + portsEach*i), OperatorAddress: OperatorAddress(i),
+		PeerAddress: loopback(firstPort + portsEach*i + 2), Platform: "http://" + loopback(platformPort), PeerSecret: "capacity-peer-secret",
+		BootstrapTokenHash: serve.TokenHash(OperatorToken),
+	}
+	for n := 1; n <= min(seeds, s.Entries-1); n++ {
+		j := (i + n) % s.Entries
+		out.Peers = append(out.Peers, config.Peer{Entry: EntryName(j), DataCentre: s.centre(j), Address: loopback(firstPort + portsEach*j + 2)})
+	}
+	return out
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/yamux"
 
 	"rackstep.dev/event"
+	"rackstep.dev/internal/meter"
 	"rackstep.dev/peer/peerpb"
 )
 
@@ -49,6 +50,8 @@
 	Cut func(entry string) bool
 	// Events receives link events.
 	Events *event.Ring
+	// Meter counts the bytes of all links; may be nil.
+	Meter *meter.Meter
 
 	mu      sync.Mutex
 	links   map[string]*link
@@ -93,7 +96,7 @@
 			m.shutDown()
 			return errors.Join(ctx.Err(), ignoreClosed(err))
 		}
-		m.work.Go(func() { m.accepted(ctx, conn) })
+		m.work.Go(func() { m.accepted(ctx, m.Meter.Conn(conn)) })
 	}
 }
 
@@ -263,6 +266,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", a.Entry, err)
 	}
+	conn = m.Meter.Conn(conn)
 	if _, err := m.handshake(conn, true); err != nil {
 		_ = conn.Close()
 		return nil, err
