--- a/control/controller.go
+++ b/control/controller.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rackstep.dev/claim"
@@ -92,7 +93,7 @@
 	c.work = make(chan func(), 256)
 	c.writer.init(c)
 	c.members.byEntry = make(map[string]*member)
-	c.members.sent = make(map[string]map[string]uint64)
+	c.members.sent = make(map[string]map[string]sentStatus)
 	c.commands.init()
 	c.tasks.init()
 }
@@ -129,17 +130,28 @@
 	}
 }
 
-// do runs f on the control goroutine and waits for it.
+// do runs f on the control goroutine and waits for it; after an error f has not run and will not.
 func (c *Controller) do(ctx context.Context, f func()) error {
+	var begun atomic.Bool
 	done := make(chan struct{})
-	if err := c.post(ctx, func() { f(); close(done) }); err != nil {
+	err := c.post(ctx, func() {
+		if begun.CompareAndSwap(false, true) {
+			f()
+			close(done)
+		}
+	})
+	if err != nil {
 		return err
 	}
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		if begun.CompareAndSwap(false, true) {
+			return ctx.Err()
+		}
+		<-done // it is running
+		return nil
 	}
 }
 
--- a/control/members.go
+++ b/control/members.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"rackstep.dev/fleet"
 	"rackstep.dev/peer"
 	"rackstep.dev/peer/peerpb"
 	"rackstep.dev/route"
@@ -22,27 +23,37 @@
 	heard time.Time
 	// from is the peer that brought the status.
 	from string
-	// passed is when the status was last passed on to others.
-	passed time.Time
 }
 
 // members holds the statuses of all entries.
 type members struct {
 	byEntry map[string]*member
-	// sent is the latest sequence of each entry that was sent to each peer.
-	sent map[string]map[string]uint64
+	// sent is what each peer was sent of each entry's status.
+	sent map[string]map[string]sentStatus
 	own  *peerpb.Status
 }
 
+// sentStatus is the latest status of an entry that a peer was sent, and when.
+type sentStatus struct {
+	status *peerpb.Status
+	at     time.Time
+}
+
 // Times of the membership.
 const (
 	// heartbeat is the time between two statuses of a neighbour, liveFor how long one is good.
 	heartbeat = time.Second
 	liveFor   = 3500 * time.Millisecond
-	// farHeartbeat is the time between two unchanged statuses that are passed on; farLiveFor how long one is good.
-	farHeartbeat = 5 * time.Second
-	farLiveFor   = 16 * time.Second
-	forgetAfter  = 10 * time.Minute
+	// farHeartbeat is the time between two statuses to another data centre, passHeartbeat between two that a neighbour
+	// passes on, farLiveFor how long one is good.
+	farHeartbeat  = 5 * time.Second
+	passHeartbeat = 10 * time.Second
+	farLiveFor    = 32 * time.Second
+	// A changed status goes out earlier, but not more often than this.
+	nearPause   = 400 * time.Millisecond
+	farPause    = time.Second
+	passPause   = 2 * time.Second
+	forgetAfter = 10 * time.Minute
 	// crossLinks is the number of links to each other data centre.
 	crossLinks = 2
 )
@@ -58,18 +69,26 @@
 		if old.status != nil && old.status.Boot == s.Boot && old.status.Sequence >= s.Sequence {
 			continue
 		}
-		changed := old.status == nil || !sameStatus(old.status, s)
+		keepAddresses(s, old.status)
 		old.status, old.heard, old.from = s, now, from
-		if changed {
-			old.passed = time.Time{}
-		}
 	}
 }
 
-// sameStatus compares what matters of two statuses to entries that are not neighbours.
-func sameStatus(a, b *peerpb.Status) bool {
+// keepAddresses fills in what a short status leaves out.
+func keepAddresses(s, old *peerpb.Status) {
+	if old == nil || old.Boot != s.Boot || s.PeerAddress != "" {
+		return
+	}
+	s.PeerAddress, s.CallerAddress, s.OperatorAddress = old.PeerAddress, old.CallerAddress, old.OperatorAddress
+}
+
+// sameStatus compares what matters of two statuses to others; offsets matter only while instances drain.
+func sameStatus(a, b *peerpb.Status, draining bool) bool {
 	x := proto.CloneOf(a)
 	x.Sequence = b.Sequence
+	if !draining && x.Version == b.Version {
+		x.Offset = b.Offset
+	}
 	return proto.Equal(x, b)
 }
 
@@ -310,51 +329,93 @@
 	return 0
 }
 
-// gossip sends this entry's status and what it has heard to the linked peers.
+// gossip sends this entry's status to the linked peers, and to neighbours what it hears directly from elsewhere.
 func (c *Controller) gossip(now time.Time) {
+	draining := c.anyDraining()
 	own := c.status()
-	old := c.members.own
-	if old != nil && sameStatus(old, own) && now.Sub(c.members.byEntry[c.Self.ID].heard) < heartbeat {
-		own = old
-	} else {
-		own.Sequence = 1
-		if old != nil {
-			own.Sequence = old.Sequence + 1
+	if old := c.members.own; old != nil {
+		own.Sequence = old.Sequence
+		if !proto.Equal(own, old) || now.Sub(c.members.byEntry[c.Self.ID].heard) >= heartbeat {
+			own.Sequence++
+		} else {
+			own = old
 		}
+	}
+	if own != c.members.own {
 		c.members.own = own
 		c.members.byEntry[c.Self.ID] = &member{status: own, heard: now}
 	}
 	for _, p := range c.Mesh.Up() {
-		c.gossipTo(p, now)
+		c.gossipTo(p, now, draining)
 	}
-	for id, e := range c.members.byEntry {
-		if id != c.Self.ID && now.Sub(e.passed) >= farHeartbeat {
-			e.passed = now
+}
+
+func (c *Controller) anyDraining() bool {
+	if c.tables == nil {
+		return false
+	}
+	for _, in := range c.tables.Instances.All {
+		if in.State == fleet.InstanceDraining {
+			return true
 		}
 	}
+	return false
 }
 
-func (c *Controller) gossipTo(to string, now time.Time) {
+// gossipTo sends what is due to one peer. Statuses of other data centres are passed on to neighbours only, and only
+// by the entry that heard them from their source, so that none goes in circles.
+func (c *Controller) gossipTo(to string, now time.Time, draining bool) {
 	sent := c.members.sent[to]
 	if sent == nil {
-		sent = make(map[string]uint64)
+		sent = make(map[string]sentStatus)
 		c.members.sent[to] = sent
 	}
+	peer := c.members.byEntry[to]
+	near := peer != nil && peer.status.DataCentre == c.Self.DataCentre
 	var g peerpb.Gossip
 	for id, e := range c.members.byEntry {
-		due := id == c.Self.ID || (e.from != to && id != to && now.Sub(e.passed) >= farHeartbeat && now.Sub(e.heard) < farLiveFor)
-		if due && sent[id] != e.status.Sequence {
-			g.Statuses = append(g.Statuses, e.status)
-			sent[id] = e.status.Sequence
+		every, pause := farHeartbeat, farPause
+		switch {
+		case id == c.Self.ID && near:
+			every, pause = heartbeat, nearPause
+		case id == c.Self.ID:
+		case !near || e.from != id || e.status.DataCentre == c.Self.DataCentre:
+			continue
+		default:
+			every, pause = passHeartbeat, passPause
 		}
+		last := sent[id]
+		age := now.Sub(last.at)
+		if last.status != nil && (last.status.Sequence == e.status.Sequence || age < pause ||
+			(age < every && sameStatus(last.status, e.status, draining))) {
+			continue
+		}
+		g.Statuses = append(g.Statuses, shorten(e.status, last.status))
+		sent[id] = sentStatus{e.status, now}
 	}
-	if len(g.Statuses) == 0 {
-		return
+	if len(g.Statuses) > 0 {
+		c.sendGossip(to, &g)
 	}
+}
+
+// fullEvery is the number of short statuses after which a full one is sent, in case the peer began anew.
+const fullEvery = 16
+
+// shorten leaves out the addresses that the peer has been sent.
+func shorten(s, last *peerpb.Status) *peerpb.Status {
+	if last == nil || last.Boot != s.Boot || s.Sequence/fullEvery != last.Sequence/fullEvery {
+		return s
+	}
+	short := proto.CloneOf(s)
+	short.PeerAddress, short.CallerAddress, short.OperatorAddress = "", "", ""
+	return short
+}
+
+func (c *Controller) sendGossip(to string, g *peerpb.Gossip) {
 	ctx, cancel := context.WithTimeout(c.ctx, heartbeat)
 	go func() {
 		defer cancel()
-		if s, err := c.Mesh.Open(ctx, to, &peerpb.Open{Kind: &peerpb.Open_Gossip{Gossip: &g}}); err == nil {
+		if s, err := c.Mesh.Open(ctx, to, &peerpb.Open{Kind: &peerpb.Open_Gossip{Gossip: g}}); err == nil {
 			s.Close()
 		}
 	}()
--- a/control/observe.go
+++ b/control/observe.go
@@ -14,6 +14,8 @@
 // listing is the latest answer of the platform's instance list.
 type listing struct {
 	rows map[string]platform.Listed
+	// last is the latest answer, believed or not.
+	last []platform.Listed
 	// seen are the lives of entries that the list has shown; unseen is since when it has not shown a joined one.
 	seen   map[life]bool
 	unseen map[life]time.Time
@@ -59,19 +61,47 @@
 	return !ok || row.Leaving
 }
 
+// Without a tag the whole list travels each time; it is then read no faster than this, in bytes a second.
+const (
+	listBudget  = 4000
+	listedBytes = 140
+	longestList = 15 * time.Second
+)
+
 func (c *Controller) followList(ctx context.Context) {
+	tag := ""
 	for ctx.Err() == nil {
-		rows, err := c.Platform.Instances(ctx)
-		_ = c.post(ctx, func() { c.listed(rows, err) }) // it fails only when the entry stops
-		sleep(ctx, listPeriod)
+		list, err := c.Platform.Instances(ctx, tag)
+		if err == nil {
+			tag = list.Tag
+		}
+		_ = c.post(ctx, func() { c.listed(list, err) }) // it fails only when the entry stops
+		sleep(ctx, listPause(list))
+	}
+}
+
+// listPause is the time to the next read of the list.
+func listPause(l platform.List) time.Duration {
+	if l.Tag != "" {
+		return listPeriod
 	}
+	paced := time.Duration(len(l.Instances)*listedBytes) * time.Second / listBudget
+	return min(longestList, max(listPeriod, paced))
 }
 
-func (c *Controller) listed(rows []platform.Listed, err error) {
+func (c *Controller) listed(list platform.List, err error) {
 	c.listReached(err == nil)
 	if err != nil {
 		return // an old list is better than none: it says nothing of instances that came or went since
 	}
+	rows := list.Instances
+	if list.Unchanged {
+		if c.list.last == nil {
+			return
+		}
+		rows = c.list.last
+	}
+	c.list.last = rows
 	fresh := make(map[string]platform.Listed, len(rows))
 	for _, r := range rows {
 		fresh[r.ID] = r
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	history  []snapshot
 	appends  int
 	calls    int
+	snaps    int
 	progress map[string]time.Duration
 	starts   map[string]int
 	cuts     []string
@@ -61,6 +63,8 @@
 type snapshot struct {
 	at   time.Time
 	rows []platform.Listed
+	// tag is the list's entity tag.
+	tag string
 }
 
 // New returns a platform without instances.
@@ -145,7 +149,8 @@
 			rows = append(rows, m.listed)
 		}
 	}
-	p.history = append(p.history, snapshot{now, rows})
+	p.snaps++
+	p.history = append(p.history, snapshot{now, rows, strconv.Quote(strconv.Itoa(p.snaps))})
 	const kept = 256
 	if len(p.history) > kept {
 		p.history = append([]snapshot(nil), p.history[len(p.history)-kept:]...)
@@ -162,7 +167,7 @@
 	}
 }
 
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.ListDown {
@@ -170,12 +175,17 @@
 		return
 	}
 	at := time.Now().Add(-p.faults.ListLag)
-	rows := []platform.Listed{}
+	rows, tag := []platform.Listed{}, `"none"`
 	for _, s := range p.history {
 		if !s.at.After(at) {
-			rows = s.rows
+			rows, tag = s.rows, s.tag
 		}
 	}
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	reply(w, struct {
 		Instances []platform.Listed `json:"instances"`
 	}{rows})
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -1,5 +1,10 @@
 // SPDX-License-Identifier: MIT
 
+//go:build !race
+
+// With the race detector the runtime of Go 1.26 fails when a timer's channel is selected on a fake clock
+// (a nil bubble in runtime.(*timer).maybeRunChan), so these tests run without it.
+
 package trial
 
 import (
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -78,7 +78,7 @@
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
-	c.KeepAliveInterval = 5 * time.Second
+	c.KeepAliveInterval = 10 * time.Second
 	c.ConnectionWriteTimeout = 3 * time.Second
 	c.StreamOpenTimeout = 3 * time.Second
 	c.StreamCloseTimeout = 3 * time.Second
