--- a/control/jobs.go
+++ b/control/jobs.go
@@ -21,6 +21,8 @@
 	due    map[string]time.Time
 	// since is when this entry first saw each attempt running, by its own clock.
 	since map[string]time.Time
+	// urgentSince is when there was last no urgent job pending.
+	urgentSince time.Time
 }
 
 func (m *tasks) init() {
@@ -42,7 +44,7 @@
 
 // runJobs decides starts and follows what runs.
 func (c *Controller) runJobs() {
-	if c.leads("place", "") {
+	if c.placing() {
 		c.startJobs()
 	}
 	current := make(map[string]bool)
@@ -69,6 +71,32 @@
 	}
 }
 
+// urgentWait is how long an urgent job may stay pending before the next entry in line decides as well.
+const urgentWait = 1500 * time.Millisecond
+
+// placing says whether this entry decides starts now: the leader does, and the next in line when the leader lets an
+// urgent job wait, because it may take a while until a dead leader in another data centre is missed.
+func (c *Controller) placing() bool {
+	if c.leads("place", "") {
+		return true
+	}
+	now := time.Now()
+	if !c.urgentPending() {
+		c.tasks.urgentSince = now
+		return false
+	}
+	return now.Sub(c.tasks.urgentSince) > urgentWait && c.members.second(c, "place") == c.Self.ID
+}
+
+func (c *Controller) urgentPending() bool {
+	for _, j := range c.tables.Jobs.All {
+		if j.State == fleet.JobPending && j.Spec.Urgent {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) startJobs() {
 	starts, parks := place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs), Margin: learnedMargin})
 	for _, s := range starts {
--- a/control/members.go
+++ b/control/members.go
@@ -142,6 +142,13 @@
 	return route.Owner(duty, able)
 }
 
+// second returns the entry that would do the duty without its leader.
+func (m *members) second(c *Controller, duty string) string {
+	able := m.able(c, m.in(c, ""))
+	first := route.Owner(duty, able)
+	return route.Owner(duty, slices.DeleteFunc(able, func(id string) bool { return id == first }))
+}
+
 func (m *members) able(c *Controller, ids []string) []string {
 	return slices.DeleteFunc(ids, func(id string) bool {
 		if id == c.Self.ID {
