--- a/fleet/job.go
+++ b/fleet/job.go
@@ -163,23 +163,20 @@
 	return nil
 }
 
-// pruneJobs forgets ended jobs, the longest ended first, so that the table stays bounded.
+// pruneJobs forgets the job that ended longest ago when too many are kept.
 func (t *Tables) pruneJobs() {
-	ended := 0
+	if t.ended <= maxFinishedJobs {
+		return
+	}
 	oldest := ""
 	var at int64
 	for id, j := range t.Jobs.All {
-		if !j.State.Ended() {
-			continue
-		}
-		ended++
-		if oldest == "" || j.Changed < at {
+		if j.State.Ended() && (oldest == "" || j.Changed < at) {
 			oldest, at = id, j.Changed
 		}
 	}
-	if ended > maxFinishedJobs {
-		t.Jobs.Delete(oldest)
-	}
+	t.Jobs.Delete(oldest)
+	t.ended--
 }
 
 func (t *Tables) start(s Start) *Refusal {
@@ -291,7 +288,7 @@
 	}
 	t.endOrRepeat(j, "it failed and may not be repeated")
 	if j.State == JobPending && t.soundFailures(j) >= failedWorkersToPark {
-		j.State = JobParked
+		t.put(j, JobParked, "")
 		j.Note = "it failed on every worker that it was started on, and other jobs succeed there"
 	}
 }
@@ -328,7 +325,7 @@
 	case j.State.Ended(), j.State == JobCancelling:
 		return nil
 	case j.State == JobPending:
-		j.State = JobCancelled
+		t.put(j, JobCancelled, "")
 	default:
 		t.put(j, JobCancelling, j.Instance)
 	}
@@ -341,6 +338,7 @@
 	if j == nil || j.State != JobPending || j.Attempt != p.Attempt {
 		return refuse(ReasonStale, "nothing is to be done", "job %s is not pending at attempt %d", p.Job, p.Attempt)
 	}
-	j.State, j.Note, j.Changed = JobParked, p.Note, t.Offset
+	j.Note, j.Changed = p.Note, t.Offset
+	t.put(j, JobParked, "")
 	return nil
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -6,9 +6,8 @@
 
 // Table holds rows of one entity by ID, in an order that depends only on the operations applied.
 type Table[R any] struct {
-	ids   []string
-	rows  map[string]*R
-	dirty bool // ids has changed since it was last sorted
+	ids  []string // in order
+	rows map[string]*R
 }
 
 // Len returns the number of rows.
@@ -27,8 +26,8 @@
 		return old
 	}
 	t.rows[id] = &row
-	t.ids = append(t.ids, id)
-	t.dirty = true
+	i, _ := slices.BinarySearch(t.ids, id)
+	t.ids = slices.Insert(t.ids, i, id)
 	return &row
 }
 
@@ -38,15 +37,12 @@
 		return
 	}
 	delete(t.rows, id)
-	t.ids = slices.DeleteFunc(t.ids, func(s string) bool { return s == id })
+	i, _ := slices.BinarySearch(t.ids, id)
+	t.ids = slices.Delete(t.ids, i, i+1)
 }
 
-// All calls yield for each row in the order of the IDs until it returns false.
+// All calls yield for each row in the order of the IDs until it returns false; yield must not Put or Delete.
 func (t *Table[R]) All(yield func(id string, row *R) bool) {
-	if t.dirty {
-		slices.Sort(t.ids)
-		t.dirty = false
-	}
 	for _, id := range t.ids {
 		if !yield(id, t.rows[id]) {
 			return
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -28,6 +28,8 @@
 
 	// onInstance and ofTeam are what jobs hold, by instance and by team.
 	onInstance, ofTeam map[string]usage
+	// ended is the number of jobs that have ended.
+	ended int
 }
 
 // Result is what became of a record that somebody may ask about.
@@ -177,6 +179,9 @@
 	fill(&t.Jobs, im.Jobs, func(r *Job) string { return r.ID })
 	for _, j := range t.Jobs.All {
 		t.charge(j, 1)
+		if j.State.Ended() {
+			t.ended++
+		}
 	}
 	return t, nil
 }
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -14,6 +14,9 @@
 // put gives the job its state and instance and keeps the usage right; every change of either goes through it.
 func (t *Tables) put(j *Job, state JobState, instance string) {
 	t.charge(j, -1)
+	if state.Ended() && !j.State.Ended() {
+		t.ended++
+	}
 	j.State, j.Instance = state, instance
 	t.charge(j, 1)
 }
--- a/internal/drive/wave.go
+++ b/internal/drive/wave.go
@@ -99,8 +99,7 @@
 
 // Wave maintains every instance of the fleet once and returns what that cost.
 func Wave(s Size, p Policy, seed uint64) Result {
-	r := &run{size: s, policy: p, t: s.Tables(), now: time.Unix(1_000_000, 0), offset: 2, random: rand.New(rand.NewPCG(3, seed)),
-		jobs: make(map[string]*work), cmds: make(map[string]time.Time), res: Result{Size: s.Name, Policy: p, LowestMargin: math.MaxInt}}
+	r := newRun(s, p, seed)
 	r.fill()
 	r.place()
 	// Jobs in the middle of their course: the fleet has been running for long.
@@ -113,6 +112,11 @@
 	return r.res
 }
 
+func newRun(s Size, p Policy, seed uint64) *run {
+	return &run{size: s, policy: p, t: s.Tables(), now: time.Unix(1_000_000, 0), offset: 2, random: rand.New(rand.NewPCG(3, seed)),
+		jobs: make(map[string]*work), cmds: make(map[string]time.Time), res: Result{Size: s.Name, Policy: p, LowestMargin: math.MaxInt}}
+}
+
 func (r *run) apply(rec fleet.Record) bool {
 	rec.ID = fmt.Sprint("r", r.offset)
 	rec.Time = r.now
