peer: use a stream for many conversations

Cause: a request over two entries cost 563 us of CPU against 230 of the bare forwarder; each relay opened and closed a yamux stream, a frame for each. Change: a stream whose conversation ended whole is kept for the next, 16 a link at most; metric scopes are looked up once for each service and outcome; the JSON of 'capacity report' could not be written (found by running it; tested).

--- a/control/members.go
+++ b/control/members.go
@@ -423,7 +423,7 @@
 	go func() {
 		defer cancel()
 		if s, err := c.Mesh.Open(ctx, to, &peerpb.Open{Kind: &peerpb.Open_Gossip{Gossip: g}}); err == nil {
-			s.Close()
+			s.Release() // there is no answer
 		}
 	}()
 }
--- a/control/tail.go
+++ b/control/tail.go
@@ -71,9 +71,11 @@
 			answer.Records = append(answer.Records, &peerpb.LogRecord{Offset: e.Offset, Data: e.Data})
 		}
 	})
-	if errors.Join(err, failed) == nil {
-		_ = s.Send(answer) // a peer that has gone asks again
+	if errors.Join(err, failed) != nil {
+		s.Close() // the peer sees at once that there is no answer
+		return
 	}
+	_ = s.Send(answer) // a peer that has gone asks again
 }
 
 // catchUp asks the linked peers for what this entry misses of the fleet log.
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -11,11 +11,11 @@
 
 // Figure is one measured quantity of a Point.
 type Figure struct {
-	Name string
-	Unit string
-	Of   func(Point) float64
-	// Limit is the brief's bound for one node; none when 0.
-	Limit float64
+	Name string              `json:"name"`
+	Unit string              `json:"unit"`
+	Of   func(Point) float64 `json:"-"`
+	// Limit is the users' bound for one node; none when 0.
+	Limit float64 `json:"limit,omitempty"`
 }
 
 // Figures returns what is fitted.
@@ -31,11 +31,13 @@
 
 // Fit is base + perEntry·entries + perWorker·workers.
 type Fit struct {
-	Figure                    Figure
-	Base, PerEntry, PerWorker float64
+	Figure    Figure  `json:"figure"`
+	Base      float64 `json:"base"`
+	PerEntry  float64 `json:"per_entry"`
+	PerWorker float64 `json:"per_worker"`
 	// Error is the root of the mean squared difference between the points and the fit.
-	Error  float64
-	Points int
+	Error  float64 `json:"error"`
+	Points int     `json:"points"`
 }
 
 // At returns the fit's value at the size.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -64,8 +64,12 @@
 	cancel  context.CancelFunc
 	session *yamux.Session // nil while the link is down
 	refused int            // connections in a row that the peer's host refused
+	idle    []*Stream      // of the session, with no conversation
 }
 
+// maxIdle bounds the streams that a link keeps for later conversations.
+const maxIdle = 16
+
 // Times of a Mesh.
 const (
 	dialTimeout  = time.Second
@@ -147,16 +151,38 @@
 	}
 }
 
+// serveStream answers one conversation after another until the stream ends.
 func (m *Mesh) serveStream(ctx context.Context, from Identity, conn net.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s := newStream(ctx, conn)
+	s := newStream(conn)
+	s.bind(ctx)
 	defer s.Close()
-	var open peerpb.Open
-	if m.cut(from.Entry) || s.Receive(&open) != nil {
+	open := new(peerpb.Open)
+	if s.Receive(open) != nil {
 		return
 	}
-	m.Serve(ctx, from, &open, s)
+	for open != nil && !m.cut(from.Entry) {
+		open = m.converse(ctx, from, open, s)
+	}
+}
+
+// converse answers one conversation and returns the first message of the next, or nil at the stream's end.
+//
+// The other side sends nothing more before it has the whole answer, so what comes is the next conversation or the end;
+// the end cancels.
+func (m *Mesh) converse(ctx context.Context, from Identity, open *peerpb.Open, s *Stream) *peerpb.Open {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	next := make(chan *peerpb.Open, 1)
+	go func() {
+		o := new(peerpb.Open)
+		if s.Receive(o) != nil {
+			cancel()
+			o = nil
+		}
+		next <- o
+	}()
+	m.Serve(ctx, from, open, s)
+	return <-next
 }
 
 func (m *Mesh) cut(entry string) bool { return m.Cut != nil && m.Cut(entry) }
@@ -252,6 +278,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l.session = s
+	l.idle = nil
 }
 
 func (m *Mesh) connect(ctx context.Context, a Address) (*yamux.Session, error) {
@@ -293,26 +320,54 @@
 	return up
 }
 
-// Open starts a stream to the peer and sends its first message; ErrNoLink means that nothing was sent.
+// Open starts a conversation with the peer and sends its first message; ErrNoLink means that nothing was sent.
 func (m *Mesh) Open(ctx context.Context, entry string, open *peerpb.Open) (*Stream, error) {
+	s, err := m.stream(entry)
+	if err != nil {
+		return nil, err
+	}
+	s.bind(ctx)
+	if err := s.Send(open); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// stream returns an idle stream to the peer, or a new one.
+func (m *Mesh) stream(entry string) (*Stream, error) {
 	m.mu.Lock()
 	l := m.links[entry]
-	var session *yamux.Session
-	if l != nil {
-		session = l.session
-	}
-	m.mu.Unlock()
-	if session == nil || m.cut(entry) {
+	if l == nil || l.session == nil || m.cut(entry) {
+		m.mu.Unlock()
 		return nil, ErrNoLink
 	}
+	if n := len(l.idle); n > 0 {
+		s := l.idle[n-1]
+		l.idle = l.idle[:n-1]
+		m.mu.Unlock()
+		return s, nil
+	}
+	session := l.session
+	m.mu.Unlock()
 	conn, err := session.OpenStream()
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoLink, err)
 	}
-	s := newStream(ctx, conn)
-	if err := s.Send(open); err != nil {
+	s := newStream(conn)
+	s.idle = func(s *Stream) { m.keep(l, session, s) }
+	return s, nil
+}
+
+// keep takes a stream back if its session is still the link's.
+func (m *Mesh) keep(l *link, session *yamux.Session, s *Stream) {
+	m.mu.Lock()
+	ok := l.session == session && len(l.idle) < maxIdle
+	if ok {
+		l.idle = append(l.idle, s)
+	}
+	m.mu.Unlock()
+	if !ok {
 		s.Close()
-		return nil, err
 	}
-	return s, nil
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -20,12 +20,28 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	stop   func() bool
+	// idle takes the stream back for another conversation; nil on the side that accepted it.
+	idle func(*Stream)
 }
 
-// newStream closes the connection when the context ends.
-func newStream(ctx context.Context, conn net.Conn) *Stream {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	return &Stream{conn: conn, reader: bufio.NewReader(conn), stop: stop}
+func newStream(conn net.Conn) *Stream {
+	return &Stream{conn: conn, reader: bufio.NewReader(conn), stop: func() bool { return true }}
+}
+
+// bind closes the stream when the context ends.
+func (s *Stream) bind(ctx context.Context) {
+	s.stop = context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+}
+
+// Release ends a conversation whose last message was received, and keeps the stream for another one.
+//
+// A stream whose conversation was broken off must be closed instead.
+func (s *Stream) Release() {
+	if s.idle == nil || !s.stop() {
+		s.Close()
+		return
+	}
+	s.idle(s)
 }
 
 // Send writes one message.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -37,8 +37,12 @@
 		cancel()
 		return nil, relayLost(r, entry, err)
 	}
-	end := func(bool) {
-		stream.Close()
+	end := func(whole bool) {
+		if whole {
+			stream.Release()
+		} else {
+			stream.Close()
+		}
 		cancel()
 	}
 	if head.Problem != nil {
@@ -77,13 +81,7 @@
 func (s *Server) ServeRelay(ctx context.Context, m *peerpb.RelayRequest, stream *peer.Stream) {
 	s.active.Add(1)
 	defer s.active.Done()
-	// The sender closes the stream when its caller has gone; it sends nothing else.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		_ = stream.Receive(&peerpb.Chunk{}) // it returns when the stream ends
-		cancel()
-	}()
+	// The context ends when the sender closes the stream, because its caller has gone.
 	a, p := s.relayed(ctx, m)
 	if p != nil {
 		_ = stream.Send(problemTo(p)) // a sender that has gone can't be told
--- a/serve/server.go
+++ b/serve/server.go
@@ -48,6 +48,7 @@
 	active   sync.WaitGroup
 	attempts atomic.Uint64
 	full     fullPlaces
+	tolds    sync.Map // told by toldKey
 
 	mu    sync.Mutex
 	gates map[string]*gate
@@ -185,11 +186,28 @@
 	}
 }
 
+// told counts the requests of one service that got one outcome.
+type told struct {
+	requests tally.Counter
+	time     tally.Timer
+}
+
+type toldKey struct {
+	service string
+	outcome Outcome
+}
+
 // count records what a caller was told.
 func (s *Server) count(req *request, outcome Outcome, since time.Time) {
-	scope := s.metrics().Tagged(map[string]string{"service": req.Service.Name, "outcome": string(outcome)})
-	scope.Counter("requests").Inc(1)
-	scope.Timer("request_time").Record(s.now().Sub(since))
+	key := toldKey{req.Service.Name, outcome}
+	t, ok := s.tolds.Load(key)
+	if !ok {
+		scope := s.metrics().Tagged(map[string]string{"service": key.service, "outcome": string(outcome)})
+		t, _ = s.tolds.LoadOrStore(key, told{scope.Counter("requests"), scope.Timer("request_time")})
+	}
+	m := t.(told)
+	m.requests.Inc(1)
+	m.time.Record(s.now().Sub(since))
 }
 
 var _ http.Handler = (*Server)(nil)
