claim, trial: keep all entries within the log's appends, test overload

Cause: 32 entries that claim would append 1056 times a second where the log takes several hundred; overload and a cut between neighbours had no test; jobs stayed on instances that the platform was about to take away. Change: the interval between an entry's claims grows with the number of entries; jobs leave instances that are leaving; the request matrix throws a cut between the two entries of a data centre; a test sends twice the capacity.

--- a/claim/book.go
+++ b/claim/book.go
@@ -19,7 +19,7 @@
 type Book struct {
 	// Append adds one record to the claims log; it returns feed.ErrUnavailable when the record was not added.
 	Append func(ctx context.Context, data []byte) error
-	// Interval is the least time between two appends; 30ms when 0.
+	// Interval is the least time between two appends; 30ms when 0. See SetEntries.
 	Interval time.Duration
 	// MaxBatch bounds the claims and completions of one append; 512 when 0.
 	MaxBatch int
@@ -30,6 +30,7 @@
 	tables    Tables
 	ready     bool
 	waiting   map[string]*waiter
+	entries   int // that share the log
 	claims    []Claim
 	ends      []Completion
 	waken     chan struct{}
@@ -47,6 +48,8 @@
 const (
 	DefaultInterval = 30 * time.Millisecond
 	DefaultBatch    = 512
+	// SiteAppends bounds the appends a second of all entries together.
+	SiteAppends = 300
 	// RetryPause is how long claims are refused at once after an append that failed.
 	RetryPause = time.Second
 	// clockSlack bounds how far two entries' readings of the platform's clock differ.
@@ -223,10 +226,6 @@
 
 // Run appends what waits until the context ends and returns its error.
 func (b *Book) Run(ctx context.Context) error {
-	interval := b.Interval
-	if interval == 0 {
-		interval = DefaultInterval
-	}
 	pause := time.NewTimer(0)
 	defer pause.Stop()
 	for {
@@ -238,7 +237,7 @@
 		if !b.holding() {
 			b.flush(ctx)
 		}
-		pause.Reset(interval)
+		pause.Reset(b.interval())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -268,6 +267,23 @@
 	}
 }
 
+// SetEntries says how many entries share the log, so that all together stay within SiteAppends.
+func (b *Book) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = n
+}
+
+func (b *Book) interval() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	least := b.Interval
+	if least == 0 {
+		least = DefaultInterval
+	}
+	return max(least, time.Duration(b.entries)*time.Second/SiteAppends)
+}
+
 // holding says that only completions wait and the log was not reachable a moment ago.
 func (b *Book) holding() bool {
 	b.mu.Lock()
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -189,6 +189,25 @@
 	})
 }
 
+func TestManyEntriesTogetherStayWithinTheLogsAppends(t *testing.T) {
+	onBook(t, func(c *quicktest.C, ctx context.Context, l *looped) {
+		const entries = 32
+		l.book.SetEntries(entries)
+		var work sync.WaitGroup
+		for i := range 100 {
+			work.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				cl := testClaim(fmt.Sprint(i))
+				cl.Key = fmt.Sprint("k", i)
+				_, err := l.book.Claim(ctx, cl)
+				c.Check(err, quicktest.IsNil)
+			})
+		}
+		work.Wait()
+		c.Assert(len(l.log)*entries <= SiteAppends*12/10, quicktest.IsTrue, quicktest.Commentf("%d appends of one entry in a second", len(l.log)))
+	})
+}
+
 func TestWithTheLogDownAClaimIsRefusedAtOnceAndLaterTriedAgain(t *testing.T) {
 	onBook(t, func(c *quicktest.C, ctx context.Context, l *looped) {
 		l.fail = feed.ErrUnavailable
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -125,9 +125,10 @@
 	}()
 }
 
+// draining says that jobs are to leave the instance: a plan drains it, or the platform will take it away.
 func (c *Controller) draining(instance string) bool {
 	in := c.tables.Instances.Get(instance)
-	return in != nil && in.State == fleet.InstanceDraining
+	return in != nil && (in.State == fleet.InstanceDraining || in.Leaving)
 }
 
 // shouldLeave says whether a job on a draining instance is moved rather than waited for.
--- a/internal/trial/request_matrix_test.go
+++ b/internal/trial/request_matrix_test.go
@@ -63,6 +63,11 @@
 		{"pause", func(*cell, string) { time.Sleep(time.Minute) }},
 		{"cut-off", func(c *cell, entry string) { c.cut(entry, c.site.cutFromOthers) }},
 		{"isolated", func(c *cell, entry string) { c.cut(entry, c.site.Isolate) }},
+		{"neighbours-cut", func(c *cell, _ string) {
+			a, b := EntryName(1, 0), EntryName(1, 1)
+			c.site.SetCut(a, b, true)
+			time.AfterFunc(outage, func() { c.site.SetCut(a, b, false) })
+		}},
 		{"log-down", platform(standin.Faults{LogDown: true})},
 		{"log-slow", platform(standin.Faults{LogDelay: 1500 * time.Millisecond})},
 		{"log-answers-lost", platform(standin.Faults{LoseEvery: 1})},
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -171,7 +171,7 @@
 		Listen:   s.listen,
 		Dial:     s.dial(),
 		Probe:    s.probe(name),
-		Cut:      func(peer string) bool { return s.isCut(centre, s.centreOf(peer)) },
+		Cut:      func(peer string) bool { return s.isCut(centre, s.centreOf(peer)) || s.isCut(name, peer) },
 	})
 	if err != nil {
 		return err
@@ -266,7 +266,7 @@
 	return ""
 }
 
-// SetCut cuts two places off from each other, or joins them; PlatformPlace stands for the platform.
+// SetCut cuts two places or two entries off from each other, or joins them; PlatformPlace stands for the platform.
 func (s *Site) SetCut(a, b string, cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	"rackstep.dev/fleet"
 	"rackstep.dev/internal/memnet"
+	"rackstep.dev/serve"
 )
 
 // fakeSite starts a small site on fake time and publishes its configuration.
@@ -61,3 +64,43 @@
 		c.Assert(s.Platform.Cuts(), quicktest.HasLen, 0)
 	})
 }
+
+// TestAtTwiceTheCapacityGoodputStays sends twice what the targets can run and counts whole answers.
+func TestAtTwiceTheCapacityGoodputStays(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		spec := smallest()
+		spec.Workers = 0
+		s := fakeSite(c, spec)
+		const work, seconds = 100 * time.Millisecond, 4
+		capacity := spec.RunnersEach * fleet.DefaultSlots * int(time.Second/work)
+		load := &Load{Site: s, Work: work}
+		callers := s.Callers()
+		var all sync.WaitGroup
+		late, good := 0, 0
+		begin := time.Now()
+		var mu sync.Mutex
+		for i := range 2 * capacity * seconds {
+			time.Sleep(time.Second / time.Duration(2*capacity))
+			all.Go(func() {
+				told := load.Send(callers[i%len(callers)], load.request(ServiceName(0), fmt.Sprint("m", i), false))
+				load.remember(told)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case told.Reason == serve.ReasonQueueFull && told.Took > 50*time.Millisecond:
+					late++
+				case told.Outcome == serve.OutcomeWhole && time.Since(begin) <= seconds*time.Second:
+					good++
+				}
+			})
+		}
+		all.Wait()
+		could := float64(capacity) * (seconds*time.Second - work).Seconds() // none can end before the first's time
+		v := s.Judge(load.Told())
+		t.Logf("%d whole answers of the %.0f that the targets could give, %+v", good, could, v)
+		c.Assert(v.Broken(), quicktest.HasLen, 0)
+		c.Assert(float64(good) >= 0.95*could, quicktest.IsTrue)
+		c.Assert(late, quicktest.Equals, 0) // on a fake clock: refused in the same instant
+	})
+}
