plan: hold emptied instances out until their return is ordered

Cause: 'take a data centre out' rebooted its instances and brought them back at once; work on a rack's power needs it to stay empty.

--- a/cmd/rackstep/operate.go
+++ b/cmd/rackstep/operate.go
@@ -194,6 +194,7 @@
 			&cli.StringFlag{Name: "move", Usage: "move `INSTANCE,...` to the pool of --to"},
 			&cli.StringFlag{Name: "to", Usage: "with --move: the `POOL`"},
 			&cli.StringFlag{Name: "replace", Usage: "stop `INSTANCE,...` for good"},
+			&cli.BoolFlag{Name: "hold", Usage: "with --empty-rack or --empty-data-centre: keep the instances out until 'rackstep return'"},
 			&cli.BoolFlag{Name: "confirm", Usage: "confirm the plan at once"},
 		},
 		Action: makePlan,
@@ -224,6 +225,9 @@
 	if v := c.String("replace"); v != "" {
 		found = append(found, fleet.Intent{Kind: fleet.IntentReplace, Instances: strings.Split(v, ",")})
 	}
+	for i := range found {
+		found[i].Hold = c.Bool("hold")
+	}
 	if len(found) != 1 {
 		return fleet.Intent{}, cli.Exit("state one intent; see 'rackstep plan --help'", exitUsage)
 	}
--- a/fleet/advance.go
+++ b/fleet/advance.go
@@ -64,7 +64,7 @@
 	case StepActing:
 		return t.act(p, s, in)
 	case StepDone:
-		return t.complete(at, s, in)
+		return t.complete(at, p, s, in)
 	case StepReturned:
 		return t.giveBack(p, s, in)
 	}
@@ -94,7 +94,7 @@
 }
 
 func (t *Tables) drained(a Advance, s *Step, in *Instance) *Refusal {
-	if s.State == StepActing && s.Action != ActionMove {
+	if s.State == StepActing && s.Action != ActionMove && s.Action != ActionHold {
 		// The platform refuses the command for ever. A higher generation gives the next one another ID.
 		in.State = InstanceDrained
 		in.Generation++
@@ -136,10 +136,13 @@
 	return nil
 }
 
-func (t *Tables) complete(at time.Time, s *Step, in *Instance) *Refusal {
+func (t *Tables) complete(at time.Time, p *Plan, s *Step, in *Instance) *Refusal {
 	if s.State != StepActing {
 		return refuse(ReasonState, "nothing is to be done", "step of %s is %s", in.ID, s.State)
 	}
+	if s.Action == ActionHold && !p.Release && p.State != PlanCancelled {
+		return refuse(ReasonState, "order the return with 'rackstep return'", "plan %s holds %s out of service", p.ID, in.ID)
+	}
 	in.Plan = ""
 	in.Generation++
 	switch s.Action {
--- a/fleet/fold_test.go
+++ b/fleet/fold_test.go
@@ -104,9 +104,22 @@
 	if a := r.Advance; a != nil && a.To == StepDrained && o.t.Instances.Get(a.Instance).Generation == a.Generation {
 		o.checkDrained(t, a)
 	}
+	if a := r.Advance; a != nil && a.To == StepDone {
+		o.checkHeld(t, a)
+	}
 	o.checkJobs(t, r)
 }
 
+// checkHeld sees that no held instance returns before an operator has ordered it or cancelled the plan.
+func (o *oracle) checkHeld(t *rapid.T, a *Advance) {
+	p := o.t.Plans.Get(a.Plan)
+	for _, s := range p.Steps {
+		if s.Instance == a.Instance && s.Action == ActionHold && !p.Release && p.State != PlanCancelled {
+			t.Fatalf("%s returned from plan %s without an order", a.Instance, a.Plan)
+		}
+	}
+}
+
 // checkDrained sees that every entry that could route to the instance has acknowledged, and that nothing runs there.
 func (o *oracle) checkDrained(t *rapid.T, a *Advance) {
 	in := o.t.Instances.Get(a.Instance)
@@ -158,7 +171,7 @@
 	case 4:
 		return o.propose(t)
 	case 5:
-		return Record{By: "o", Control: &Control{Plan: o.anyPlan(t), Order: rapid.SampledFrom([]Order{OrderConfirm, OrderConfirm, OrderPause, OrderResume, OrderCancel}).Draw(t, "order")}}
+		return Record{By: "o", Control: &Control{Plan: o.anyPlan(t), Order: rapid.SampledFrom([]Order{OrderConfirm, OrderConfirm, OrderPause, OrderResume, OrderCancel, OrderReturn}).Draw(t, "order")}}
 	case 6, 7, 8:
 		return o.advance(t, instance)
 	case 9:
@@ -186,7 +199,7 @@
 func mostly(t *rapid.T, label string) bool { return rapid.IntRange(0, 3).Draw(t, label) > 0 }
 
 func (o *oracle) propose(t *rapid.T) Record {
-	p := Plan{ID: o.plan(t), Base: rapid.Uint64Range(0, o.t.Version).Draw(t, "base")}
+	p := Plan{ID: o.plan(t), Base: rapid.Uint64Range(0, o.t.Version).Draw(t, "base"), Intent: Intent{Hold: rapid.Bool().Draw(t, "hold")}}
 	if mostly(t, "current") {
 		p.Base = o.t.Version
 	}
@@ -198,6 +211,8 @@
 		}
 		if rapid.IntRange(0, 2).Draw(t, "move") == 0 {
 			s.Action, s.To = ActionMove, "q"
+		} else if p.Intent.Hold {
+			s.Action = ActionHold
 		}
 		p.Steps = append(p.Steps, s)
 	}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -18,6 +18,8 @@
 	Pool string `json:"pool,omitempty"`
 	// Instances are set for IntentMove and IntentReplace.
 	Instances []string `json:"instances,omitempty"`
+	// Hold keeps the instances out, drained, until an operator orders their return; for IntentEmptyRack and IntentEmptyDataCentre.
+	Hold bool `json:"hold,omitempty"`
 	// NotSince limits IntentMaintain to instances that were last maintained before it.
 	NotSince time.Time `json:"not_since,omitzero"`
 }
@@ -42,6 +44,7 @@
 	ActionReboot Action = "reboot" // reboot and return to the same pool
 	ActionMove   Action = "move"   // release and assign to another pool
 	ActionStop   Action = "stop"   // stop for good
+	ActionHold   Action = "hold"   // stay out until an operator orders the return
 )
 
 // PlanState is where a plan stands.
@@ -111,6 +114,8 @@
 	Steps    []Step
 	Left     []Left
 	Estimate Estimate
+	// Release says that an operator has ordered the return of held instances.
+	Release bool
 	// Ended is the offset at which the plan was done or cancelled, 0 before.
 	Ended int64
 }
@@ -149,6 +154,7 @@
 	OrderPause   Order = "pause"
 	OrderResume  Order = "resume"
 	OrderCancel  Order = "cancel"
+	OrderReturn  Order = "return" // held instances return to service
 )
 
 // Control is the record of an operator's order to a plan.
@@ -204,8 +210,25 @@
 		return t.turn(p, PlanPaused, PlanRunning)
 	case OrderCancel:
 		return t.cancelPlan(p)
+	case OrderReturn:
+		return t.returnHeld(p)
 	}
-	return refuse(ReasonInvalid, "use confirm, pause, resume or cancel", "order %q is not known", c.Order)
+	return refuse(ReasonInvalid, "use confirm, pause, resume, cancel or return", "order %q is not known", c.Order)
+}
+
+// returnHeld lets the held instances of the plan return; those that still wait are not taken out any more.
+func (t *Tables) returnHeld(p *Plan) *Refusal {
+	if !p.Active() || !p.Intent.Hold || p.Release {
+		return refuse(ReasonState, "look at 'rackstep status'", "plan %s is %s and holds nothing that could return", p.ID, p.State)
+	}
+	p.Release = true
+	for i := range p.Steps {
+		if p.Steps[i].State == StepWaiting {
+			p.Steps[i].State = StepSkipped
+		}
+	}
+	t.finish(p)
+	return nil
 }
 
 func (t *Tables) turn(p *Plan, from, to PlanState) *Refusal {
--- a/plan/make.go
+++ b/plan/make.go
@@ -93,6 +93,9 @@
 }
 
 func matcher(t *fleet.Tables, i fleet.Intent) (func(*fleet.Instance) bool, error) {
+	if i.Hold && i.Kind != fleet.IntentEmptyRack && i.Kind != fleet.IntentEmptyDataCentre {
+		return nil, fmt.Errorf("intent %s can't hold instances out; use empty-rack or empty-data-centre", i.Kind)
+	}
 	switch i.Kind {
 	case fleet.IntentEmptyRack:
 		if i.Rack == "" {
@@ -180,6 +183,9 @@
 	case fleet.IntentReplace:
 		return fleet.ActionStop
 	}
+	if i.Hold {
+		return fleet.ActionHold
+	}
 	return fleet.ActionReboot
 }
 
@@ -313,7 +319,7 @@
 // back counts the instances that serve again after the wave.
 func (w *waves) back(taken []candidate) {
 	for _, c := range taken {
-		if c.action != fleet.ActionStop {
+		if c.action != fleet.ActionStop && c.action != fleet.ActionHold {
 			w.change(c.to, c.in.DataCentre, 1)
 		}
 	}
--- a/plan/next.go
+++ b/plan/next.go
@@ -179,6 +179,14 @@
 		n.advance(s, in, fleet.StepDone, nil) // released and drained: there is nothing to ask the platform
 		return
 	}
+	if s.Action == fleet.ActionHold {
+		if n.p.Release || n.p.State == fleet.PlanCancelled {
+			n.advance(s, in, fleet.StepDone, nil)
+			return
+		}
+		n.hold(in, "it is out; 'rackstep return %s' brings it back", n.p.ID)
+		return
+	}
 	switch n.f.Command(in.Command) {
 	case CommandUnasked, CommandAbsent:
 		n.out = append(n.out, Decision{Command: &Command{Instance: in.ID, ID: in.Command, Action: s.Action}})
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -106,6 +106,34 @@
 	c.Assert(held, quicktest.Equals, 4)
 }
 
+func TestHeldInstancesStayOutUntilTheirReturnIsOrdered(t *testing.T) {
+	c := quicktest.New(t)
+	tables := testTables(c)
+	p, err := Make(tables, "x", fleet.Intent{Kind: fleet.IntentEmptyRack, Rack: "r0", Hold: true}, Costs{})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Steps, quicktest.HasLen, 2) // i0 and i1, one in each data centre
+	add(c, tables, fleet.Record{Propose: &fleet.Propose{Plan: p}})
+	add(c, tables, fleet.Record{Control: &fleet.Control{Plan: "x", Order: fleet.OrderConfirm}})
+	facts := Facts{Acknowledged: func(*fleet.Instance) []string { return nil }, Missing: func(*fleet.Instance) string { return "" }}
+	run := func() {
+		for range 8 {
+			for _, d := range Next(tables, tables.Plans.Get("x"), facts) {
+				if d.Advance != nil {
+					add(c, tables, fleet.Record{Advance: d.Advance})
+				}
+			}
+		}
+	}
+	run()
+	c.Assert(tables.Instances.Get("i0").State, quicktest.Equals, fleet.InstanceActing)
+	c.Assert(tables.Instances.Get("i1").State, quicktest.Equals, fleet.InstanceActing)
+	c.Assert(tables.Plans.Get("x").State, quicktest.Equals, fleet.PlanRunning)
+	add(c, tables, fleet.Record{Control: &fleet.Control{Plan: "x", Order: fleet.OrderReturn}})
+	run()
+	c.Assert(tables.Instances.Get("i0").State, quicktest.Equals, fleet.InstanceServing)
+	c.Assert(tables.Plans.Get("x").State, quicktest.Equals, fleet.PlanDone)
+}
+
 func TestAnUnacknowledgedDrainIsHeld(t *testing.T) {
 	c := quicktest.New(t)
 	tables := testTables(c)
