--- a/config/config_test.go
+++ b/config/config_test.go
@@ -29,7 +29,7 @@
 `
 
 func load(c *quicktest.C, text string) (Settings, []Problem) {
-	name := filepath.Join(c.Mkdir(), "entry.jsonc")
+	name := filepath.Join(c.TempDir(), "entry.jsonc")
 	c.Assert(os.WriteFile(name, []byte(text), 0o600), quicktest.IsNil)
 	s, problems, err := Load(name)
 	c.Assert(err, quicktest.IsNil)
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -222,12 +222,7 @@
 		return refuse(ReasonState, "look at 'rackstep status'", "plan %s is %s and holds nothing that could return", p.ID, p.State)
 	}
 	p.Release = true
-	for i := range p.Steps {
-		if p.Steps[i].State == StepWaiting {
-			p.Steps[i].State = StepSkipped
-		}
-	}
-	t.finish(p)
+	t.skipWaiting(p)
 	return nil
 }
 
@@ -283,13 +278,18 @@
 		return refuse(ReasonState, "nothing is to be done", "plan %s is %s already", p.ID, p.State)
 	}
 	p.State = PlanCancelled
+	t.skipWaiting(p)
+	return nil
+}
+
+// skipWaiting ends the steps whose instances are still in service.
+func (t *Tables) skipWaiting(p *Plan) {
 	for i := range p.Steps {
 		if p.Steps[i].State == StepWaiting {
 			p.Steps[i].State = StepSkipped
 		}
 	}
 	t.finish(p)
-	return nil
 }
 
 // finish marks the plan's end once no step is open.
--- a/internal/trial/fleet_matrix_test.go
+++ b/internal/trial/fleet_matrix_test.go
@@ -303,9 +303,7 @@
 	for _, id := range h.Doubled {
 		wrong = append(wrong, "job "+id+" ran twice")
 	}
-	for _, cut := range c.site.Platform.Cuts() {
-		wrong = append(wrong, cut)
-	}
+	wrong = append(wrong, c.site.Platform.Cuts()...)
 	if !c.hit {
 		wrong = append(wrong, "the step was never reached")
 	}
