claim: release a claim that was given up

Change: a claim that is given up is not appended if it still waits, and is released when its verdict comes. Figures: a test fails before (the key stays open) and passes after.

--- a/claim/book.go
+++ b/claim/book.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	entries   int // that share the log
 	claims    []Claim
 	ends      []Completion
+	abandoned map[string]bool // tokens whose verdict nobody waits for any more
 	waken     chan struct{}
 	retryAt   time.Time // after a failed append: when the next claim may try the log
 	uncertain bool      // the last append gave no answer
@@ -164,7 +166,7 @@
 	return nil
 }
 
-// abandon gives the claim up; a verdict that arrived at the same moment still counts.
+// abandon gives the claim up, so that a later copy of the request may run: it is not appended, or released when it wins.
 func (b *Book) abandon(c Claim, w *waiter, cause error) (Verdict, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -175,11 +177,28 @@
 		}
 		b.end(Completion{Key: c.Key, Token: c.Token})
 	default:
+		b.forget(c)
 	}
 	delete(b.waiting, c.Token)
 	return Verdict{}, fmt.Errorf("%w: %w", ErrNotClaimed, cause)
 }
 
+// maxAbandoned bounds the claims that were given up and may still win.
+const maxAbandoned = 10_000
+
+// forget takes a claim out of those to be appended, or remembers it until its verdict comes.
+func (b *Book) forget(c Claim) {
+	before := len(b.claims)
+	b.claims = slices.DeleteFunc(b.claims, func(o Claim) bool { return o.Token == c.Token })
+	if len(b.claims) < before {
+		return
+	}
+	if b.abandoned == nil || len(b.abandoned) >= maxAbandoned {
+		b.abandoned = make(map[string]bool) // a claim that is lost here stays unknown until it is dropped
+	}
+	b.abandoned[c.Token] = true
+}
+
 // Complete records the whole answer's status for a claim that this entry won.
 func (b *Book) Complete(c Claim, status int) {
 	b.mu.Lock()
@@ -217,6 +236,12 @@
 }
 
 func (b *Book) decided(c Claim, v Verdict) {
+	if b.abandoned[c.Token] {
+		delete(b.abandoned, c.Token)
+		if v.Kind == Won {
+			b.end(Completion{Key: c.Key, Token: c.Token})
+		}
+	}
 	if w := b.waiting[c.Token]; w != nil {
 		delete(b.waiting, c.Token)
 		w.verdict <- v
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -239,6 +239,24 @@
 	})
 }
 
+func TestAClaimThatIsGivenUpIsReleased(t *testing.T) {
+	onBook(t, func(c *quicktest.C, ctx context.Context, l *looped) {
+		slow := l.book.Append
+		l.book.Append = func(ctx context.Context, data []byte) error {
+			time.Sleep(time.Second)
+			return slow(ctx, data)
+		}
+		short, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		defer cancel()
+		_, err := l.book.Claim(short, testClaim("a"))
+		c.Assert(errors.Is(err, ErrNotClaimed), quicktest.IsTrue)
+		time.Sleep(5 * time.Second)
+		v, err := l.book.Claim(ctx, testClaim("b"))
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(v.Kind, quicktest.Equals, Won)
+	})
+}
+
 func TestAnEntryThatMissedPartOfTheLogClaimsNoOldKey(t *testing.T) {
 	onBook(t, func(c *quicktest.C, ctx context.Context, l *looped) {
 		first, err := Batch{Time: time.Now().UnixMilli()}.Encode()
