place: make ordinary jobs yield to urgent ones

Change: for an urgent job without room the placement names ordinary running jobs to yield, on the worker where the fewest cores must go; a record carries it, the job is checkpointed and placed again. The fold refuses it for urgent jobs.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -98,13 +98,16 @@
 }
 
 func (c *Controller) startJobs() {
-	starts, parks := place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs), Margin: learnedMargin})
-	for _, s := range starts {
+	d := place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs), Margin: learnedMargin})
+	for _, s := range d.Starts {
 		c.write(fmt.Sprintf("start/%s/%d", s.Job, s.Attempt), fleet.Record{Start: &s})
 	}
-	for _, p := range parks {
+	for _, p := range d.Parks {
 		c.write("park/"+p.Job, fleet.Record{Park: &p})
 	}
+	for _, y := range d.Yields {
+		c.write(fmt.Sprintf("yield/%s/%d", y.Job, y.Attempt), fleet.Record{Yield: &y})
+	}
 }
 
 // patience is how long a job about to end is waited for, by the weights of the site.
@@ -113,7 +116,7 @@
 // followTask asks the platform about one attempt when that is due.
 func (c *Controller) followTask(id string, j fleet.Job, down bool) {
 	now := time.Now()
-	leaving := c.draining(j.Instance) && c.shouldLeave(&j)
+	leaving := j.Yielding || (c.draining(j.Instance) && c.shouldLeave(&j))
 	if c.tasks.asking[id] || (now.Before(c.tasks.due[id]) && !leaving && j.State == fleet.JobRunning) {
 		return
 	}
--- a/control/tell.go
+++ b/control/tell.go
@@ -47,6 +47,8 @@
 		c.tellSettle(r)
 	case r.Park != nil:
 		c.Events.Emit(event.JobParked, subject(r), r.Park.Note)
+	case r.Yield != nil:
+		c.Events.Emit(event.JobYielding, subject(r), "")
 	}
 }
 
@@ -72,6 +74,8 @@
 		return event.Subject{Job: r.Park.Job}
 	case r.Cancel != nil:
 		return event.Subject{Job: r.Cancel.Job}
+	case r.Yield != nil:
+		return event.Subject{Job: r.Yield.Job}
 	}
 	return event.Subject{}
 }
--- a/fleet/fold_test.go
+++ b/fleet/fold_test.go
@@ -264,6 +264,9 @@
 }
 
 func (o *oracle) settle(t *rapid.T, job string) Record {
+	if rapid.IntRange(0, 5).Draw(t, "yield") == 0 {
+		return Record{Yield: &Yield{Job: job, Attempt: 1}}
+	}
 	if rapid.IntRange(0, 3).Draw(t, "cancel") == 0 {
 		return Record{By: "t", Cancel: &Cancel{Job: job, Team: "t"}}
 	}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -60,7 +60,9 @@
 	Moves int
 	// Checkpointed says that the next start continues the earlier run.
 	Checkpointed bool
-	Note         string
+	// Yielding says that the job is to leave its instance for an urgent one.
+	Yielding bool
+	Note     string
 	// Changed is the offset of the latest change.
 	Changed int64
 }
@@ -113,6 +115,12 @@
 	Note    string `cbor:"n"`
 }
 
+// Yield is the record that a running job is to make room for an urgent one.
+type Yield struct {
+	Job     string `cbor:"j"`
+	Attempt int    `cbor:"a"`
+}
+
 // Failures that tell a bad worker from a bad job.
 const (
 	failedJobsToQuarantine = 3
@@ -258,6 +266,7 @@
 
 // release makes the job pending again, unless it was cancelled.
 func (t *Tables) release(j *Job) {
+	j.Yielding = false
 	if j.State == JobCancelling {
 		t.put(j, JobCancelled, "")
 		return
@@ -342,3 +351,15 @@
 	t.put(j, JobParked, "")
 	return nil
 }
+
+func (t *Tables) yield(y Yield) *Refusal {
+	j := t.Jobs.Get(y.Job)
+	if j == nil || j.Attempt != y.Attempt || j.State != JobRunning {
+		return refuse(ReasonStale, "nothing is to be done", "job %s does not run its attempt %d", y.Job, y.Attempt)
+	}
+	if j.Spec.Urgent {
+		return refuse(ReasonState, "choose an ordinary job", "job %s is urgent and yields to none", j.ID)
+	}
+	j.Yielding = true
+	return nil
+}
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -32,6 +32,7 @@
 	Settle     *Settle     `cbor:"se,omitempty"`
 	Cancel     *Cancel     `cbor:"ca,omitempty"`
 	Park       *Park       `cbor:"pk,omitempty"`
+	Yield      *Yield      `cbor:"yi,omitempty"`
 	Checkpoint *Checkpoint `cbor:"ck,omitempty"`
 }
 
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -96,6 +96,8 @@
 		return t.cancel(*r.Cancel)
 	case r.Park != nil:
 		return t.park(*r.Park)
+	case r.Yield != nil:
+		return t.yield(*r.Yield)
 	case r.Checkpoint != nil:
 		t.Checkpointed = max(t.Checkpointed, r.Checkpoint.Offset)
 		return nil
--- a/internal/drive/cost_test.go
+++ b/internal/drive/cost_test.go
@@ -66,7 +66,7 @@
 		}
 		b.Run(fmt.Sprintf("workers=%d/jobs=%d", r.t.Instances.Len(), r.t.Jobs.Len()), func(b *testing.B) {
 			for b.Loop() {
-				if starts, _ := place.Decide(r.t, place.Options{}); len(starts) == 0 {
+				if d := place.Decide(r.t, place.Options{}); len(d.Starts) == 0 {
 					b.Fatal("nothing was placed")
 				}
 			}
--- a/internal/drive/wave.go
+++ b/internal/drive/wave.go
@@ -156,8 +156,8 @@
 }
 
 func (r *run) place() {
-	starts, _ := place.Decide(r.t, place.Options{FirstFit: r.policy.Baseline, Until: r.until(), Margin: 2})
-	for _, s := range starts {
+	d := place.Decide(r.t, place.Options{FirstFit: r.policy.Baseline, Until: r.until(), Margin: 2})
+	for _, s := range d.Starts {
 		if r.apply(fleet.Record{Start: &s}) {
 			r.apply(fleet.Record{Settle: &fleet.Settle{Job: s.Job, Attempt: s.Attempt, Outcome: fleet.OutcomeRunning}})
 			r.jobs[s.Job].since = r.now
--- a/internal/trial/fleet_matrix_test.go
+++ b/internal/trial/fleet_matrix_test.go
@@ -45,7 +45,7 @@
 func fleetSteps() []string {
 	return []string{
 		"configure", "join", "observe", "propose", "order", "draining", "drained", "acting", "done",
-		"submit", "start", "settle", "cancel", "checkpoint", "command", "task",
+		"submit", "start", "settle", "yield", "cancel", "checkpoint", "command", "task",
 	}
 }
 
@@ -85,6 +85,8 @@
 		return "start"
 	case r.Settle != nil:
 		return "settle"
+	case r.Yield != nil:
+		return "yield"
 	case r.Cancel != nil:
 		return "cancel"
 	case r.Checkpoint != nil:
@@ -196,10 +198,13 @@
 		return false, err
 	}
 	for i := range 3 {
-		spec := fleet.JobSpec{ID: fmt.Sprintf("job-%d", i), Pool: BatchPool, Cores: 1, MemoryMB: 10, RunTime: fleet.Duration(8 * time.Second),
+		spec := fleet.JobSpec{ID: fmt.Sprintf("job-%d", i), Pool: BatchPool, Cores: 2, MemoryMB: 10, RunTime: fleet.Duration(8 * time.Second),
 			Repeatable: i == 1, Command: "run 8s"}
 		c.until(ctx, func() error { return c.job(ctx, "POST", "", spec) })
 	}
+	urgent := fleet.JobSpec{ID: "urgent", Pool: BatchPool, Cores: 4, RunTime: fleet.Duration(2 * time.Second), Urgent: true, Command: "run 2s"}
+	c.until(ctx, func() error { return c.job(ctx, "POST", "", urgent) })
+	time.Sleep(3 * time.Second)
 	c.until(ctx, func() error { return c.job(ctx, "DELETE", "/job-2", fleet.JobSpec{}) })
 	conf := c.site.Spec.Configuration()
 	conf.Pools = append(conf.Pools, fleet.Pool{Name: "spare"})
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -104,3 +104,43 @@
 		c.Assert(late, quicktest.Equals, 0) // on a fake clock: refused in the same instant
 	})
 }
+
+// TestUrgentWorkStartsInTimeWhenEverythingIsFull fills every worker and then submits an urgent job.
+func TestUrgentWorkStartsInTimeWhenEverythingIsFull(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := fakeSite(c, smallest())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+		defer cancel()
+		run := trialRun{site: s}
+		submit := func(id string, urgent bool) {
+			c.Helper()
+			c.Assert(run.submit(ctx, fleet.JobSpec{ID: id, Pool: BatchPool, Cores: 2, RunTime: fleet.Duration(time.Minute), Urgent: urgent, Command: "run 60s"}), quicktest.IsNil)
+		}
+		in := func(state fleet.JobState) map[string]bool {
+			jobs, err := s.Operator(OperatorToken).Jobs(ctx)
+			c.Assert(err, quicktest.IsNil)
+			ids := make(map[string]bool)
+			for _, j := range jobs {
+				if j.State == state {
+					ids[j.ID] = true
+				}
+			}
+			return ids
+		}
+		for i := range 5 { // room for four
+			submit(fmt.Sprint("ordinary-", i), false)
+		}
+		c.Assert(s.Await(ctx, func() bool { return len(in(fleet.JobRunning)) == 4 }), quicktest.IsNil)
+		begin := time.Now()
+		submit("urgent", true)
+		c.Assert(s.Await(ctx, func() bool { return in(fleet.JobRunning)["urgent"] }), quicktest.IsNil)
+		took := time.Since(begin)
+		t.Logf("the urgent job ran after %s of the fake clock", took)
+		c.Assert(took <= 3500*time.Millisecond, quicktest.IsTrue)
+		c.Assert(s.Await(ctx, func() bool { return len(in(fleet.JobDone)) == 6 }), quicktest.IsNil)
+		for id, n := range s.Platform.Starts() {
+			c.Assert(n, quicktest.Equals, 1, quicktest.Commentf("%s", id))
+		}
+	})
+}
--- a/place/decide.go
+++ b/place/decide.go
@@ -24,27 +24,41 @@
 	FirstFit bool
 }
 
-// Decide returns the starts for the pending jobs, and the jobs that no instance of their pool can ever run.
-func Decide(t *fleet.Tables, o Options) (starts []fleet.Start, parks []fleet.Park) {
+// Decisions are what Decide returns.
+type Decisions struct {
+	Starts []fleet.Start
+	// Parks are jobs that no instance of their pool can ever run.
+	Parks []fleet.Park
+	// Yields are running jobs that are to make room for urgent ones.
+	Yields []fleet.Yield
+}
+
+// Decide returns what is to be done for the pending jobs.
+func Decide(t *fleet.Tables, o Options) Decisions {
 	d := newDecision(t, o)
 	if len(d.pending) == 0 {
-		return nil, nil
+		return Decisions{}
 	}
 	d.index()
+	var out Decisions
 	for {
 		j := d.nextJob()
-		if j == nil || (o.Most > 0 && len(starts) == o.Most) {
-			return starts, parks
+		if j == nil || (o.Most > 0 && len(out.Starts) == o.Most) {
+			return out
 		}
 		r := d.room(j)
-		if r == nil {
-			if note := d.never(j); note != "" {
-				parks = append(parks, fleet.Park{Job: j.ID, Attempt: j.Attempt, Note: note})
-			}
+		if r != nil {
+			d.charge(j, r)
+			out.Starts = append(out.Starts, fleet.Start{Job: j.ID, Attempt: j.Attempt + 1, Instance: r.in.ID, Generation: r.in.Generation})
+			continue
+		}
+		if note := d.never(j); note != "" {
+			out.Parks = append(out.Parks, fleet.Park{Job: j.ID, Attempt: j.Attempt, Note: note})
 			continue
 		}
-		d.charge(j, r)
-		starts = append(starts, fleet.Start{Job: j.ID, Attempt: j.Attempt + 1, Instance: r.in.ID, Generation: r.in.Generation})
+		if j.Spec.Urgent {
+			out.Yields = append(out.Yields, d.makeRoom(j)...)
+		}
 	}
 }
 
@@ -54,6 +68,7 @@
 	teams   map[string]*teamJobs
 	pending map[string]*teamJobs // those of teams that still have jobs
 	pools   map[string][]*room
+	runs    map[string][]*fleet.Job // ordinary running jobs by instance; made when they are needed
 }
 
 // teamJobs are one team's pending jobs and what it holds.
@@ -123,9 +138,7 @@
 		if d.o.Until != nil {
 			r.until, r.soon = d.o.Until(id)
 		}
-		if r.cores > 0 {
-			d.pools[in.Pool] = append(d.pools[in.Pool], r)
-		}
+		d.pools[in.Pool] = append(d.pools[in.Pool], r)
 	}
 }
 
@@ -158,7 +171,7 @@
 
 // room returns the best instance for the job, or nil.
 func (d *decision) room(j *fleet.Job) *room {
-	if t := d.teams[j.Team]; t.team != nil && t.team.JobCores > 0 && t.held+j.Spec.Cores > t.team.JobCores {
+	if d.overQuota(j) {
 		return nil
 	}
 	var best *room
@@ -176,6 +189,11 @@
 	return best
 }
 
+func (d *decision) overQuota(j *fleet.Job) bool {
+	t := d.teams[j.Team]
+	return t.team != nil && t.team.JobCores > 0 && t.held+j.Spec.Cores > t.team.JobCores
+}
+
 func (d *decision) fits(j *fleet.Job, r *room) bool {
 	return r.cores >= j.Spec.Cores && r.memory >= j.Spec.MemoryMB && j.MayRunIn(r.in.DataCentre) &&
 		!slices.Contains(j.FailedOn, r.in.ID)
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -53,7 +53,7 @@
 // admitted folds the starts and returns the instance of each job.
 func admitted(c *quicktest.C, t *fleet.Tables, o Options) map[string]string {
 	c.Helper()
-	starts, _ := Decide(t, o)
+	starts := Decide(t, o).Starts
 	on := make(map[string]string)
 	for _, s := range starts {
 		add(c, t, fleet.Record{Start: &s})
@@ -87,7 +87,7 @@
 	tables := testTables(c, 2, fleet.JobSpec{ID: "huge", Cores: 5}, fleet.JobSpec{ID: "fits", Cores: 4})
 	submit(c, tables, "small", fleet.JobSpec{ID: "over", Cores: 4})
 	tables.Configuration.Team("small").JobCores = 2
-	_, parks := Decide(tables, Options{})
+	parks := Decide(tables, Options{}).Parks
 	notes := make(map[string]string)
 	for _, p := range parks {
 		notes[p.Job] = p.Note
@@ -116,3 +116,24 @@
 	c.Assert(run(2 * time.Hour)["j"], quicktest.Equals, "w1") // the latest turn of those that will displace it
 	c.Assert(run(30 * time.Second)["j"], quicktest.Equals, "w0")
 }
+
+func TestAnUrgentJobMakesOrdinaryOnesYieldAndNoMoreThanNeeded(t *testing.T) {
+	c := quicktest.New(t)
+	tables := testTables(c, 2)
+	for i := range 4 {
+		submit(c, tables, "large", fleet.JobSpec{ID: fmt.Sprint("o", i), Cores: 2})
+	}
+	c.Assert(admitted(c, tables, Options{}), quicktest.HasLen, 4)
+	for i := range 4 {
+		add(c, tables, fleet.Record{Settle: &fleet.Settle{Job: fmt.Sprint("o", i), Attempt: 1, Outcome: fleet.OutcomeRunning}})
+	}
+	submit(c, tables, "large", fleet.JobSpec{ID: "urgent", Cores: 2, Urgent: true})
+	d := Decide(tables, Options{})
+	c.Assert(d.Yields, quicktest.HasLen, 1)
+	add(c, tables, fleet.Record{Yield: &d.Yields[0]})
+	c.Assert(Decide(tables, Options{}).Yields, quicktest.HasLen, 0) // it is on its way
+	add(c, tables, fleet.Record{Settle: &fleet.Settle{Job: d.Yields[0].Job, Attempt: 1, Outcome: fleet.OutcomeCheckpointed}})
+	c.Assert(admitted(c, tables, Options{}), quicktest.HasLen, 1)
+	c.Assert(tables.Jobs.Get("urgent").State, quicktest.Equals, fleet.JobStarting)
+	c.Assert(tables.Jobs.Get(d.Yields[0].Job).State, quicktest.Equals, fleet.JobPending)
+}
