--- a/admin/client.go
+++ b/admin/client.go
@@ -23,6 +23,8 @@
 	// Address is the entry's operator address, an IP address and a port.
 	Address string
 	Token   string
+	// TLS says that the entry's address is protected; HTTP must then trust its authority.
+	TLS bool
 	// HTTP sends the requests; http.DefaultClient when nil.
 	HTTP *http.Client
 }
@@ -118,7 +120,11 @@
 		}
 		content = bytes.NewReader(b)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, content)
+	scheme := "http://"
+	if c.TLS {
+		scheme = "https://"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+c.Address+path, content)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
--- a/cmd/rackstep/client.go
+++ b/cmd/rackstep/client.go
@@ -5,14 +5,17 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"rackstep.dev/admin"
+	"rackstep.dev/config"
 	"rackstep.dev/event"
 	"rackstep.dev/serve"
 )
@@ -34,7 +37,16 @@
 	if token == "" {
 		return nil, cli.Exit("there is no token; set RACKSTEP_TOKEN or use --token-file", exitUsage)
 	}
-	return &admin.Client{Address: address, Token: token}, nil
+	api := &admin.Client{Address: address, Token: token}
+	if file := c.String("authority"); file != "" {
+		pool, err := config.Authority(file)
+		if err != nil {
+			return nil, cli.Exit(err, exitUsage)
+		}
+		api.TLS = true
+		api.HTTP = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}
+	}
+	return api, nil
 }
 
 // failure turns an entry's answer into an exit code.
--- a/cmd/rackstep/main.go
+++ b/cmd/rackstep/main.go
@@ -31,6 +31,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "entry", Usage: "operator `ADDRESS` of any entry, an IP address and a port", Sources: cli.EnvVars("RACKSTEP_ENTRY")},
 			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operator's token; RACKSTEP_TOKEN otherwise"},
+			&cli.StringFlag{Name: "authority", Usage: "`FILE` with the certificate of the entries' authority, when they use TLS", Sources: cli.EnvVars("RACKSTEP_AUTHORITY")},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "`FORMAT` of the answer: table or json", Value: "table"},
 		},
 		Commands:       commands(),
--- a/config/settings.go
+++ b/config/settings.go
@@ -39,10 +39,25 @@
 	Maintenance fleet.Duration `json:"maintenance"`
 	// CheckpointEvery is the time between two checkpoints of the tables in the log; 5m when 0.
 	CheckpointEvery fleet.Duration `json:"checkpoint_every"`
+	// TLS protects all three addresses when it is set.
+	TLS TLS `json:"tls"`
 	// MaxBody bounds a caller's body in bytes; 1 MiB when 0.
 	MaxBody int `json:"max_body"`
 }
 
+// TLS names the files of an entry's certificate, its key, and the authority that signed those of all entries.
+//
+// Peers prove certificates to each other; the certificate must name the IP addresses of the entry. Callers and operators
+// see the certificate and need none.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// Set says whether TLS is wanted.
+func (t TLS) Set() bool { return t != TLS{} }
+
 // Peer is another entry.
 type Peer struct {
 	Entry      string `json:"entry"`
@@ -113,6 +128,9 @@
 			report(path, "is below 0; write a positive duration")
 		}
 	}
+	if s.TLS.Set() && (s.TLS.Certificate == "" || s.TLS.Key == "" || s.TLS.Authority == "") {
+		report("/tls", "is not whole; set certificate, key and authority, or leave tls out")
+	}
 	if s.MaxBody < 0 {
 		report("/max_body", "is below 0; write a number of bytes")
 	}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -122,6 +123,14 @@
 		}
 		*x.into = ln
 	}
+	server, err := s.TLS.Server()
+	if err != nil {
+		l.close()
+		return listeners{}, nil, err
+	}
+	if server != nil {
+		l.caller, l.operator = tls.NewListener(l.caller, server), tls.NewListener(l.operator, server)
+	}
 	return l, l.close, nil
 }
 
@@ -130,8 +139,12 @@
 	if err != nil {
 		return nil, err
 	}
+	links, err := s.TLS.Peers()
+	if err != nil {
+		return nil, err
+	}
 	return &peer.Mesh{
-		Self: peer.Identity{Entry: self.ID, DataCentre: self.DataCentre, Boot: self.Boot}, Secret: secret,
+		Self: peer.Identity{Entry: self.ID, DataCentre: self.DataCentre, Boot: self.Boot}, Secret: secret, TLS: links,
 		Listener: l.peer, Dial: o.Dial, Cut: o.Cut, Events: events, Meter: m.peers,
 	}, nil
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -40,6 +41,8 @@
 	Self Identity
 	// Secret is shared by all entries of a site.
 	Secret []byte
+	// TLS protects the links in both directions; none when nil.
+	TLS *tls.Config
 	// Listener accepts links from peers.
 	Listener net.Listener
 	// Serve answers one stream; the stream is closed when it returns.
@@ -123,6 +126,9 @@
 
 func (m *Mesh) accepted(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
+	if m.TLS != nil {
+		conn = tls.Server(conn, m.TLS)
+	}
 	from, err := m.handshake(conn, false)
 	if err != nil || m.cut(from.Entry) {
 		return
@@ -294,6 +300,9 @@
 		return nil, fmt.Errorf("dial peer %s: %w", a.Entry, err)
 	}
 	conn = m.Meter.Conn(conn)
+	if m.TLS != nil {
+		conn = tls.Client(conn, m.clientTLS(a.Address))
+	}
 	if _, err := m.handshake(conn, true); err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -306,6 +315,16 @@
 	return session, nil
 }
 
+// clientTLS verifies the peer's certificate against the IP address that was dialled.
+func (m *Mesh) clientTLS(address string) *tls.Config {
+	c := m.TLS.Clone()
+	host, _, err := net.SplitHostPort(address)
+	if err == nil {
+		c.ServerName = host
+	}
+	return c
+}
+
 // Up returns the peers with an open link, in order of their names.
 func (m *Mesh) Up() []string {
 	m.mu.Lock()
