--- a/entry/tls_test.go
+++ b/entry/tls_test.go
@@ -71,7 +71,7 @@
 func TestTLSProtectsEveryAddress(t *testing.T) {
 	c := quicktest.New(t)
 	platform := httptest.NewServer(standin.New())
-	defer platform.Close()
+	c.Cleanup(platform.Close) // after the entries, whose reads wait for records
 	files := newAuthority(c)
 	first := startEntry(c, "a", platform.URL, files, nil)
 	peer := []config.Peer{{Entry: "a", DataCentre: "a", Address: first.Self().PeerAddress}}
