serve: count what is in flight without a wait group

Cause: requests begin while a stop waits for the last one to end; a WaitGroup forbids an Add at zero beside a Wait, and may panic. Change: a counter that the stop looks at each 10 ms.

--- a/serve/handler.go
+++ b/serve/handler.go
@@ -57,7 +57,7 @@
 
 func (s *Server) serveService(rr *restful.Request, rw *restful.Response) {
 	s.active.Add(1)
-	defer s.active.Done()
+	defer s.active.Add(-1)
 	w, r := rw.ResponseWriter, rr.Request
 	since := s.now()
 	v := s.View()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -80,7 +80,7 @@
 // ServeRelay runs a request that another entry has sent and streams the answer back.
 func (s *Server) ServeRelay(ctx context.Context, m *peerpb.RelayRequest, stream *peer.Stream) {
 	s.active.Add(1)
-	defer s.active.Done()
+	defer s.active.Add(-1)
 	// The context ends when the sender closes the stream, because its caller has gone.
 	a, p := s.relayed(ctx, m)
 	if p != nil {
--- a/serve/server.go
+++ b/serve/server.go
@@ -45,7 +45,7 @@
 	view     atomic.Pointer[View]
 	stopping atomic.Bool
 	linked   atomic.Bool
-	active   sync.WaitGroup
+	active   atomic.Int64 // requests of callers and peers that have begun and not ended
 	attempts atomic.Uint64
 	full     fullPlaces
 	tolds    sync.Map // told by toldKey
@@ -171,19 +171,17 @@
 // Stopping says whether a planned stop has begun.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
-// Drain waits until no request is in flight or the context ends.
+// drainLook is the time between two looks at what is in flight.
+const drainLook = 10 * time.Millisecond
+
+// Drain waits until no request is in flight or the context ends, and returns the context's error then.
 func (s *Server) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for s.active.Load() > 0 {
+		if !sleep(ctx, drainLook) {
+			return ctx.Err()
+		}
 	}
+	return nil
 }
 
 // told counts the requests of one service that got one outcome.
