entry: let the last answers leave before a planned stop ends

Cause: an answer's last bytes are written after its handler has returned, and the stop counted handlers and then closed the server. Change: the callers' server is shut down, which waits until each connection is idle, before the entry leaves.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,8 @@
 	targets   *serve.Dispatcher
 	platform  *http.Client
 	cleanup   func()
+	// callers answers callers; made by Run.
+	callers *http.Server
 }
 
 // New opens the entry's addresses and puts its parts together.
@@ -98,8 +100,9 @@
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
-	addServer(&g, e.listeners.caller, e.server)
-	addServer(&g, e.listeners.operator, e.admin)
+	e.callers = newHTTPServer(e.server)
+	addServer(&g, e.callers, e.listeners.caller, end)
+	addServer(&g, newHTTPServer(e.admin), e.listeners.operator, end)
 	err := g.Run()
 	e.events.Emit(event.EntryStopped, event.Subject{}, "")
 	if errors.Is(err, errStopped) {
@@ -120,9 +123,19 @@
 	return errStopped
 }
 
-func addServer(g *run.Group, ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
-	g.Add(func() error { return srv.Serve(ln) }, func(error) { _ = srv.Close() }) // requests have ended before
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTime, ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeader}
+}
+
+// addServer adds the server to the group; when it was shut down its part ends with the others.
+func addServer(g *run.Group, srv *http.Server, ln net.Listener, end <-chan struct{}) {
+	g.Add(func() error {
+		err := srv.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-end
+		}
+		return err
+	}, func(error) { _ = srv.Close() }) // a planned stop has shut it down before
 }
 
 // stop finishes what callers have begun and leaves the tables.
@@ -136,7 +149,8 @@
 	time.Sleep(delay)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
-	_ = e.server.Drain(ctx) // what takes longer has passed its deadline
+	_ = e.server.Drain(ctx)     // what takes longer has passed its deadline
+	_ = e.callers.Shutdown(ctx) // the last answers leave their buffers
 	ctx, cancelLeave := context.WithTimeout(context.Background(), leaveTime)
 	defer cancelLeave()
 	_ = e.control.Leave(ctx) // without it the platform's list says the same a little later
