serve: remove a reason that nobody gives

Cause: 'stopping' stood in the code and in PROTOCOLS.md, and no answer carried it: a stopping entry hands its requests over.

--- a/serve/problem.go
+++ b/serve/problem.go
@@ -36,7 +36,6 @@
 	ReasonBusy         Reason = "busy"
 	ReasonQueueFull    Reason = "queue-full"
 	ReasonDeadline     Reason = "deadline"
-	ReasonStopping     Reason = "stopping"
 	ReasonNotReady     Reason = "not-ready"
 	ReasonNotClaimed   Reason = "not-claimed"
 	ReasonKeyTaken     Reason = "key-taken"
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"rackstep.dev/peer"
@@ -111,7 +112,7 @@
 		Body: m.Body, Urgent: m.Urgent, Repeatable: m.Repeatable, Key: m.Key, NotAfter: time.UnixMilli(m.NotAfterUnixMs),
 		Deadline: s.now().Add(time.Duration(m.RemainingUs) * time.Microsecond), Bound: m.DataCentre, NoWait: m.NoWait,
 	}
-	if !contains(v.Allowed(svc, r.Bound), s.DataCentre) {
+	if !slices.Contains(v.Allowed(svc, r.Bound), s.DataCentre) {
 		return nil, notRun(http.StatusForbidden, ReasonResidency, "come back later", "service %q may not run in %s", svc.Name, s.DataCentre)
 	}
 	if m.Direct && svc.Owner != s.Self {
--- a/serve/run.go
+++ b/serve/run.go
@@ -104,7 +104,7 @@
 		return r.Repeatable && p.Reason == ReasonRelay && s.gateOf(r.Service.Name).retries.Retry()
 	}
 	switch p.Reason {
-	case ReasonBusy, ReasonNoTarget, ReasonQueueFull, ReasonCutOff, ReasonNotOwner, ReasonNotReady, ReasonStopping, ReasonDeadline, ReasonRefused:
+	case ReasonBusy, ReasonNoTarget, ReasonQueueFull, ReasonCutOff, ReasonNotOwner, ReasonNotReady, ReasonDeadline, ReasonRefused:
 		return true
 	}
 	return false
@@ -136,7 +136,7 @@
 		}
 		r.Service = svc
 		a, p := s.localOnce(ctx, r, direct)
-		if p == nil || p.Outcome != OutcomeNotRun || (p.Reason != ReasonNotOwner && p.Reason != ReasonCutOff && p.Reason != ReasonStopping) {
+		if p == nil || p.Outcome != OutcomeNotRun || (p.Reason != ReasonNotOwner && p.Reason != ReasonCutOff) {
 			return a, p
 		}
 		if s.now().Sub(start) > maxHandover || !sleep(ctx, handoverWait) {
@@ -170,5 +170,3 @@
 		return true
 	}
 }
-
-func contains(list []string, s string) bool { return slices.Contains(list, s) }
