trial: take an entry out in one place

Cause: a planned stop and a crash each removed the entry with the same lines. Change: one function for both.

--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -206,12 +206,18 @@
 	return peers
 }
 
-// StopEntry stops the entry as planned and takes it out of the list.
-func (s *Site) StopEntry(name string) {
+// take removes the entry from those that run and returns it, or nil.
+func (s *Site) take(name string) *node {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	n := s.entries[name]
 	delete(s.entries, name)
-	s.mu.Unlock()
+	return n
+}
+
+// StopEntry stops the entry as planned and takes it out of the list.
+func (s *Site) StopEntry(name string) {
+	n := s.take(name)
 	if n == nil {
 		return
 	}
@@ -222,10 +228,7 @@
 
 // CrashEntry ends the entry at once, without a planned stop; the platform still lists it.
 func (s *Site) CrashEntry(name string) {
-	s.mu.Lock()
-	n := s.entries[name]
-	delete(s.entries, name)
-	s.mu.Unlock()
+	n := s.take(name)
 	if n == nil {
 		return
 	}
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -72,9 +72,9 @@
 		spec := smallest()
 		spec.Workers = 0
 		s := fakeSite(c, spec)
-		const work, seconds = 100 * time.Millisecond, 4
-		capacity := spec.RunnersEach * fleet.DefaultSlots * int(time.Second/work)
-		load := &Load{Site: s, Work: work}
+		const each, seconds = 100 * time.Millisecond, 4
+		capacity := spec.RunnersEach * fleet.DefaultSlots * int(time.Second / each)
+		load := &Load{Site: s, Work: each}
 		callers := s.Callers()
 		var all sync.WaitGroup
 		late, good := 0, 0
@@ -96,7 +96,7 @@
 			})
 		}
 		all.Wait()
-		could := float64(capacity) * (seconds*time.Second - work).Seconds() // none can end before the first's time
+		could := float64(capacity) * (seconds*time.Second - each).Seconds() // none can end before the first's time
 		v := s.Judge(load.Told())
 		t.Logf("%d whole answers of the %.0f that the targets could give, %+v", good, could, v)
 		c.Assert(v.Broken(), quicktest.HasLen, 0)
