control: look for a duty's leader once a tick

A counter of the stand-in had no reader. Change: the answer is kept for the tick, for every duty; observe's memo and the counter are gone.

--- a/control/controller.go
+++ b/control/controller.go
@@ -63,7 +63,9 @@
 	commands commands
 	tasks    tasks
 	reach    reach
-	marks    checkpointing
+	// duties are those that this tick has asked about, and whether this entry does them.
+	duties map[duty]bool
+	marks  checkpointing
 	// viewed says that the view in force was made from the tables as they are, with viewedWith.
 	viewed     bool
 	viewedWith membership
@@ -94,6 +96,7 @@
 	c.writer.init(c)
 	c.members.byEntry = make(map[string]*member)
 	c.members.sent = make(map[string]map[string]sentStatus)
+	c.duties = make(map[duty]bool)
 	c.commands.init()
 	c.tasks.init()
 }
@@ -170,6 +173,7 @@
 	now := time.Now()
 	c.writer.forget(now)
 	c.members.expire(now)
+	clear(c.duties)
 	c.link()
 	if c.tables != nil {
 		c.observe()
@@ -183,12 +187,18 @@
 	c.gossip(now)
 }
 
-// leads says whether this entry does the duty now, among the entries of the data centre, or of all when it is empty.
-func (c *Controller) leads(duty, dataCentre string) bool {
-	if c.Server.Stopping() {
-		return false
+// duty is a piece of work that one entry of a data centre does, or one of all when dataCentre is empty.
+type duty struct{ name, dataCentre string }
+
+// leads says whether this entry does the duty in this tick; the members are looked at once for each duty.
+func (c *Controller) leads(name, dataCentre string) bool {
+	d := duty{name, dataCentre}
+	mine, known := c.duties[d]
+	if !known {
+		mine = !c.Server.Stopping() && c.members.leader(c, name, dataCentre) == c.Self.ID
+		c.duties[d] = mine
 	}
-	return c.members.leader(c, duty, dataCentre) == c.Self.ID
+	return mine
 }
 
 // ServeStream answers one stream of a peer; it is the Mesh's Serve.
--- a/control/observe.go
+++ b/control/observe.go
@@ -159,23 +159,14 @@
 		return
 	}
 	var changed []fleet.Observation
-	leads := make(map[string]bool)
-	watch := func(dataCentre string) bool {
-		l, ok := leads[dataCentre]
-		if !ok {
-			l = c.leads("observe", dataCentre)
-			leads[dataCentre] = l
-		}
-		return l
-	}
 	for id, r := range c.list.rows {
 		ob := fleet.Observation{ID: id, DataCentre: r.DataCentre, Rack: r.Rack, Address: r.Address, Cores: r.Cores, MemoryMB: r.MemoryMB, Leaving: r.Leaving}
-		if r.Role == platform.RoleWorker && watch(r.DataCentre) && ob.Differs(c.tables.Instances.Get(id)) {
+		if r.Role == platform.RoleWorker && c.leads("observe", r.DataCentre) && ob.Differs(c.tables.Instances.Get(id)) {
 			changed = append(changed, ob)
 		}
 	}
 	for id, in := range c.tables.Instances.All {
-		if _, ok := c.list.rows[id]; !ok && watch(in.DataCentre) {
+		if _, ok := c.list.rows[id]; !ok && c.leads("observe", in.DataCentre) {
 			if ob := (fleet.Observation{ID: id, Down: true}); ob.Differs(in) {
 				changed = append(changed, ob)
 			}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -91,13 +91,6 @@
 	return offset, p.faults.LoseEvery > 0 && p.appends%p.faults.LoseEvery == 0
 }
 
-// Appends returns the number of appends so far, over all logs.
-func (p *Platform) Appends() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.appends
-}
-
 const (
 	maxPageRecords = 1000
 	maxPageBytes   = 4 << 20
