route: refuse an urgent request when nobody that waits can give way

A team that has been served keeps its row in the queue until its charge is paid, with nobody waiting. longest returned such a row when there was no other, so an urgent request that met a queue full of urgent ones ended the entry with a panic.

Conclusion: a real fault of the gate, not of the test.

--- a/route/gate.go
+++ b/route/gate.go
@@ -283,14 +283,12 @@
 			best, bestAllowed = s, allowed
 		}
 	}
-	if best != nil {
-		g.turn++
-	}
 	return best
 }
 
 func (g *Gate) lease(s *slots, now time.Time) *Lease {
 	s.busy++
+	g.turn++
 	return &Lease{Target: s.Target, gate: g, slots: s, since: now}
 }
 
--- a/route/gate_test.go
+++ b/route/gate_test.go
@@ -283,6 +283,23 @@
 	})
 }
 
+// TestUrgentFindsNoRoomAmongUrgent fills the queue with urgent requests while a team that waited before is still charged.
+func TestUrgentFindsNoRoomAmongUrgent(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(0, 0)
+	g := &Gate{Clock: func() time.Time { return now }, After: func(time.Duration, func()) {}}
+	g.Set(Limits{Slots: 1, Queue: 1}, targets(1))
+	_, first, _ := g.enter(Request{Team: "b"})
+	waits, _, _ := g.enter(Request{Team: "b"})
+	first.Done(ResultOK)
+	c.Assert(waits.granted, quicktest.HasLen, 1)
+	urgent, _, _ := g.enter(Request{Team: "a", Urgent: true})
+	c.Assert(urgent, quicktest.IsNotNil)
+	_, _, refused := g.enter(Request{Team: "a", Urgent: true})
+	c.Assert(refused, quicktest.IsNotNil)
+	c.Assert(refused.Kind, quicktest.Equals, KindFull)
+}
+
 // TestSlotsAreNeverExceeded changes targets, shares and health at random and counts what runs on each target.
 func TestSlotsAreNeverExceeded(t *testing.T) {
 	rapid.Check(t, exceedSlots)
--- a/route/queue.go
+++ b/route/queue.go
@@ -80,12 +80,17 @@
 	}
 }
 
-// longest returns the team that holds the most places for its share, and how many.
+// longest returns the team that holds the most places for its share, and how many; nil when nobody waits.
+//
+// Of teams that hold equally many, the first by name is returned.
 func (q *queue) longest() (t *teamQueue, places float64) {
-	for _, other := range q.teams {
-		if n := other.places(); t == nil || n > places {
-			t, places = other, n
+	var longestName string
+	for name, other := range q.teams {
+		n := other.places()
+		if n == 0 || n < places || (n == places && name > longestName) {
+			continue
 		}
+		t, places, longestName = other, n, name
 	}
 	return t, places
 }
