trial: await the confirmed plan itself in the fleet matrix

Cause: the cell 'before order, writer-isolated' failed once in 608 with an instance left draining. The scenario's operator was told that its confirmation was accepted, then asked another entry, which had not read the record yet and still said 'proposed'. It made a second plan, whose steps were all left out because the first was at work on them, and took its end for the maintenance's: the run was judged 30 s too early. Ruled out: a late or doubled confirmation (the log holds one of each plan) and a step that hangs (the first plan ends when it is waited for).

Change: an accepted confirmation is followed by waiting for that plan; only an unknown outcome is looked up.

Conclusion: the harness was wrong, the product was not; the check at the end is unchanged.

--- a/internal/trial/fleet_matrix_test.go
+++ b/internal/trial/fleet_matrix_test.go
@@ -245,10 +245,11 @@
 		op := c.site.Operator(OperatorToken)
 		p, err := op.Plan(ctx, intent)
 		if err == nil {
-			if _, err = op.Order(ctx, p.ID, fleet.OrderConfirm); err != nil {
-				// An unknown outcome is looked up before a new plan is made.
-				time.Sleep(12 * time.Second)
+			if _, err = op.Order(ctx, p.ID, fleet.OrderConfirm); err == nil {
+				return c.site.AwaitPlan(ctx, p.ID, fleet.PlanDone) // other entries may not have read it yet
 			}
+			// An unknown outcome is looked up before a new plan is made.
+			time.Sleep(12 * time.Second)
 			if now, lookErr := c.site.Operator(OperatorToken).GetPlan(ctx, p.ID); lookErr == nil && now.State != fleet.PlanProposed {
 				return c.site.AwaitPlan(ctx, p.ID, fleet.PlanDone)
 			}
