fleet, place, control: charge jobs with what they use, and hold back what is too much

Cause: the platform reports usage with a lag and declared sizes are far off, but placement, quotas and plans counted what callers declare. The run-time margin was a constant.

Change: task answers may carry usage. Two records, Measure and Throttle: the fold charges a running job with what it uses, and a job can be held to some cores; place.Measured and place.Relieve decide, hold first and checkpoint last. The limit travels with the lease's renewal. The tables learn, for each pool, the factor that three run times in four do not exceed. How long an attempt ran is now what the platform tells, so it survives a change of the leader.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -19,8 +19,8 @@
 	// asking are the attempts with a call under way, due is when the next call about each is to be made.
 	asking map[string]bool
 	due    map[string]time.Time
-	// since is when this entry first saw each attempt running, by its own clock.
-	since map[string]time.Time
+	// seen is what the platform has reported of each attempt.
+	seen map[string]*usage
 	// urgentSince is when there was last no urgent job pending.
 	urgentSince time.Time
 }
@@ -28,7 +28,7 @@
 func (m *tasks) init() {
 	m.asking = make(map[string]bool)
 	m.due = make(map[string]time.Time)
-	m.since = make(map[string]time.Time)
+	m.seen = make(map[string]*usage)
 }
 
 // Times and bounds of jobs.
@@ -36,8 +36,6 @@
 	taskLease   = time.Minute
 	taskPeriod  = 2 * time.Second
 	startsATick = 128
-	// learnedMargin is the factor by which declared run times are taken to be too short.
-	learnedMargin = 2.0
 )
 
 func attemptID(j *fleet.Job) string { return fmt.Sprintf("%s.%d", j.ID, j.Attempt) }
@@ -66,7 +64,11 @@
 	for id := range m.due {
 		if !current[id] {
 			delete(m.due, id)
-			delete(m.since, id)
+		}
+	}
+	for id := range m.seen {
+		if !current[id] {
+			delete(m.seen, id)
 		}
 	}
 }
@@ -98,16 +100,20 @@
 }
 
 func (c *Controller) startJobs() {
-	d := place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs), Margin: learnedMargin})
+	d := place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs)})
 	for _, s := range d.Starts {
 		c.write(fmt.Sprintf("start/%s/%d", s.Job, s.Attempt), fleet.Record{Start: &s})
 	}
 	for _, p := range d.Parks {
 		c.write("park/"+p.Job, fleet.Record{Park: &p})
 	}
-	for _, y := range d.Yields {
+	relief := place.Relieve(c.tables)
+	for _, y := range append(d.Yields, relief.Yields...) {
 		c.write(fmt.Sprintf("yield/%s/%d", y.Job, y.Attempt), fleet.Record{Yield: &y})
 	}
+	for _, t := range relief.Throttles {
+		c.write(fmt.Sprintf("throttle/%s/%d", t.Job, t.Attempt), fleet.Record{Throttle: &t})
+	}
 }
 
 // patience is how long a job about to end is waited for, by the weights of the site.
@@ -123,8 +129,8 @@
 	c.tasks.asking[id] = true
 	c.tasks.due[id] = now.Add(taskPeriod)
 	go func() {
-		state, err := c.askTask(c.ctx, id, j, leaving, down)
-		_ = c.post(c.ctx, func() { c.taskSays(id, j, state, err) }) // it fails only when the entry stops
+		report, err := c.askTask(c.ctx, id, j, leaving, down)
+		_ = c.post(c.ctx, func() { c.taskSays(id, j, report, err) }) // it fails only when the entry stops
 	}()
 }
 
@@ -136,11 +142,11 @@
 
 // shouldLeave says whether a job on a draining instance is moved rather than waited for.
 func (c *Controller) shouldLeave(j *fleet.Job) bool {
-	since, ok := c.tasks.since[attemptID(j)]
-	return !ok || plan.Leaves(j, time.Since(since), c.patience())
+	seen := c.tasks.seen[attemptID(j)]
+	return seen == nil || plan.Leaves(j, seen.ran(time.Now()), c.patience())
 }
 
-func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (platform.TaskState, error) {
+func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (platform.TaskReport, error) {
 	switch {
 	case j.State == fleet.JobCancelling || (down && j.State == fleet.JobStarting):
 		return c.Platform.StopTask(ctx, j.Instance, id)
@@ -150,30 +156,31 @@
 		return c.Platform.Task(ctx, j.Instance, id)
 	}
 	return c.Platform.StartTask(ctx, j.Instance, id, platform.Task{
-		Cores: j.Spec.Cores, MemoryMB: j.Spec.MemoryMB, Command: j.Spec.Command, Continue: j.Checkpointed, Lease: taskLease,
+		Cores: j.Spec.Cores, MemoryMB: j.Spec.MemoryMB, Command: j.Spec.Command, Continue: j.Checkpointed, Lease: taskLease, Limit: j.Limit,
 	})
 }
 
 // taskSays writes what the platform said when it differs from the tables.
-func (c *Controller) taskSays(id string, j fleet.Job, state platform.TaskState, err error) {
+func (c *Controller) taskSays(id string, j fleet.Job, report platform.TaskReport, err error) {
 	delete(c.tasks.asking, id)
 	if err != nil {
 		c.Events.Emit(event.TaskUncertain, event.Subject{Job: j.ID, Instance: j.Instance}, err.Error())
 		return
 	}
-	outcome, ok := outcomeOf(state)
+	outcome, ok := outcomeOf(report.State)
 	if !ok {
 		return
 	}
-	if outcome == fleet.OutcomeRunning {
-		if _, seen := c.tasks.since[id]; !seen {
-			c.tasks.since[id] = time.Now()
-		}
-		if j.State != fleet.JobStarting {
-			return
-		}
+	now := time.Now()
+	seen := c.tasks.see(id, now, report.Usage)
+	if outcome == fleet.OutcomeRunning && j.State != fleet.JobStarting {
+		c.measure(j.ID, j.Attempt, seen, now)
+		return
 	}
 	s := fleet.Settle{Job: j.ID, Attempt: j.Attempt, Outcome: outcome}
+	if outcome != fleet.OutcomeRunning && outcome != fleet.OutcomeNotStarted {
+		s.Ran = seen.ran(now)
+	}
 	c.write(fmt.Sprintf("settle/%s/%s", id, outcome), fleet.Record{Settle: &s})
 }
 
--- a/control/tell.go
+++ b/control/tell.go
@@ -49,6 +49,10 @@
 		c.Events.Emit(event.JobParked, subject(r), r.Park.Note)
 	case r.Yield != nil:
 		c.Events.Emit(event.JobYielding, subject(r), "")
+	case r.Measure != nil:
+		c.Events.Emit(event.JobMeasured, subject(r), fmt.Sprintf("%d cores, %d MB", r.Measure.Cores, r.Measure.MemoryMB))
+	case r.Throttle != nil:
+		c.Events.Emit(event.JobThrottled, subject(r), throttled(*r.Throttle))
 	}
 }
 
@@ -76,10 +80,21 @@
 		return event.Subject{Job: r.Cancel.Job}
 	case r.Yield != nil:
 		return event.Subject{Job: r.Yield.Job}
+	case r.Measure != nil:
+		return event.Subject{Job: r.Measure.Job}
+	case r.Throttle != nil:
+		return event.Subject{Job: r.Throttle.Job}
 	}
 	return event.Subject{}
 }
 
+func throttled(t fleet.Throttle) string {
+	if t.Cores == 0 {
+		return "it may use all again"
+	}
+	return fmt.Sprintf("held to %d cores", t.Cores)
+}
+
 func observed(o fleet.Observation) string {
 	switch {
 	case o.Down:
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -44,6 +44,8 @@
 	WorkerQuarantined    Number = 504
 	TaskUncertain        Number = 505
 	JobYielding          Number = 506
+	JobMeasured          Number = 507
+	JobThrottled         Number = 508
 	RequestUnknown       Number = 600
 	TargetSick           Number = 601
 	TargetRecovered      Number = 602
@@ -96,7 +98,9 @@
 	{JobParked, "job-parked", "A job failed on several sound workers and is not started again.", "Correct the job and submit it under a new ID."},
 	{WorkerQuarantined, "worker-quarantined", "Several different jobs failed on an instance in a row; it gets no jobs.", "Maintain or replace the instance."},
 	{TaskUncertain, "task-uncertain", "The platform gave no answer about a task; the entry asks again by its ID.", nothing},
-	{JobYielding, "job-yielding", "An ordinary job is checkpointed to make room for an urgent one.", nothing},
+	{JobYielding, "job-yielding", "An ordinary job is checkpointed to make room on its instance, for an urgent one or because too much is in use.", nothing},
+	{JobMeasured, "job-measured", "A job uses far more or less than it declared; it is charged with what it uses.", "Declare what the text says."},
+	{JobThrottled, "job-throttled", "A job is held to some cores because its instance has no more, or may use all again.", "If it lasts, declare what the job uses."},
 	{RequestUnknown, "request-unknown", "A caller was told that the outcome of its request is unknown.", nothing},
 	{TargetSick, "target-sick", "A target fails what it gets; it is tried with single requests only.", "Look at the target."},
 	{TargetRecovered, "target-recovered", "A target that was sick answers again.", nothing},
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -2,7 +2,10 @@
 
 package fleet
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // JobState is where a job stands.
 type JobState string
@@ -60,9 +63,15 @@
 	Moves int
 	// Checkpointed says that the next start continues the earlier run.
 	Checkpointed bool
-	// Yielding says that the job is to leave its instance for an urgent one.
+	// Yielding says that the job is to leave its instance, for an urgent one or because too much is in use there.
 	Yielding bool
-	Note     string
+	// Used is what the platform reported of the latest attempt that it measured; zero before.
+	Used Use
+	// Limit is the number of cores that the job is held to; none when 0.
+	Limit int
+	// Ran is how long the attempts ran whose progress was kept.
+	Ran  time.Duration
+	Note string
 	// Changed is the offset of the latest change.
 	Changed int64
 }
@@ -100,6 +109,8 @@
 	Job     string  `cbor:"j"`
 	Attempt int     `cbor:"a"`
 	Outcome Outcome `cbor:"o"`
+	// Ran is how long the attempt ran, if the platform has told.
+	Ran time.Duration `cbor:"r,omitempty"`
 }
 
 // Cancel is the record that a caller no longer wants a job.
@@ -115,7 +126,7 @@
 	Note    string `cbor:"n"`
 }
 
-// Yield is the record that a running job is to make room for an urgent one.
+// Yield is the record that a running job is to make room on its instance, for an urgent one or because too much is in use.
 type Yield struct {
 	Job     string `cbor:"j"`
 	Attempt int    `cbor:"a"`
@@ -217,11 +228,12 @@
 		return refuse(ReasonResidency, remedy, "job %s may not run in %s", j.ID, in.DataCentre)
 	}
 	cores, memory := t.Held(in.ID)
-	if cores+j.Spec.Cores > in.Cores || memory+j.Spec.MemoryMB > in.MemoryMB {
+	needs := j.Charged()
+	if cores+needs.Cores > in.Cores || memory+needs.MemoryMB > in.MemoryMB {
 		return refuse(ReasonOccupied, remedy, "instance %s holds %d of %d cores and %d of %d MB", in.ID, cores, in.Cores, memory, in.MemoryMB)
 	}
 	team := t.Configuration.Team(j.Team)
-	if team != nil && team.JobCores > 0 && t.TeamCores(j.Team)+j.Spec.Cores > team.JobCores {
+	if team != nil && team.JobCores > 0 && t.TeamCores(j.Team)+needs.Cores > team.JobCores {
 		return refuse(ReasonQuota, "wait for the team's jobs or raise its job_cores", "team %s holds its %d cores", j.Team, team.JobCores)
 	}
 	return nil
@@ -246,6 +258,7 @@
 	case OutcomeRunning:
 		t.put(j, JobRunning, j.Instance)
 	case OutcomeDone:
+		t.learnRunTime(j, j.Ran+s.Ran)
 		t.put(j, JobDone, j.Instance)
 		if in != nil {
 			in.FailedJobs = nil
@@ -255,6 +268,7 @@
 	case OutcomeCheckpointed:
 		j.Checkpointed = true
 		j.Moves++
+		j.Ran += max(0, s.Ran)
 		t.release(j)
 	case OutcomeStopped:
 		t.stopped(j)
@@ -267,6 +281,7 @@
 // release makes the job pending again, unless it was cancelled.
 func (t *Tables) release(j *Job) {
 	j.Yielding = false
+	t.recharge(j, func() { j.Limit = 0 })
 	if j.State == JobCancelling {
 		t.put(j, JobCancelled, "")
 		return
@@ -353,9 +368,9 @@
 }
 
 func (t *Tables) yield(y Yield) *Refusal {
-	j := t.Jobs.Get(y.Job)
-	if j == nil || j.Attempt != y.Attempt || j.State != JobRunning {
-		return refuse(ReasonStale, "nothing is to be done", "job %s does not run its attempt %d", y.Job, y.Attempt)
+	j, refusal := t.runningAttempt(y.Job, y.Attempt)
+	if refusal != nil {
+		return refusal
 	}
 	if j.Spec.Urgent {
 		return refuse(ReasonState, "choose an ordinary job", "job %s is urgent and yields to none", j.ID)
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -33,6 +33,8 @@
 	Cancel     *Cancel     `cbor:"ca,omitempty"`
 	Park       *Park       `cbor:"pk,omitempty"`
 	Yield      *Yield      `cbor:"yi,omitempty"`
+	Measure    *Measure    `cbor:"me,omitempty"`
+	Throttle   *Throttle   `cbor:"th,omitempty"`
 	Checkpoint *Checkpoint `cbor:"ck,omitempty"`
 }
 
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -21,6 +21,8 @@
 	Entries       Table[Entry]
 	Plans         Table[Plan]
 	Jobs          Table[Job]
+	// RunTimes are what jobs have shown about declared run times, by pool.
+	RunTimes Table[RunTime]
 	// Results are the latest outcomes of operators' and callers' records, oldest first.
 	Results []Result
 	// Checkpointed is the offset of the newest checkpoint seen in the log.
@@ -98,6 +100,10 @@
 		return t.park(*r.Park)
 	case r.Yield != nil:
 		return t.yield(*r.Yield)
+	case r.Measure != nil:
+		return t.measure(*r.Measure)
+	case r.Throttle != nil:
+		return t.throttle(*r.Throttle)
 	case r.Checkpoint != nil:
 		t.Checkpointed = max(t.Checkpointed, r.Checkpoint.Offset)
 		return nil
@@ -131,6 +137,7 @@
 	Entries                         []Entry
 	Plans                           []Plan
 	Jobs                            []Job
+	RunTimes                        []RunTime
 	Results                         []Result
 }
 
@@ -140,7 +147,7 @@
 		Offset: t.Offset, Published: t.Published, Checkpointed: t.Checkpointed,
 		Version: t.Version, Configuration: t.Configuration,
 		Instances: t.Instances.Rows(), Entries: t.Entries.Rows(),
-		Plans: t.Plans.Rows(), Jobs: t.Jobs.Rows(), Results: t.Results,
+		Plans: t.Plans.Rows(), Jobs: t.Jobs.Rows(), RunTimes: t.RunTimes.Rows(), Results: t.Results,
 	}
 	b, err := encoder.Marshal(im)
 	if err != nil {
@@ -179,6 +186,7 @@
 	fill(&t.Entries, im.Entries, func(r *Entry) string { return r.ID })
 	fill(&t.Plans, im.Plans, func(r *Plan) string { return r.ID })
 	fill(&t.Jobs, im.Jobs, func(r *Job) string { return r.ID })
+	fill(&t.RunTimes, im.RunTimes, func(r *RunTime) string { return r.Pool })
 	for _, j := range t.Jobs.All {
 		t.charge(j, 1)
 		if j.State.Ended() {
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -7,8 +7,8 @@
 	cores, memoryMB, jobs int
 }
 
-func (u usage) add(s JobSpec, n int) usage {
-	return usage{u.cores + n*s.Cores, u.memoryMB + n*s.MemoryMB, u.jobs + n}
+func (u usage) add(x Use, n int) usage {
+	return usage{u.cores + n*x.Cores, u.memoryMB + n*x.MemoryMB, u.jobs + n}
 }
 
 // put gives the job its state and instance and keeps the usage right; every change of either goes through it.
@@ -29,11 +29,18 @@
 	if t.onInstance == nil {
 		t.onInstance, t.ofTeam = make(map[string]usage), make(map[string]usage)
 	}
-	t.onInstance[j.Instance] = t.onInstance[j.Instance].add(j.Spec, n)
-	t.ofTeam[j.Team] = t.ofTeam[j.Team].add(j.Spec, n)
+	t.onInstance[j.Instance] = t.onInstance[j.Instance].add(j.Charged(), n)
+	t.ofTeam[j.Team] = t.ofTeam[j.Team].add(j.Charged(), n)
 }
 
-// Held returns the cores and MB that jobs hold on the instance.
+// recharge changes what the job is charged with and keeps the usage right.
+func (t *Tables) recharge(j *Job, change func()) {
+	t.charge(j, -1)
+	change()
+	t.charge(j, 1)
+}
+
+// Held returns the cores and MB that jobs hold on the instance; more than it has when they use more than was known.
 func (t *Tables) Held(instance string) (cores, memoryMB int) {
 	u := t.onInstance[instance]
 	return u.cores, u.memoryMB
--- a/internal/drive/wave.go
+++ b/internal/drive/wave.go
@@ -19,6 +19,8 @@
 	Baseline bool
 	// RackFails takes a whole rack down for a while in the middle of the wave.
 	RackFails bool
+	// Declared plans on the sizes that callers declare, as if the platform reported no usage.
+	Declared bool
 }
 
 // Sum returns the sums of several results, so that ratios of them are means.
@@ -37,6 +39,12 @@
 		sum.Peak = max(sum.Peak, r.Peak)
 		sum.Jobs += r.Jobs
 		sum.Ended = sum.Ended && r.Ended
+		sum.Ran += r.Ran
+		sum.Lost += r.Lost
+		sum.Overload += r.Overload
+		sum.Measures += r.Measures
+		sum.Throttles += r.Throttles
+		sum.Yields += r.Yields
 		sum.LowestMargin = min(sum.LowestMargin, r.LowestMargin)
 	}
 	return sum
@@ -62,6 +70,11 @@
 	// Jobs is the number of jobs that ran, Ended says that the wave came to its end.
 	Jobs  int
 	Ended bool
+	// Ran are the seconds that jobs ran, Lost those of them that they did not get on because they were slowed, Overload
+	// those lost because more was in use than the instance has.
+	Ran, Lost, Overload float64
+	// Measures, Throttles and Yields count what was decided because of usage.
+	Measures, Throttles, Yields int
 	// LowestMargin is the least that a take-out left to a budget.
 	LowestMargin int
 }
@@ -77,6 +90,8 @@
 // work is a job's true course, which the decisions do not know.
 type work struct {
 	left    time.Duration // of its true run time
+	uses    float64       // the cores that it takes when nothing holds it back
+	seen    place.Seen    // what the platform reports
 	since   time.Time     // of the current attempt
 	leaving time.Time     // when its checkpoint is complete; zero when it stays
 	first   bool          // it has been on its first worker since before the wave
@@ -106,7 +121,9 @@
 	for id := range r.t.Jobs.All {
 		w := r.jobs[id]
 		w.first = true
-		w.since = r.now.Add(-time.Duration(r.random.Float64() * float64(w.left) / 2))
+		ran := time.Duration(r.random.Float64() * float64(w.left) / 2)
+		w.since = r.now.Add(-ran)
+		w.left -= ran
 	}
 	r.maintain()
 	return r.res
@@ -150,13 +167,13 @@
 	r.next++
 	spec := fleet.JobSpec{ID: id, Pool: pool, Cores: cores, MemoryMB: 256, RunTime: fleet.Duration(float64(course) * wrong), Repeatable: r.random.IntN(2) == 0}
 	if r.apply(fleet.Record{By: "team", Submit: &fleet.Submit{Team: teamName(r.random.IntN(r.size.Teams)), Spec: spec}}) {
-		r.jobs[id] = &work{left: course}
+		r.jobs[id] = &work{left: course, uses: r.trueCores(cores)}
 		r.res.Jobs++
 	}
 }
 
 func (r *run) place() {
-	d := place.Decide(r.t, place.Options{FirstFit: r.policy.Baseline, Until: r.until(), Margin: 2})
+	d := place.Decide(r.t, place.Options{FirstFit: r.policy.Baseline, Until: r.until(), Margin: r.margin()})
 	for _, s := range d.Starts {
 		if r.apply(fleet.Record{Start: &s}) {
 			r.apply(fleet.Record{Settle: &fleet.Settle{Job: s.Job, Attempt: s.Attempt, Outcome: fleet.OutcomeRunning}})
@@ -165,6 +182,14 @@
 	}
 }
 
+// margin is what declared run times are multiplied by; 0 is what the tables have learned.
+func (r *run) margin() float64 {
+	if r.policy.Declared {
+		return 2
+	}
+	return 0
+}
+
 func (r *run) until() func(string) (time.Duration, bool) {
 	if r.policy.Baseline {
 		return nil
@@ -218,7 +243,7 @@
 func (r *run) outlast(shortest time.Duration) int {
 	n := 0
 	for id, w := range r.jobs {
-		if j := r.t.Jobs.Get(id); j.State == fleet.JobRunning && w.left-r.now.Sub(w.since) > shortest {
+		if j := r.t.Jobs.Get(id); j.State == fleet.JobRunning && w.left > shortest {
 			n++
 		}
 	}
@@ -229,8 +254,10 @@
 	if r.policy.RackFails {
 		r.failRack(begin)
 	}
+	r.work()
 	r.endJobs()
 	r.fill()
+	r.measure()
 	r.advance()
 	r.displace()
 	r.place()
@@ -268,7 +295,8 @@
 }
 
 func (r *run) settle(j *fleet.Job, o fleet.Outcome) {
-	r.apply(fleet.Record{Settle: &fleet.Settle{Job: j.ID, Attempt: j.Attempt, Outcome: o}})
+	ran := r.now.Sub(r.jobs[j.ID].since)
+	r.apply(fleet.Record{Settle: &fleet.Settle{Job: j.ID, Attempt: j.Attempt, Outcome: o, Ran: ran}})
 }
 
 func (r *run) endJobs() {
@@ -279,11 +307,10 @@
 		case j.State.Ended():
 			delete(r.jobs, id)
 		case j.State != fleet.JobRunning:
-		case r.now.Sub(w.since) >= w.left:
+		case w.left <= 0:
 			r.settle(j, fleet.OutcomeDone)
 			delete(r.jobs, id)
 		case !w.leaving.IsZero() && !r.now.Before(w.leaving):
-			w.left -= r.now.Sub(w.since)
 			w.leaving = time.Time{}
 			r.settle(j, fleet.OutcomeCheckpointed)
 		}
@@ -347,7 +374,7 @@
 		return
 	}
 	for id, w := range r.jobs {
-		if j := r.t.Jobs.Get(id); w.first && j.Instance == a.Instance && j.State == fleet.JobRunning && r.now.Sub(w.since) < w.left {
+		if j := r.t.Jobs.Get(id); w.first && j.Instance == a.Instance && j.State == fleet.JobRunning && w.left > 0 {
 			r.res.MovesBound++
 			w.first = false
 		}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -18,6 +18,8 @@
 type Platform struct {
 	// RebootTime is how long a reboot takes.
 	RebootTime time.Duration
+	// UsageLag is how old the reported usage of a task is.
+	UsageLag time.Duration
 	// Probe is called before and after each call that changes something takes effect; may be nil.
 	//
 	// When it returns true, the call is refused before its effect, or its answer is lost after it.
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,6 +29,9 @@
 	leaseFor time.Duration
 	began    time.Time
 	duration time.Duration
+	// uses is what the task would use, limit the cores that it may use; any when 0.
+	uses  platform.Usage
+	limit int
 }
 
 // machineOf returns the instance of the request, or nil after it has answered; the caller holds mu.
@@ -172,17 +176,42 @@
 		m.tasks[id] = t
 	}
 	t.lease = time.Now().Add(t.leaseFor)
+	t.limit = order.Limit
 	p.lose()
-	replyState(w, t.stateAt(time.Now()))
+	p.report(w, t)
 }
 
-// newTask begins a task; its command is "run DURATION" or "fail".
+// report answers with the task's state and, once it is old enough, its usage.
+func (p *Platform) report(w http.ResponseWriter, t *task) {
+	now := time.Now()
+	report := platform.TaskReport{State: t.stateAt(now)}
+	if t != nil && report.State == platform.TaskRunning && now.Sub(t.began) >= p.UsageLag {
+		report.Usage = t.usage(now.Sub(t.began) - p.UsageLag)
+	}
+	reply(w, report)
+}
+
+func (t *task) usage(ran time.Duration) *platform.Usage {
+	u := t.uses
+	u.Ran = ran
+	if t.limit > 0 {
+		u.Cores = min(u.Cores, float64(t.limit))
+	}
+	return &u
+}
+
+// newTask begins a task; its command is "run DURATION", "run DURATION use CORES" or "fail".
 func (p *Platform) newTask(job string, order platform.Task) *task {
 	now := time.Now()
 	t := &task{state: platform.TaskRunning, began: now, leaseFor: order.Lease, lease: now.Add(order.Lease)}
 	word, rest, _ := strings.Cut(order.Command, " ")
 	t.fails = word == "fail"
-	t.duration, _ = time.ParseDuration(rest) // none ends at once
+	length, uses, _ := strings.Cut(rest, " use ")
+	t.duration, _ = time.ParseDuration(length) // none ends at once
+	t.uses = platform.Usage{Cores: float64(order.Cores), MemoryMB: order.MemoryMB}
+	if cores, err := strconv.ParseFloat(uses, 64); err == nil {
+		t.uses.Cores = cores
+	}
 	if order.Continue {
 		t.duration = max(0, t.duration-p.progress[job])
 	} else {
@@ -240,7 +269,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.machineOf(w, r); m != nil {
-		replyState(w, m.tasks[r.PathValue("task")].stateAt(time.Now()))
+		p.report(w, m.tasks[r.PathValue("task")])
 	}
 }
 
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -105,6 +105,35 @@
 	})
 }
 
+// TestAJobThatUsesTooMuchIsHeldBackAndNothingIsLost runs two jobs on one worker that use twice what they declare.
+func TestAJobThatUsesTooMuchIsHeldBackAndNothingIsLost(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := fakeSite(c, smallest())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+		defer cancel()
+		run := trialRun{site: s}
+		for _, id := range [...]string{"first", "second"} {
+			c.Assert(run.submit(ctx, fleet.JobSpec{ID: id, Pool: BatchPool, Cores: 2, RunTime: fleet.Duration(20 * time.Second), Command: "run 20s use 3.2"}), quicktest.IsNil)
+		}
+		jobs := func() map[string]fleet.Job {
+			rows, err := s.Operator(OperatorToken).Jobs(ctx)
+			c.Assert(err, quicktest.IsNil)
+			byID := make(map[string]fleet.Job)
+			for _, j := range rows {
+				byID[j.ID] = j
+			}
+			return byID
+		}
+		c.Assert(s.Await(ctx, func() bool { return jobs()["first"].Limit > 0 && jobs()["second"].Limit > 0 }), quicktest.IsNil)
+		c.Assert(jobs()["first"].Used.Cores, quicktest.Equals, 4)
+		c.Assert(s.Await(ctx, func() bool { return jobs()["first"].State == fleet.JobDone && jobs()["second"].State == fleet.JobDone }), quicktest.IsNil)
+		for id, n := range s.Platform.Starts() {
+			c.Assert(n, quicktest.Equals, 1, quicktest.Commentf("%s", id))
+		}
+	})
+}
+
 // TestUrgentWorkStartsInTimeWhenEverythingIsFull fills every worker and then submits an urgent job.
 func TestUrgentWorkStartsInTimeWhenEverythingIsFull(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/place/decide.go
+++ b/place/decide.go
@@ -18,7 +18,7 @@
 	Most int
 	// Until returns how long the instance stays in service before a plan takes it out, and false when no plan will.
 	Until func(instance string) (time.Duration, bool)
-	// Margin multiplies declared run times, which are far off; 1 when 0.
+	// Margin multiplies declared run times, which are far off; what the tables have learned of each pool when 0.
 	Margin float64
 	// FirstFit takes the first instance with room, as a baseline to measure against.
 	FirstFit bool
@@ -191,11 +191,12 @@
 
 func (d *decision) overQuota(j *fleet.Job) bool {
 	t := d.teams[j.Team]
-	return t.team != nil && t.team.JobCores > 0 && t.held+j.Spec.Cores > t.team.JobCores
+	return t.team != nil && t.team.JobCores > 0 && t.held+j.Charged().Cores > t.team.JobCores
 }
 
 func (d *decision) fits(j *fleet.Job, r *room) bool {
-	return r.cores >= j.Spec.Cores && r.memory >= j.Spec.MemoryMB && j.MayRunIn(r.in.DataCentre) &&
+	needs := j.Charged()
+	return r.cores >= needs.Cores && r.memory >= needs.MemoryMB && j.MayRunIn(r.in.DataCentre) &&
 		!slices.Contains(j.FailedOn, r.in.ID)
 }
 
@@ -218,7 +219,7 @@
 func (d *decision) displaced(j *fleet.Job, r *room) bool {
 	margin := d.o.Margin
 	if margin == 0 {
-		margin = 1
+		margin = d.t.RunTimeMargin(j.Spec.Pool)
 	}
 	return r.soon && time.Duration(float64(j.Spec.RunTime)*margin) > r.until
 }
@@ -228,15 +229,16 @@
 // A pool without instances says nothing: they may still come.
 func (d *decision) never(j *fleet.Job) string {
 	team := d.teams[j.Team].team
-	if team != nil && team.JobCores > 0 && j.Spec.Cores > team.JobCores {
-		return fmt.Sprintf("it needs %d cores and the quota of team %s is %d", j.Spec.Cores, team.Name, team.JobCores)
+	needs := j.Charged()
+	if team != nil && team.JobCores > 0 && needs.Cores > team.JobCores {
+		return fmt.Sprintf("it needs %d cores and the quota of team %s is %d", needs.Cores, team.Name, team.JobCores)
 	}
 	seen := false
 	for _, in := range d.t.Instances.All {
 		if in.Pool != j.Spec.Pool {
 			continue
 		}
-		if in.Cores >= j.Spec.Cores && in.MemoryMB >= j.Spec.MemoryMB && j.MayRunIn(in.DataCentre) && !slices.Contains(j.FailedOn, in.ID) {
+		if in.Cores >= needs.Cores && in.MemoryMB >= needs.MemoryMB && j.MayRunIn(in.DataCentre) && !slices.Contains(j.FailedOn, in.ID) {
 			return ""
 		}
 		seen = true
@@ -244,11 +246,12 @@
 	if !seen {
 		return ""
 	}
-	return fmt.Sprintf("no instance of pool %s where it may run has %d cores and %d MB and has not failed it", j.Spec.Pool, j.Spec.Cores, j.Spec.MemoryMB)
+	return fmt.Sprintf("no instance of pool %s where it may run has %d cores and %d MB and has not failed it", j.Spec.Pool, needs.Cores, needs.MemoryMB)
 }
 
 func (d *decision) charge(j *fleet.Job, r *room) {
-	r.cores -= j.Spec.Cores
-	r.memory -= j.Spec.MemoryMB
-	d.teams[j.Team].held += j.Spec.Cores
+	needs := j.Charged()
+	r.cores -= needs.Cores
+	r.memory -= needs.MemoryMB
+	d.teams[j.Team].held += needs.Cores
 }
--- a/place/yield.go
+++ b/place/yield.go
@@ -16,7 +16,7 @@
 	var jobs []*fleet.Job
 	least := 0
 	for _, r := range d.pools[j.Spec.Pool] {
-		if !j.MayRunIn(r.in.DataCentre) || r.in.Cores < j.Spec.Cores || r.in.MemoryMB < j.Spec.MemoryMB {
+		if !j.MayRunIn(r.in.DataCentre) || r.in.Cores < j.Charged().Cores || r.in.MemoryMB < j.Charged().MemoryMB {
 			continue
 		}
 		chosen, cores, ok := d.yielding(r, j)
@@ -43,23 +43,25 @@
 		d.indexRunning()
 	}
 	free, memory := r.cores, r.memory
+	needs := j.Charged()
 	for _, first := range [...]bool{true, false} { // those that yield already come first
 		for _, o := range d.runs[r.in.ID] {
-			if free >= j.Spec.Cores && memory >= j.Spec.MemoryMB {
+			if free >= needs.Cores && memory >= needs.MemoryMB {
 				return chosen, cores, true
 			}
 			if o.Yielding != first {
 				continue
 			}
-			free += o.Spec.Cores
-			memory += o.Spec.MemoryMB
+			holds := o.Charged()
+			free += holds.Cores
+			memory += holds.MemoryMB
 			chosen = append(chosen, o)
 			if !first {
-				cores += o.Spec.Cores
+				cores += holds.Cores
 			}
 		}
 	}
-	return chosen, cores, free >= j.Spec.Cores && memory >= j.Spec.MemoryMB
+	return chosen, cores, free >= needs.Cores && memory >= needs.MemoryMB
 }
 
 // indexRunning lists the ordinary running jobs of each instance.
--- a/plan/make.go
+++ b/plan/make.go
@@ -238,7 +238,7 @@
 	needed := make(map[string]int)
 	for _, j := range t.Jobs.All {
 		if !j.State.Ended() {
-			needed[j.Spec.Pool] += j.Spec.Cores
+			needed[j.Spec.Pool] += j.Charged().Cores
 		}
 	}
 	if len(needed) == 0 {
