--- a/place/measure.go
+++ b/place/measure.go
@@ -25,6 +25,8 @@
 	settleTime = time.Minute
 	// lowering is the part of its charge below which a job gives cores or memory back.
 	lowering = 0.75
+	// mostUsage bounds what a report is believed, in cores or MB.
+	mostUsage = 1 << 30
 )
 
 // Measured returns the record that sets the job's charge to what was seen, and false when the charge is near enough.
@@ -47,6 +49,6 @@
 	return want, (more || less) && changes
 }
 
-func withMargin(x float64) int { return max(1, int(math.Ceil(x*usageMargin))) }
+func withMargin(x float64) int { return max(1, int(math.Ceil(min(x, mostUsage)*usageMargin))) }
 
 func below(want, charged int) bool { return float64(want) <= lowering*float64(charged) }
--- a/serve/handler.go
+++ b/serve/handler.go
@@ -22,7 +22,8 @@
 // ServeHTTP answers callers.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.handlers.once.Do(func() { s.handlers.container = s.routes() })
-	s.handlers.container.ServeHTTP(w, r)
+	// Not the container's ServeHTTP, whose mux answers a path with "//" or ".." by a redirect.
+	s.handlers.container.Dispatch(w, r)
 }
 
 func (s *Server) routes() *restful.Container {
@@ -70,9 +71,13 @@
 		WriteProblem(w, unauthorized())
 		return
 	}
-	service := rr.PathParameter("service")
+	path, ok := targetPath(r)
+	if !ok {
+		WriteProblem(w, notRun(http.StatusNotFound, ReasonBadRequest, "begin the path with "+servicesPath+"SERVICE/", "path %q names no service", r.URL.Path))
+		return
+	}
 	s.probe(StepAdmission, false)
-	req, p := s.admit(v, team, service, targetPath(r, service), r)
+	req, p := s.admit(v, team, rr.PathParameter("service"), path, r)
 	s.probe(StepAdmission, true)
 	if p != nil {
 		WriteProblem(w, p)
@@ -99,14 +104,20 @@
 	return notRun(http.StatusUnauthorized, ReasonUnauthorized, "send the team's token as 'Authorization: Bearer TOKEN'", "the token is missing or not known")
 }
 
-// targetPath returns the path and query that the target gets, with their escapes as the caller wrote them.
-func targetPath(r *http.Request, service string) string {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+service)
-	if !strings.HasPrefix(path, "/") {
-		path = "/" + path
+// servicesPath comes before a service's name in a caller's path.
+const servicesPath = "/v1/services/"
+
+// targetPath returns the path and query that the target gets, with their escapes as the caller wrote them, and false when
+// the caller's path is not of the form that names a service.
+func targetPath(r *http.Request) (string, bool) {
+	rest, ok := strings.CutPrefix(r.URL.EscapedPath(), servicesPath)
+	if !ok {
+		return "", false
 	}
+	_, path, _ := strings.Cut(rest, "/")
+	path = "/" + path
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	return path
+	return path, true
 }
