--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -8,6 +8,8 @@
 type Faults struct {
 	// LogDown refuses every append and read.
 	LogDown bool
+	// AppendsPerSecond is the number of appends that all logs take in a second; those beyond are refused. Any when 0.
+	AppendsPerSecond int
 	// LogDelay delays every append.
 	LogDelay time.Duration
 	// LoseEvery breaks the connection after every n-th append took effect; never when 0.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -61,6 +61,10 @@
 	} else if f.LogDelay > 0 {
 		time.Sleep(f.LogDelay)
 	}
+	if !p.takes(time.Now()) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	call := Call{Kind: "append", Log: r.PathValue("log"), Records: body.Records}
 	if p.probe(call, false) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -75,6 +79,35 @@
 	}{offset})
 }
 
+// appendSecond counts the appends of the present second, and those of any second that were refused.
+type appendSecond struct {
+	at      int64
+	taken   int
+	refused int
+}
+
+// takes says whether one more append fits into the present second.
+func (p *Platform) takes(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at := now.Unix(); at != p.second.at {
+		p.second.at, p.second.taken = at, 0
+	}
+	if n := p.faults.AppendsPerSecond; n > 0 && p.second.taken >= n {
+		p.second.refused++
+		return false
+	}
+	p.second.taken++
+	return true
+}
+
+// Appends returns the appends that the logs took, and those that were refused because too many came in one second.
+func (p *Platform) Appends() (taken, refused int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.appends, p.second.refused
+}
+
 // Append adds the records and says whether the answer is to be lost.
 func (p *Platform) Append(name string, records [][]byte) (offset int64, lost bool) {
 	p.mu.Lock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -32,6 +32,7 @@
 	machines map[string]*machine
 	history  []snapshot
 	appends  int
+	second   appendSecond
 	calls    int
 	snaps    int
 	progress map[string]time.Duration
