plan: keep one instance of a service in each data centre while others return

Cause: a data centre that is cut off while both of its own instances of a service are out for planned work can't serve that service, although the budget of the whole holds; only min_per_data_centre prevented it.

Change: the planner and the executor keep one instance of each service's pool in every data centre that has two or more, for actions after which the instance returns. It is a matter of planning, so the fold admits what it admitted before.

Figures: TestNoDataCentreIsEmptiedByMaintenance fails before (five of six go out at once), passes after.

--- a/plan/make.go
+++ b/plan/make.go
@@ -210,6 +210,13 @@
 type margin struct {
 	fleet.Budget
 	fleet.Spare
+	// returning says that it binds only instances that return after their action.
+	returning bool
+}
+
+// binds says whether the candidate needs the margin's leave to go out.
+func (m *margin) binds(c candidate) bool {
+	return m.Covers(c.in.Pool, c.in.DataCentre) && (!m.returning || c.action == fleet.ActionReboot)
 }
 
 func newWaves(t *fleet.Tables, chosen []candidate) *waves {
@@ -219,15 +226,46 @@
 	return &waves{t: t, waiting: chosen, margins: margins(t)}
 }
 
-// margins returns every budget, and for pools that run jobs the room that those need.
+// margins returns every budget, for pools that run jobs the room that those need, and one instance in each data centre.
 func margins(t *fleet.Tables) []margin {
 	var all []margin
 	for _, b := range append(t.Configuration.Budgets(), roomForJobs(t)...) {
-		all = append(all, margin{b, t.Spare(b)})
+		all = append(all, margin{Budget: b, Spare: t.Spare(b)})
+	}
+	for _, b := range oneInEach(t) {
+		all = append(all, margin{Budget: b, Spare: t.Spare(b), returning: true})
 	}
 	return all
 }
 
+// oneInEach returns budgets that keep one instance of each service's pool in every data centre that has two or more, so
+// that a data centre that is cut off meanwhile can serve on.
+//
+// It is a matter of planning: the fold does not know it, and it only puts instances that return one after the other.
+func oneInEach(t *fleet.Tables) []fleet.Budget {
+	type place struct{ pool, centre string }
+	count := make(map[place]int)
+	for _, in := range t.Instances.All {
+		if !in.Down || in.Plan != "" { // one that a plan has out will be back
+			count[place{in.Pool, in.DataCentre}]++
+		}
+	}
+	var budgets []fleet.Budget
+	for i := range t.Configuration.Services {
+		s := &t.Configuration.Services[i]
+		b := fleet.Budget{Name: s.Name + " within each data centre", Pool: s.Pool, MinPerDataCentre: 1}
+		for _, dc := range s.DataCentres {
+			if count[place{s.Pool, dc}] > 1 {
+				b.DataCentres = append(b.DataCentres, dc)
+			}
+		}
+		if len(b.DataCentres) > 0 {
+			budgets = append(budgets, b)
+		}
+	}
+	return budgets
+}
+
 // jobRoom is the part of a pool's cores that jobs are planned to fill at most.
 const jobRoom = 0.9
 
@@ -301,7 +339,7 @@
 func (w *waves) blocking(c candidate) string {
 	for i := range w.margins {
 		m := &w.margins[i]
-		if m.Covers(c.in.Pool, c.in.DataCentre) && m.In(c.in.DataCentre) < 1 {
+		if m.binds(c) && m.In(c.in.DataCentre) < 1 {
 			return m.Name
 		}
 	}
--- a/plan/next.go
+++ b/plan/next.go
@@ -122,7 +122,7 @@
 		n.hold(in, "it is %s", in.State)
 		return
 	}
-	if !n.take(in) {
+	if !n.take(s, in) {
 		n.hold(in, "a budget needs it in service")
 		return
 	}
@@ -130,7 +130,7 @@
 }
 
 // take says whether the budgets allow one more take-out beside those that this call decided.
-func (n *next) take(in *fleet.Instance) bool {
+func (n *next) take(s *fleet.Step, in *fleet.Instance) bool {
 	if !in.Available() {
 		return true
 	}
@@ -138,7 +138,7 @@
 		n.margins = margins(n.t)
 	}
 	w := waves{margins: n.margins}
-	if w.blocking(candidate{in: in}) != "" {
+	if w.blocking(candidate{in: in, action: s.Action}) != "" {
 		return false
 	}
 	w.change(in.Pool, in.DataCentre, -1)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -106,6 +106,34 @@
 	c.Assert(held, quicktest.Equals, 4)
 }
 
+// TestNoDataCentreIsEmptiedByMaintenance has a budget that would allow both instances of a data centre to be out at once.
+func TestNoDataCentreIsEmptiedByMaintenance(t *testing.T) {
+	c := quicktest.New(t)
+	tables := testTables(c)
+	s := &tables.Configuration.Services[0]
+	s.MinAvailable, s.MinPerDataCentre = 1, 0
+	p, err := Make(tables, "x", fleet.Intent{Kind: fleet.IntentMaintain, Pool: "p"}, Costs{})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Steps, quicktest.HasLen, 6)
+	add(c, tables, fleet.Record{Propose: &fleet.Propose{Plan: p}})
+	add(c, tables, fleet.Record{Control: &fleet.Control{Plan: "x", Order: fleet.OrderConfirm}})
+	for _, d := range Next(tables, tables.Plans.Get("x"), Facts{}) {
+		if d.Advance != nil {
+			add(c, tables, fleet.Record{Advance: d.Advance})
+		}
+	}
+	serving := make(map[string]int)
+	for _, in := range tables.Instances.All {
+		if in.Available() {
+			serving[in.DataCentre]++
+		}
+	}
+	c.Assert(serving, quicktest.DeepEquals, map[string]int{"a": 1, "b": 1})
+	gone, err := Make(testTables(c), "y", fleet.Intent{Kind: fleet.IntentMove, Pool: "q", Instances: []string{"i0"}}, Costs{})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(gone.Steps, quicktest.HasLen, 1) // what does not return is not held to it
+}
+
 func TestHeldInstancesStayOutUntilTheirReturnIsOrdered(t *testing.T) {
 	c := quicktest.New(t)
 	tables := testTables(c)
