control, platform: follow tasks by worker with one waiting call, and look at jobs only when the tables change

Cause: the capacity points held no jobs. With 3400 at the two-year size an entry used 3.1% of a core and 23 KB/s on average, and the one in each data centre that followed its tasks 6.1% and 92 KB/s, over the limits of 2.6% and 11 KB/s: docs/CAPACITY.md was wrong. One entry asked about every task each 2 s, and every entry went over all jobs in every tick.

Change: a call 'hold' names the tasks that run on one worker, renews their leases and is answered when one of them does not run, else after up to 20 s (2 s for an attempt that has just begun). Each worker is followed by one entry of its data centre, by rendezvous hashing. An index of the jobs is made anew only when the tables have moved, and the entries that may do duties are worked out once a tick for each data centre, which replaces the memory of duties asked about.

The first try hung a test for ten minutes: the stand-in's hold went round without a pause once its caller had gone; it returns now.

--- a/cmd/rackstep/capacity.go
+++ b/cmd/rackstep/capacity.go
@@ -36,14 +36,40 @@
 					return s.Write(c.String("dir"))
 				},
 			},
+			{
+				Name: "submit", Usage: "give the site jobs that run for half an hour",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "dir", Usage: "`FOLDER` of the settings", Required: true},
+					&cli.IntFlag{Name: "jobs", Value: 1000},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					s, err := capacity.ReadSize(c.String("dir"))
+					if err != nil {
+						return cli.Exit(err, exitUsage)
+					}
+					if err := s.Submit(ctx, c.Int("jobs")); err != nil {
+						return cli.Exit(err, exitFailed)
+					}
+					return nil
+				},
+			},
+			{
+				Name: "lose", Usage: "take a rack or a data centre out of the list and print the instances",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "dir", Usage: "`FOLDER` of the settings", Required: true},
+					&cli.StringFlag{Name: "rack"}, &cli.StringFlag{Name: "centre"},
+				},
+				Action: loseInstances,
+			},
 			{
 				Name: "sample", Usage: "watch the processes and print one point as JSON",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "dir", Usage: "`FOLDER` of the settings and process ids", Required: true},
 					&cli.DurationFlag{Name: "time", Value: 30 * time.Second}, &cli.StringFlag{Name: "load", Value: "idle"},
+					&cli.BoolFlag{Name: "from-start", Usage: "count all that the processes have used since they began"},
 				},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					p, err := capacity.Sample(ctx, c.String("dir"), c.String("load"), c.Duration("time"))
+					p, err := capacity.Sample(ctx, c.String("dir"), c.String("load"), c.Duration("time"), c.Bool("from-start"))
 					if err != nil {
 						return cli.Exit(err, exitFailed)
 					}
@@ -62,6 +88,21 @@
 	}
 }
 
+func loseInstances(ctx context.Context, c *cli.Command) error {
+	s, err := capacity.ReadSize(c.String("dir"))
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
+	lost, err := s.Lose(ctx, c.String("rack"), c.String("centre"))
+	if err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	for _, id := range lost {
+		fmt.Println(id)
+	}
+	return nil
+}
+
 func readPoints(name string) ([]capacity.Point, error) {
 	f, err := os.Open(name)
 	if err != nil {
@@ -109,9 +150,9 @@
 }
 
 func printFits(w *table, points []capacity.Point, fits []capacity.Fit, at capacity.Size) {
-	w.head("LOAD", "ENTRIES", "CENTRES", "WORKERS", "POOLS", "TEAMS", "CPU %", "MEMORY MB", "PEERS KB/s", "PLATFORM KB/s", "RECORDS/s")
+	w.head("LOAD", "ENTRIES", "CENTRES", "WORKERS", "POOLS", "TEAMS", "JOBS", "CPU %", "MOST", "MEMORY MB", "PEERS KB/s", "PLATFORM KB/s", "RECORDS/s")
 	for _, p := range points {
-		w.row(p.Load, p.Entries, p.Centres, p.Workers, p.Pools, p.Teams, fmt.Sprintf("%.2f", p.CPU), fmt.Sprintf("%.1f", p.Memory/1e6),
+		w.row(p.Load, p.Entries, p.Centres, p.Workers, p.Pools, p.Teams, p.Jobs, fmt.Sprintf("%.2f", p.CPU), fmt.Sprintf("%.2f", p.MostCPU), fmt.Sprintf("%.1f", p.Memory/1e6),
 			fmt.Sprintf("%.2f", p.PeerBytes/1e3), fmt.Sprintf("%.2f", p.PlatformBytes/1e3), fmt.Sprintf("%.2f", p.Records))
 	}
 	w.head("FIGURE", "BASE", "PER ENTRY", "PER WORKER", "ERROR", fmt.Sprintf("AT %d ENTRIES, %d WORKERS", at.Entries, at.Workers), "LIMIT")
--- a/control/controller.go
+++ b/control/controller.go
@@ -18,6 +18,7 @@
 	"rackstep.dev/peer/peerpb"
 	"rackstep.dev/plan"
 	"rackstep.dev/platform"
+	"rackstep.dev/route"
 	"rackstep.dev/serve"
 )
 
@@ -62,10 +63,11 @@
 	list     listing
 	commands commands
 	tasks    tasks
+	jobs     jobIndex
 	reach    reach
-	// duties are those that this tick has asked about, and whether this entry does them.
-	duties map[duty]bool
-	marks  checkpointing
+	// able are the entries that may do duties in this tick, by data centre; see ableIn.
+	able  map[string][]string
+	marks checkpointing
 	// viewed says that the view in force was made from the tables as they are, with viewedWith.
 	viewed     bool
 	viewedWith membership
@@ -96,7 +98,7 @@
 	c.writer.init(c)
 	c.members.byEntry = make(map[string]*member)
 	c.members.sent = make(map[string]map[string]sentStatus)
-	c.duties = make(map[duty]bool)
+	c.able = make(map[string][]string)
 	c.commands.init()
 	c.tasks.init()
 }
@@ -173,7 +175,7 @@
 	now := time.Now()
 	c.writer.forget(now)
 	c.members.expire(now)
-	clear(c.duties)
+	clear(c.able)
 	c.link()
 	if c.tables != nil {
 		c.observe()
@@ -187,18 +189,23 @@
 	c.gossip(now)
 }
 
-// duty is a piece of work that one entry of a data centre does, or one of all when dataCentre is empty.
-type duty struct{ name, dataCentre string }
+// leads says whether this entry does the duty in this tick: a piece of work that one entry of the data centre does, or one
+// of all when dataCentre is empty.
+func (c *Controller) leads(duty, dataCentre string) bool {
+	return !c.Server.Stopping() && route.Owner(duty, c.ableIn(dataCentre)) == c.Self.ID
+}
 
-// leads says whether this entry does the duty in this tick; the members are looked at once for each duty.
-func (c *Controller) leads(name, dataCentre string) bool {
-	d := duty{name, dataCentre}
-	mine, known := c.duties[d]
+// ableIn returns the live entries of the data centre that reach the log, or those of all when it is empty or has none.
+func (c *Controller) ableIn(dataCentre string) []string {
+	ids, known := c.able[dataCentre]
 	if !known {
-		mine = !c.Server.Stopping() && c.members.leader(c, name, dataCentre) == c.Self.ID
-		c.duties[d] = mine
+		ids = c.members.able(c, c.members.in(c, dataCentre))
+		if len(ids) == 0 && dataCentre != "" {
+			ids = c.ableIn("")
+		}
+		c.able[dataCentre] = ids
 	}
-	return mine
+	return ids
 }
 
 // ServeStream answers one stream of a peer; it is the Mesh's Serve.
--- a/control/members.go
+++ b/control/members.go
@@ -118,18 +118,9 @@
 	return ids
 }
 
-// leader returns the entry that does the duty: one that reaches the log, in the data centre if there is one.
-func (m *members) leader(c *Controller, duty, dataCentre string) string {
-	able := m.able(c, m.in(c, dataCentre))
-	if len(able) == 0 && dataCentre != "" {
-		able = m.able(c, m.in(c, ""))
-	}
-	return route.Owner(duty, able)
-}
-
 // second returns the entry that would do the duty without its leader.
-func (m *members) second(c *Controller, duty string) string {
-	able := m.able(c, m.in(c, ""))
+func (c *Controller) second(duty string) string {
+	able := slices.Clone(c.ableIn(""))
 	first := route.Owner(duty, able)
 	return route.Owner(duty, slices.DeleteFunc(able, func(id string) bool { return id == first }))
 }
--- /dev/null
+++ b/control/tasks.go
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/fleet"
+	"rackstep.dev/plan"
+	"rackstep.dev/platform"
+)
+
+// tasks remembers what this entry has asked the platform about the attempts that it follows.
+type tasks struct {
+	// asking are the attempts with a call of their own under way, due is when the next such call about each may be made.
+	asking map[string]bool
+	due    map[string]time.Time
+	// seen is what the platform has reported of each attempt.
+	seen map[string]*usage
+	// holds are the calls that follow what runs on an instance, by instance.
+	holds map[string]*hold
+	// urgentSince is when there was last no urgent job pending.
+	urgentSince time.Time
+}
+
+func (m *tasks) init() {
+	m.asking = make(map[string]bool)
+	m.due = make(map[string]time.Time)
+	m.seen = make(map[string]*usage)
+	m.holds = make(map[string]*hold)
+}
+
+// Times of tasks.
+const (
+	taskLease = time.Minute
+	// taskPeriod is the time between two calls about one attempt that is not simply running.
+	taskPeriod = 2 * time.Second
+)
+
+func attemptID(j *fleet.Job) string { return fmt.Sprintf("%s.%d", j.ID, j.Attempt) }
+
+// followTasks follows every attempt on the instances that are this entry's to follow.
+func (c *Controller) followTasks() {
+	current := make(map[string]bool)
+	followed := make(map[string]bool)
+	for centre, instances := range c.jobs.held {
+		if !slices.Contains(c.ableIn(centre), c.Self.ID) {
+			continue
+		}
+		for id, jobs := range instances {
+			if !c.leads("tasks/"+id, centre) {
+				continue
+			}
+			followed[id] = true
+			for _, j := range jobs {
+				current[attemptID(j)] = true
+			}
+			c.followInstance(c.tables.Instances.Get(id), jobs)
+		}
+	}
+	c.tasks.keep(current)
+	c.dropHolds(followed)
+}
+
+// keep forgets attempts that have ended or are another entry's.
+func (m *tasks) keep(current map[string]bool) {
+	for id := range m.due {
+		if !current[id] {
+			delete(m.due, id)
+		}
+	}
+	for id := range m.seen {
+		if !current[id] {
+			delete(m.seen, id)
+		}
+	}
+}
+
+// followInstance asks about each job that is to begin or to end, and holds those that simply run.
+func (c *Controller) followInstance(in *fleet.Instance, jobs []*fleet.Job) {
+	draining := in.State == fleet.InstanceDraining || in.Leaving
+	var running []*fleet.Job
+	for _, j := range jobs {
+		id := attemptID(j)
+		leaving := j.Yielding || (draining && c.shouldLeave(id, j))
+		if j.State == fleet.JobRunning && !leaving {
+			running = append(running, j)
+			continue
+		}
+		c.askAbout(id, *j, leaving, in.Down)
+	}
+	c.hold(in.ID, running)
+}
+
+// shouldLeave says whether a job on a draining instance is moved rather than waited for.
+func (c *Controller) shouldLeave(id string, j *fleet.Job) bool {
+	seen := c.tasks.seen[id]
+	return seen == nil || plan.Leaves(j, seen.ran(time.Now()), c.patience())
+}
+
+// askAbout makes a call about one attempt when that is due.
+func (c *Controller) askAbout(id string, j fleet.Job, leaving, down bool) {
+	now := time.Now()
+	if c.tasks.asking[id] || now.Before(c.tasks.due[id]) {
+		return
+	}
+	c.tasks.asking[id] = true
+	c.tasks.due[id] = now.Add(taskPeriod)
+	go func() {
+		report, err := c.askTask(c.ctx, id, j, leaving, down)
+		_ = c.post(c.ctx, func() { // it fails only when the entry stops
+			delete(c.tasks.asking, id)
+			c.taskSays(id, j, report, err)
+		})
+	}()
+}
+
+func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (platform.TaskReport, error) {
+	switch {
+	case j.State == fleet.JobCancelling || (down && j.State == fleet.JobStarting):
+		return c.Platform.StopTask(ctx, j.Instance, id)
+	case leaving && j.State == fleet.JobRunning:
+		return c.Platform.Checkpoint(ctx, j.Instance, id)
+	case down:
+		return c.Platform.Task(ctx, j.Instance, id)
+	}
+	return c.Platform.StartTask(ctx, j.Instance, id, platform.Task{
+		Cores: j.Spec.Cores, MemoryMB: j.Spec.MemoryMB, Command: j.Spec.Command, Continue: j.Checkpointed, Lease: taskLease, Limit: j.Limit,
+	})
+}
+
+// taskSays writes what the platform said of the attempt when it differs from the tables.
+func (c *Controller) taskSays(id string, j fleet.Job, report platform.TaskReport, err error) {
+	if err != nil {
+		c.Events.Emit(event.TaskUncertain, event.Subject{Job: j.ID, Instance: j.Instance}, err.Error())
+		return
+	}
+	outcome, ok := outcomeOf(report.State)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	seen := c.tasks.see(id, now, report.Usage)
+	if outcome == fleet.OutcomeRunning && j.State != fleet.JobStarting {
+		c.measure(j.ID, j.Attempt, seen, now)
+		return
+	}
+	s := fleet.Settle{Job: j.ID, Attempt: j.Attempt, Outcome: outcome}
+	if outcome != fleet.OutcomeRunning && outcome != fleet.OutcomeNotStarted {
+		s.Ran = seen.ran(now)
+	}
+	c.write(fmt.Sprintf("settle/%s/%s", id, outcome), fleet.Record{Settle: &s})
+}
+
+func outcomeOf(s platform.TaskState) (fleet.Outcome, bool) {
+	switch s {
+	case platform.TaskRunning:
+		return fleet.OutcomeRunning, true
+	case platform.TaskDone:
+		return fleet.OutcomeDone, true
+	case platform.TaskFailed:
+		return fleet.OutcomeFailed, true
+	case platform.TaskStopped:
+		return fleet.OutcomeStopped, true
+	case platform.TaskCheckpointed:
+		return fleet.OutcomeCheckpointed, true
+	case platform.TaskVoid:
+		return fleet.OutcomeNotStarted, true
+	}
+	return "", false
+}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -75,7 +75,7 @@
 	if o.Platform != nil {
 		return &http.Client{Transport: o.Platform}
 	}
-	const connections = 16
+	const connections = 32
 	return &http.Client{Transport: &http.Transport{
 		DialContext: m.platform.Dial(o.Dial), MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute,
 	}}
--- /dev/null
+++ b/internal/capacity/jobs.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"rackstep.dev/fleet"
+)
+
+// Sizes of the submitted jobs, and how many are submitted at once.
+const (
+	jobCores     = 4
+	jobMemoryMB  = 1024
+	jobTime      = 30 * time.Minute
+	submitAtOnce = 64
+	submitTime   = 15 * time.Second
+)
+
+// Submit gives the site's entries the jobs, in turn over entries, pools and teams, and returns the first error.
+func (s Size) Submit(ctx context.Context, jobs int) error {
+	places := make(chan struct{}, submitAtOnce)
+	failed := make(chan error, jobs)
+	var work sync.WaitGroup
+	for i := range jobs {
+		places <- struct{}{}
+		work.Go(func() {
+			defer func() { <-places }()
+			if err := s.submit(ctx, i); err != nil {
+				failed <- err
+			}
+		})
+	}
+	work.Wait()
+	close(failed)
+	return <-failed
+}
+
+func (s Size) submit(ctx context.Context, i int) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	body, err := json.Marshal(fleet.JobSpec{
+		ID: fmt.Sprintf("job-%05d", i), Pool: poolName(i % s.Pools), Cores: jobCores, MemoryMB: jobMemoryMB,
+		RunTime: fleet.Duration(jobTime), Repeatable: true, Command: "run " + jobTime.String(),
+	})
+	if err != nil {
+		return fmt.Errorf("encode job: %w", err)
+	}
+	url := "http://" + loopback(firstPort+portsEach*(i%s.Entries)) + "/v1/jobs"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("submit job %d: %w", i, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+teamName(i%s.Teams))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("submit job %d: %w", i, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusAccepted {
+		return fmt.Errorf("submit job %d: status %d", i, resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -13,6 +15,7 @@
 	"time"
 
 	"rackstep.dev/admin"
+	"rackstep.dev/fleet"
 )
 
 // Point is what was measured at one size; figures of entries are means over all of them.
@@ -20,6 +23,11 @@
 	Size
 	// Load names what went on meanwhile.
 	Load string `json:"load"`
+	// Jobs are those that ran at the end.
+	Jobs int `json:"jobs"`
+	// MostCPU and MostBytes are those of the entry that used most.
+	MostCPU   float64 `json:"most_cpu_percent"`
+	MostBytes float64 `json:"most_bytes_per_second"`
 	// CPU is the part of one core in percent, Memory the resident bytes.
 	CPU    float64 `json:"cpu_percent"`
 	Memory float64 `json:"memory_bytes"`
@@ -44,23 +52,22 @@
 	status admin.Status
 }
 
-// Sample watches the processes of the folder for the time and returns their mean cost.
-func Sample(ctx context.Context, dir, load string, d time.Duration) (Point, error) {
-	var size Size
-	b, err := os.ReadFile(filepath.Join(dir, "size.json"))
+// Sample watches the processes of the folder for the time and returns their mean cost; with fromStart it counts all that
+// they have used since they began.
+func Sample(ctx context.Context, dir, load string, d time.Duration, fromStart bool) (Point, error) {
+	size, err := ReadSize(dir)
 	if err != nil {
-		return Point{}, fmt.Errorf("read size: %w", err)
-	}
-	if err := json.Unmarshal(b, &size); err != nil {
-		return Point{}, fmt.Errorf("read size: %w", err)
+		return Point{}, err
 	}
 	processes, err := processesOf(dir, size)
 	if err != nil {
 		return Point{}, err
 	}
-	before, err := readAll(ctx, processes)
-	if err != nil {
-		return Point{}, err
+	before := make([]reading, len(processes))
+	if !fromStart {
+		if before, err = readAll(ctx, processes); err != nil {
+			return Point{}, err
+		}
 	}
 	begin := time.Now()
 	select {
@@ -75,10 +82,26 @@
 	return point(size, load, before, after, time.Since(begin).Seconds()), nil
 }
 
+// ReadSize returns the size that Write has laid down in the folder.
+func ReadSize(dir string) (Size, error) {
+	var size Size
+	b, err := os.ReadFile(filepath.Join(dir, "size.json"))
+	if err != nil {
+		return size, fmt.Errorf("read size: %w", err)
+	}
+	if err := json.Unmarshal(b, &size); err != nil {
+		return size, fmt.Errorf("read size: %w", err)
+	}
+	return size, nil
+}
+
 func processesOf(dir string, s Size) ([]process, error) {
 	var out []process
 	for i := range s.Entries {
 		b, err := os.ReadFile(filepath.Join(dir, EntryName(i)+".pid"))
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // it was lost
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read the process id: %w", err)
 		}
@@ -137,11 +160,17 @@
 	n := float64(len(after))
 	for i := range after {
 		a, b := after[i], before[i]
-		p.CPU += 100 * (a.ticks - b.ticks) / ticksPerSecond / seconds / n
+		cpu := 100 * (a.ticks - b.ticks) / ticksPerSecond / seconds
+		peers := float64(a.status.PeerIn+a.status.PeerOut-b.status.PeerIn-b.status.PeerOut) / seconds
+		platform := float64(a.status.PlatformIn+a.status.PlatformOut-b.status.PlatformIn-b.status.PlatformOut) / seconds
+		p.CPU += cpu / n
 		p.Memory += a.memory / n
-		p.PeerBytes += float64(a.status.PeerIn+a.status.PeerOut-b.status.PeerIn-b.status.PeerOut) / seconds / n
-		p.PlatformBytes += float64(a.status.PlatformIn+a.status.PlatformOut-b.status.PlatformIn-b.status.PlatformOut) / seconds / n
+		p.PeerBytes += peers / n
+		p.PlatformBytes += platform / n
+		p.MostCPU = max(p.MostCPU, cpu)
+		p.MostBytes = max(p.MostBytes, peers+platform)
 	}
+	p.Jobs = after[0].status.Jobs[fleet.JobRunning]
 	p.Records = float64(after[0].status.Offset-before[0].status.Offset) / seconds
 	return p
 }
--- a/internal/capacity/site.go
+++ b/internal/capacity/site.go
@@ -103,6 +103,10 @@
 	return out
 }
 
+func poolName(i int) string { return fmt.Sprintf("pool-%02d", i) }
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
 func worker(i int) string { return fmt.Sprintf("worker-%04d", i) }
 
 func (s Size) configuration() fleet.Configuration {
@@ -113,7 +117,7 @@
 		c.DataCentres = append(c.DataCentres, fleet.DataCentre{Name: s.centre(i), Region: fmt.Sprintf("region-%d", 1+2*i/s.Centres)})
 	}
 	for i := range s.Pools {
-		p := fleet.Pool{Name: fmt.Sprintf("pool-%02d", i)}
+		p := fleet.Pool{Name: poolName(i)}
 		for w := i; w < s.Workers; w += s.Pools {
 			p.Members = append(p.Members, worker(w))
 		}
@@ -121,7 +125,7 @@
 		c.Services = append(c.Services, fleet.Service{Name: p.Name, Pool: p.Name, DataCentres: all, MinAvailable: len(p.Members) * 4 / 5})
 	}
 	for i := range s.Teams {
-		name := fmt.Sprintf("team-%03d", i)
+		name := teamName(i)
 		c.Teams = append(c.Teams, fleet.Team{Name: name, TokenHash: serve.TokenHash(name), JobCores: 256})
 	}
 	return c
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -29,6 +29,7 @@
 	faults   Faults
 	logs     map[string]*logStore
 	changed  chan struct{} // closed and replaced when a log grows
+	tasked   chan struct{} // closed and replaced when a task is ended by a call or with its machine
 	machines map[string]*machine
 	history  []snapshot
 	appends  int
@@ -76,7 +77,7 @@
 func New() *Platform {
 	p := &Platform{
 		RebootTime: 2 * time.Second,
-		logs:       make(map[string]*logStore), changed: make(chan struct{}), machines: make(map[string]*machine),
+		logs:       make(map[string]*logStore), changed: make(chan struct{}), tasked: make(chan struct{}), machines: make(map[string]*machine),
 		progress: make(map[string]time.Duration), starts: make(map[string]int), mux: http.NewServeMux(),
 	}
 	p.mux.HandleFunc("POST /v1/logs/{log}/records", p.appendRecords)
@@ -90,6 +91,7 @@
 	p.mux.HandleFunc("GET /v1/instances/{instance}/tasks/{task}", p.readTask)
 	p.mux.HandleFunc("DELETE /v1/instances/{instance}/tasks/{task}", p.stopTask)
 	p.mux.HandleFunc("POST /v1/instances/{instance}/tasks/{task}/checkpoint", p.checkpointTask)
+	p.mux.HandleFunc("POST /v1/instances/{instance}/hold", p.holdTasks)
 	p.mux.HandleFunc("PUT /v1/faults", p.putFaults)
 	return p
 }
@@ -127,6 +129,7 @@
 	}
 	if down {
 		m.killTasks(time.Now())
+		p.wakeHolds()
 	}
 	p.snap()
 }
@@ -136,6 +139,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.machines, id)
+	p.wakeHolds()
 	p.snap()
 }
 
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -182,13 +182,14 @@
 }
 
 // report answers with the task's state and, once it is old enough, its usage.
-func (p *Platform) report(w http.ResponseWriter, t *task) {
-	now := time.Now()
+func (p *Platform) report(w http.ResponseWriter, t *task) { reply(w, p.reportOf(t, time.Now())) }
+
+func (p *Platform) reportOf(t *task, now time.Time) platform.TaskReport {
 	report := platform.TaskReport{State: t.stateAt(now)}
 	if t != nil && report.State == platform.TaskRunning && now.Sub(t.began) >= p.UsageLag {
 		report.Usage = t.usage(now.Sub(t.began) - p.UsageLag)
 	}
-	reply(w, report)
+	return report
 }
 
 func (t *task) usage(ran time.Duration) *platform.Usage {
@@ -301,6 +302,7 @@
 	default:
 		t.state = t.stateAt(now)
 	}
+	p.wakeHolds()
 	p.lose()
 	replyState(w, t.state)
 }
