cmd/rackstep, trial: show what jobs use, and set sites up in one place

Cause: operators could not see charges and holds but in the time line; two benchmarks set up a site with the same lines, and two tests read the jobs with the same lines.

Change: 'rackstep jobs' has a column for the cores; published and jobsOf serve both places.

--- a/cmd/rackstep/status.go
+++ b/cmd/rackstep/status.go
@@ -126,15 +126,28 @@
 				return failure(err)
 			}
 			return show(c, list, func(w *table) {
-				w.head("JOB", "TEAM", "POOL", "STATE", "INSTANCE", "ATTEMPT", "MOVES", "NOTE")
-				for _, j := range list {
-					w.row(j.ID, j.Team, j.Spec.Pool, j.State, j.Instance, j.Attempt, j.Moves, j.Note)
+				w.head("JOB", "TEAM", "POOL", "STATE", "INSTANCE", "ATTEMPT", "MOVES", "CORES", "NOTE")
+				for i := range list {
+					j := &list[i]
+					w.row(j.ID, j.Team, j.Spec.Pool, j.State, j.Instance, j.Attempt, j.Moves, coresOf(j), j.Note)
 				}
 			})
 		},
 	}
 }
 
+// coresOf tells the cores that the job declared, and what it uses and is held to where that differs.
+func coresOf(j *fleet.Job) string {
+	text := fmt.Sprint(j.Spec.Cores)
+	if j.Used.Cores > 0 && j.Used.Cores != j.Spec.Cores {
+		text += fmt.Sprintf(", uses %d", j.Used.Cores)
+	}
+	if j.Limit > 0 {
+		text += fmt.Sprintf(", held to %d", j.Limit)
+	}
+	return text
+}
+
 func resultCommand() *cli.Command {
 	return &cli.Command{
 		Name: "result", Usage: "ask what became of a record whose outcome was unknown", ArgsUsage: "ID",
--- a/internal/trial/claims_bench_test.go
+++ b/internal/trial/claims_bench_test.go
@@ -35,16 +35,10 @@
 }
 
 func claimAtRate(b *testing.B, rate int) {
-	site, err := Start(Spec{DataCentres: 4, EntriesEach: 2, Services: 1, RunnersEach: 12, Cores: 1, RackSize: 4}, nil)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer site.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	if err := site.Publish(ctx); err != nil {
-		b.Fatal(err)
-	}
+	site := published(ctx, b, Spec{DataCentres: 4, EntriesEach: 2, Services: 1, RunnersEach: 12, Cores: 1, RackSize: 4})
+	defer site.Stop()
 	time.Sleep(2 * time.Second) // until all links are up and the owners agree
 	site.Platform.SetFaults(standin.Faults{AppendsPerSecond: appendsPerSecond})
 	before, _ := site.Platform.Appends()
--- a/internal/trial/request_bench_test.go
+++ b/internal/trial/request_bench_test.go
@@ -24,6 +24,19 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// published starts a site on loopback and publishes its configuration; the caller stops it.
+func published(ctx context.Context, b *testing.B, spec Spec) *Site {
+	site, err := Start(spec, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := site.Publish(ctx); err != nil {
+		site.Stop()
+		b.Fatal(err)
+	}
+	return site
+}
+
 // forwarder is the baseline: a handler and one RoundTrip.
 func forwarder(target string) http.Handler {
 	t := &http.Transport{MaxIdleConnsPerHost: 64}
@@ -52,16 +65,10 @@
 // BenchmarkRequest gives the processor time and the median time of a request: straight to a target, over the bare
 // forwarder, over two of them, over an entry that owns the gate, and over two entries. Client and target are in the same process.
 func BenchmarkRequest(b *testing.B) {
-	site, err := Start(Spec{DataCentres: 1, EntriesEach: 2, Services: 1, RunnersEach: 4, Cores: 1, RackSize: 4}, nil)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer site.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	if err := site.Publish(ctx); err != nil {
-		b.Fatal(err)
-	}
+	site := published(ctx, b, Spec{DataCentres: 1, EntriesEach: 2, Services: 1, RunnersEach: 4, Cores: 1, RackSize: 4})
+	defer site.Stop()
 	target, err := site.serve(nil, (&standin.Target{Instance: "x", Slots: 64}).Server())
 	if err != nil {
 		b.Fatal(err)
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -38,6 +38,18 @@
 	return Spec{DataCentres: 2, EntriesEach: 2, Services: 1, RunnersEach: 4, Workers: 2, Cores: 4, MemoryMB: 1024, RackSize: 2, Spare: 1, RebootTime: time.Second}
 }
 
+// jobsOf returns the site's jobs by ID, as some entry knows them.
+func jobsOf(ctx context.Context, c *quicktest.C, s *Site) map[string]fleet.Job {
+	c.Helper()
+	rows, err := s.Operator(OperatorToken).Jobs(ctx)
+	c.Assert(err, quicktest.IsNil)
+	byID := make(map[string]fleet.Job)
+	for _, j := range rows {
+		byID[j.ID] = j
+	}
+	return byID
+}
+
 func TestMaintenanceUnderLoadKeepsEveryPromise(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		c := quicktest.New(t)
@@ -116,15 +128,7 @@
 		for _, id := range [...]string{"first", "second"} {
 			c.Assert(run.submit(ctx, fleet.JobSpec{ID: id, Pool: BatchPool, Cores: 2, RunTime: fleet.Duration(20 * time.Second), Command: "run 20s use 3.2"}), quicktest.IsNil)
 		}
-		jobs := func() map[string]fleet.Job {
-			rows, err := s.Operator(OperatorToken).Jobs(ctx)
-			c.Assert(err, quicktest.IsNil)
-			byID := make(map[string]fleet.Job)
-			for _, j := range rows {
-				byID[j.ID] = j
-			}
-			return byID
-		}
+		jobs := func() map[string]fleet.Job { return jobsOf(ctx, c, s) }
 		c.Assert(s.Await(ctx, func() bool { return jobs()["first"].Limit > 0 && jobs()["second"].Limit > 0 }), quicktest.IsNil)
 		c.Assert(jobs()["first"].Used.Cores, quicktest.Equals, 4)
 		c.Assert(s.Await(ctx, func() bool { return jobs()["first"].State == fleet.JobDone && jobs()["second"].State == fleet.JobDone }), quicktest.IsNil)
@@ -147,12 +151,10 @@
 			c.Assert(run.submit(ctx, fleet.JobSpec{ID: id, Pool: BatchPool, Cores: 2, RunTime: fleet.Duration(time.Minute), Urgent: urgent, Command: "run 60s"}), quicktest.IsNil)
 		}
 		in := func(state fleet.JobState) map[string]bool {
-			jobs, err := s.Operator(OperatorToken).Jobs(ctx)
-			c.Assert(err, quicktest.IsNil)
 			ids := make(map[string]bool)
-			for _, j := range jobs {
+			for id, j := range jobsOf(ctx, c, s) {
 				if j.State == state {
-					ids[j.ID] = true
+					ids[id] = true
 				}
 			}
 			return ids
