control: renew tasks' leases while nobody reaches the log

Cause: duties are done by entries that reach the log. During an outage of the log there is none, so nobody renewed the leases of running tasks, and after a minute the platform stopped every job; one that must not be repeated was failed.

Change: when no entry reaches the log, the live entries of the data centre follow its tasks. Renewing needs no record, and the ends are written when the log answers.

--- a/control/controller.go
+++ b/control/controller.go
@@ -195,6 +195,14 @@
 	return !c.Server.Stopping() && route.Owner(duty, c.ableIn(dataCentre)) == c.Self.ID
 }
 
+// liveIn returns the live entries of the data centre, or those of all when it has none.
+func (c *Controller) liveIn(dataCentre string) []string {
+	if ids := c.members.in(c, dataCentre); len(ids) > 0 {
+		return ids
+	}
+	return c.members.in(c, "")
+}
+
 // ableIn returns the live entries of the data centre that reach the log, or those of all when it is empty or has none.
 func (c *Controller) ableIn(dataCentre string) []string {
 	ids, known := c.able[dataCentre]
--- a/control/tasks.go
+++ b/control/tasks.go
@@ -12,6 +12,7 @@
 	"rackstep.dev/fleet"
 	"rackstep.dev/plan"
 	"rackstep.dev/platform"
+	"rackstep.dev/route"
 )
 
 // tasks remembers what this entry has asked the platform about the attempts that it follows.
@@ -48,11 +49,12 @@
 	current := make(map[string]bool)
 	followed := make(map[string]bool)
 	for centre, instances := range c.jobs.held {
-		if !slices.Contains(c.ableIn(centre), c.Self.ID) {
+		followers := c.followers(centre)
+		if !slices.Contains(followers, c.Self.ID) {
 			continue
 		}
 		for id, jobs := range instances {
-			if !c.leads("tasks/"+id, centre) {
+			if route.Owner("tasks/"+id, followers) != c.Self.ID {
 				continue
 			}
 			followed[id] = true
@@ -66,6 +68,16 @@
 	c.dropHolds(followed)
 }
 
+// followers returns the entries that follow tasks in the data centre.
+//
+// When nobody reaches the log, leases are renewed all the same: that needs no record, and what ends is written later.
+func (c *Controller) followers(centre string) []string {
+	if ids := c.ableIn(centre); len(ids) > 0 {
+		return ids
+	}
+	return c.liveIn(centre)
+}
+
 // keep forgets attempts that have ended or are another entry's.
 func (m *tasks) keep(current map[string]bool) {
 	for id := range m.due {
--- a/internal/trial/site_test.go
+++ b/internal/trial/site_test.go
@@ -18,6 +18,7 @@
 
 	"rackstep.dev/fleet"
 	"rackstep.dev/internal/memnet"
+	"rackstep.dev/internal/standin"
 	"rackstep.dev/serve"
 )
 
@@ -138,6 +139,34 @@
 	})
 }
 
+// TestJobsOutliveALongOutageOfTheLog has the log down for longer than a task's lease.
+func TestJobsOutliveALongOutageOfTheLog(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := fakeSite(c, smallest())
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Minute)
+		defer cancel()
+		run := trialRun{site: s}
+		for id, command := range map[string]string{"ends-after-it": "run 400s", "ends-during-it": "run 100s"} {
+			c.Assert(run.submit(ctx, fleet.JobSpec{ID: id, Pool: BatchPool, Cores: 2, RunTime: fleet.Duration(time.Minute), Command: command}), quicktest.IsNil)
+		}
+		c.Assert(s.Await(ctx, func() bool {
+			jobs := jobsOf(ctx, c, s)
+			return jobs["ends-after-it"].State == fleet.JobRunning && jobs["ends-during-it"].State == fleet.JobRunning
+		}), quicktest.IsNil)
+		s.Platform.SetFaults(standin.Faults{LogDown: true})
+		time.Sleep(4 * time.Minute)
+		s.Platform.SetFaults(standin.Faults{})
+		time.Sleep(4 * time.Minute)
+		for id, j := range jobsOf(ctx, c, s) {
+			c.Assert(j.State, quicktest.Equals, fleet.JobDone, quicktest.Commentf("%s: %s", id, j.Note))
+		}
+		for id, n := range s.Platform.Starts() {
+			c.Assert(n, quicktest.Equals, 1, quicktest.Commentf("%s", id))
+		}
+	})
+}
+
 // TestUrgentWorkStartsInTimeWhenEverythingIsFull fills every worker and then submits an urgent job.
 func TestUrgentWorkStartsInTimeWhenEverythingIsFull(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
