control: pause longer between holds that fail, and tell of the first only

Cause: while the platform answers nothing about tasks, each worker's hold was asked again each second and each failure was an event: 24 calls and 24 events a second at an entry of the two-year size, which push everything else out of the time line.

Change: the pause doubles up to 8 s, well within the lease of a minute; the first failure in a row is an event.

Figures: worked out, 24 a second before; after 30 s of an outage 3 calls a second and no further event. The tests of jobs pass.

--- a/control/hold.go
+++ b/control/hold.go
@@ -20,6 +20,8 @@
 	calls int
 	// due is when the next call may be made.
 	due time.Time
+	// failed counts the calls in a row that had no answer.
+	failed int
 }
 
 const (
@@ -27,8 +29,10 @@
 	// soon; the wait grows with the attempt's age up to holdWait. Leases are renewed that often.
 	firstWait = 2 * time.Second
 	holdWait  = 20 * time.Second
-	// holdPause is the pause after a call that failed or told of an end.
-	holdPause = time.Second
+	// holdPause is the pause after a call that told of an end, and after the first that failed; it doubles with each further
+	// one up to longestHoldPause.
+	holdPause        = time.Second
+	longestHoldPause = 8 * time.Second
 )
 
 // hold keeps one call under way that names just the running jobs.
@@ -113,10 +117,13 @@
 func (c *Controller) holdSays(instance string, h *hold, jobs []fleet.Job, reports map[string]platform.TaskReport, err error) {
 	h.cancel = nil
 	if err != nil {
-		h.due = time.Now().Add(holdPause)
-		c.Events.Emit(event.TaskUncertain, event.Subject{Instance: instance}, err.Error())
+		h.due = time.Now().Add(min(longestHoldPause, holdPause<<min(h.failed, 8)))
+		if h.failed++; h.failed == 1 {
+			c.Events.Emit(event.TaskUncertain, event.Subject{Instance: instance}, err.Error())
+		}
 		return
 	}
+	h.failed = 0
 	for i := range jobs {
 		id := attemptID(&jobs[i])
 		report, told := reports[id]
