serve, route: look for slots where they were told of, and wait in the shortest queue

Cause: an entry whose data centre had no free slot asked the others one after the other in a fixed order, passed over for 5 ms those that had none, and then waited at home whatever the queue there.

Change: every relayed answer, a refusal too, tells the owner's free slots less its waiting requests. An entry asks its own data centre, then the region's and then the rest by what is to be expected there, and waits in the shortest queue of the region when that is two requests shorter.

--- a/control/view.go
+++ b/control/view.go
@@ -109,8 +109,8 @@
 		Services: make(map[string]*serve.Service, len(t.Configuration.Services)),
 		Teams:    make(map[string]*fleet.Team, len(t.Configuration.Teams)),
 		Entries:  make(map[string][]string),
-		Near:     c.near(),
 	}
+	v.Near, v.Region = c.near()
 	for i := range t.Configuration.Teams {
 		team := t.Configuration.Teams[i]
 		v.Teams[team.TokenHash] = &team
@@ -159,18 +159,21 @@
 }
 
 // near returns the data centres: this one, those of its region, the others.
-func (c *Controller) near() []string {
+func (c *Controller) near() (list []string, inRegion int) {
 	region := ""
 	if dc := c.tables.Configuration.DataCentre(c.Self.DataCentre); dc != nil {
 		region = dc.Region
 	}
-	list := []string{c.Self.DataCentre}
+	list = []string{c.Self.DataCentre}
 	for _, same := range [...]bool{true, false} {
 		for _, dc := range c.tables.Configuration.DataCentres {
 			if dc.Name != c.Self.DataCentre && (dc.Region == region) == same {
 				list = append(list, dc.Name)
 			}
 		}
+		if same {
+			inRegion = len(list)
+		}
 	}
-	return list
+	return list, inRegion
 }
--- a/route/gate.go
+++ b/route/gate.go
@@ -142,6 +142,18 @@
 	return inFlight, g.urgent.n + g.normal.n, len(g.targets) * g.limits.Slots
 }
 
+// Spare returns the number of free slots less that of waiting requests.
+func (g *Gate) Spare() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	spare := -g.urgent.n - g.normal.n
+	for _, s := range g.targets {
+		spare += max(0, s.allowed(g.limits.Slots-s.Held, now)-s.busy)
+	}
+	return spare
+}
+
 // Acquire waits for a slot; it fails with a RefusedError, and then nothing was dispatched.
 func (g *Gate) Acquire(ctx context.Context, r Request) (*Lease, error) {
 	w, lease, refused := g.enter(r)
--- a/route/sharing_bench_test.go
+++ b/route/sharing_bench_test.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -25,6 +26,11 @@
 	simFar      = 2 * time.Millisecond
 	simDeadline = 2 * time.Second
 	simHint     = 5 * time.Millisecond
+	// What an entry makes of the free slots that data centres tell; see package serve.
+	simSpareTime  = 10 * time.Millisecond
+	simUsualSpare = 2.0
+	simLeastSpare = 0.5
+	simRelaySpare = 2.0
 )
 
 // simEvent is something that happens at a time.
@@ -67,6 +73,14 @@
 	full map[[2]int]time.Duration
 	// pushes says that the targets refuse above their slots, because no gate knows all that they run.
 	pushes bool
+	// spares are what data centres told entries of their free slots.
+	spares map[[2]int]simSpare
+}
+
+// simSpare is a number of free slots less waiting requests, and when it was told.
+type simSpare struct {
+	slots float64
+	at    time.Duration
 }
 
 type simWaiter struct {
@@ -201,6 +215,10 @@
 			gates := s.owners()
 			return func(e int, work time.Duration) { s.spill(gates, e, work, simHint) }
 		}},
+		{"owner-spill-spares", func(s *sim) func(int, time.Duration) {
+			gates := s.owners()
+			return func(e int, work time.Duration) { s.spillBySpares(gates, e, work) }
+		}},
 	}
 }
 
@@ -250,9 +268,68 @@
 	s.offer(gates[home], arrived, extra, work)
 }
 
+// spillBySpares tries the own data centre, then the others by what is to be expected there, and waits in the shortest queue.
+func (s *sim) spillBySpares(gates []*Gate, e int, work time.Duration) {
+	home := e % simCentres
+	arrived, extra := s.now, s.hop(e, home)
+	if s.offerNow(gates[home], arrived, extra, work) {
+		return
+	}
+	for _, to := range s.byExpectation(e, home) {
+		s.hops++
+		extra += simFar
+		if s.offerNow(gates[to], arrived, extra, work) {
+			s.sent(gates, e, to, work)
+			return
+		}
+		s.spares[[2]int{e, to}] = simSpare{float64(gates[to].Spare()), s.now}
+	}
+	to := s.shortest(e, home, gates)
+	if to != home {
+		s.hops++
+		extra += simFar
+		s.sent(gates, e, to, work)
+	}
+	s.offer(gates[to], arrived, extra, work)
+}
+
+// sent counts the request where it went, until its answer tells anew.
+func (s *sim) sent(gates []*Gate, e, to int, work time.Duration) {
+	key := [2]int{e, to}
+	s.spares[key] = simSpare{s.spares[key].slots - 1, s.spares[key].at}
+	s.after(work, func() { s.spares[key] = simSpare{float64(gates[to].Spare()), s.now} })
+}
+
+func (s *sim) byExpectation(e, home int) []int {
+	expected := make(map[int]float64)
+	var list []int
+	for off := range simCentres {
+		to := (off + e) % simCentres
+		told := s.spares[[2]int{e, to}]
+		worth := math.Exp(-float64(s.now-told.at) / float64(simSpareTime))
+		expected[to] = told.slots*worth + simUsualSpare*(1-worth)
+		if to != home && expected[to] >= simLeastSpare {
+			list = append(list, to)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(expected[b], expected[a]) })
+	return list
+}
+
+func (s *sim) shortest(e, home int, gates []*Gate) int {
+	best, value := home, float64(gates[home].Spare())+simRelaySpare
+	for to := range simCentres {
+		told := s.spares[[2]int{e, to}]
+		if to != home && s.now-told.at <= simSpareTime && told.slots > value {
+			best, value = to, told.slots
+		}
+	}
+	return best
+}
+
 // simulate sends the requests at the load and returns the figures.
 func simulate(way simWay, load float64, skew float64) *sim {
-	s := &sim{random: rand.New(rand.NewPCG(7, 11)), busy: make(map[string]int), full: make(map[[2]int]time.Duration)}
+	s := &sim{random: rand.New(rand.NewPCG(7, 11)), busy: make(map[string]int), full: make(map[[2]int]time.Duration), spares: make(map[[2]int]simSpare)}
 	bring := way.set(s)
 	gap := float64(simService) / (float64(simRunners*simSlots) * load)
 	sent := 0
--- a/serve/execute.go
+++ b/serve/execute.go
@@ -17,6 +17,7 @@
 // execute runs the request on a target of this data centre; this entry is the service's owner.
 func (s *Server) execute(ctx context.Context, r *request) (*answer, *Problem) {
 	if r.NoWait && !s.gateOf(r.Service.Name).Free(s.ask(r, nil)) {
+		s.spares.tell(r.Service.Name, s.DataCentre, s.gateOf(r.Service.Name).Spare(), s.now())
 		return nil, notRun(http.StatusServiceUnavailable, ReasonBusy, "come back later", "no slot of %s is free in %s", r.Service.Name, s.DataCentre)
 	}
 	if r.Repeatable {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -38,6 +38,9 @@
 		cancel()
 		return nil, relayLost(r, entry, err)
 	}
+	if head.Spare != nil {
+		s.spares.tell(r.Service.Name, s.centreOf(entry), int(*head.Spare), s.now())
+	}
 	end := func(whole bool) {
 		if whole {
 			stream.Release()
@@ -85,18 +88,46 @@
 	// The context ends when the sender closes the stream, because its caller has gone.
 	a, p := s.relayed(ctx, m)
 	if p != nil {
-		_ = stream.Send(problemTo(p)) // a sender that has gone can't be told
+		head := problemTo(p)
+		head.Spare = s.spareOf(m.Service, 0)
+		_ = stream.Send(head) // a sender that has gone can't be told
 		return
 	}
 	whole := false
 	defer func() { a.End(whole) }()
-	head := &peerpb.RelayAnswer{Status: int32(a.Status), Headers: headersTo(a.Header), Body: a.Body, Whole: a.Rest == nil}
+	ending := 0
+	if a.Rest == nil {
+		ending = 1
+	}
+	head := &peerpb.RelayAnswer{Status: int32(a.Status), Headers: headersTo(a.Header), Body: a.Body, Whole: a.Rest == nil, Spare: s.spareOf(m.Service, ending)}
 	if stream.Send(head) != nil && a.Rest != nil {
 		return
 	}
 	whole = a.Rest == nil || sendChunks(stream, a.Rest)
 }
 
+// spareOf returns what this entry tells of the service's free slots, or nil when another one runs the gate; ending is the
+// number of requests that still hold a slot and are about to end.
+func (s *Server) spareOf(service string, ending int) *int32 {
+	v := s.View()
+	if v == nil || v.Services[service] == nil || v.Services[service].Owner != s.Self {
+		return nil
+	}
+	n := int32(s.gateOf(service).Spare() + ending)
+	return &n
+}
+
+// centreOf returns the data centre of the entry, or an empty string when the view does not show it.
+func (s *Server) centreOf(entry string) string {
+	v := s.View()
+	for dc, entries := range v.Entries {
+		if slices.Contains(entries, entry) {
+			return dc
+		}
+	}
+	return ""
+}
+
 // relayed checks and runs a request from another entry; this entry's own view decides what is allowed.
 func (s *Server) relayed(ctx context.Context, m *peerpb.RelayRequest) (*answer, *Problem) {
 	v := s.View()
--- a/serve/run.go
+++ b/serve/run.go
@@ -16,8 +16,6 @@
 	maxPlaces    = 3
 	handoverWait = 25 * time.Millisecond
 	maxHandover  = 2 * time.Second
-	// fullFor is how long a data centre that had no free slot is not asked for one again.
-	fullFor = 5 * time.Millisecond
 )
 
 // runOnce runs the request unless an earlier copy of it is known.
@@ -38,7 +36,7 @@
 
 // run takes an admitted request to a data centre where it may run.
 //
-// It first asks each for a free slot, the nearest first, and waits in the nearest one's queue when there is none.
+// It first asks for a free slot, and waits in the shortest queue of those nearby when there is none.
 func (s *Server) run(ctx context.Context, v *View, r *request) (*answer, *Problem) {
 	places := s.places(v, r)
 	if len(places) > 1 {
@@ -46,6 +44,7 @@
 		if p == nil || !s.goOn(ctx, r, p) {
 			return a, p
 		}
+		s.spares.shortestFirst(r.Service.Name, places[:v.nearby(places)], s.now())
 	}
 	var last *Problem
 	for i, dc := range places {
@@ -66,20 +65,24 @@
 	return nil, p
 }
 
-// runFree runs the request in the nearest data centre that has a free slot; the problem is busy when none has.
+// runFree runs the request in a data centre that has a free slot; the problem is busy when none has.
+//
+// The nearest one is asked first, then those of the region and then the rest, each by what is to be expected there.
 func (s *Server) runFree(ctx context.Context, v *View, r *request, places []string) (*answer, *Problem) {
 	r.NoWait = true
 	defer func() { r.NoWait = false }()
 	busy := notRun(http.StatusServiceUnavailable, ReasonBusy, "come back later", "no slot of %s is free", r.Service.Name)
-	for i, dc := range places {
-		if i > 0 && s.full.is(r.Service.Name, dc, s.now()) {
-			continue
+	near := v.nearby(places)
+	for i, group := range [...][]string{places[:1], places[1:near], places[near:]} {
+		if i > 0 {
+			group = s.spares.byExpectation(r.Service.Name, group, s.now())
 		}
-		a, p := s.runIn(ctx, v, r, dc)
-		if p == nil || !s.goOn(ctx, r, p) {
-			return a, p
+		for _, dc := range group {
+			a, p := s.runIn(ctx, v, r, dc)
+			if p == nil || !s.goOn(ctx, r, p) {
+				return a, p
+			}
 		}
-		s.full.set(r.Service.Name, dc, s.now().Add(fullFor))
 	}
 	return nil, busy
 }
@@ -114,6 +117,7 @@
 	if dc == s.DataCentre {
 		return s.local(ctx, r, false)
 	}
+	s.spares.use(r.Service.Name, dc)
 	entry := route.Owner(r.Service.Name, v.Entries[dc])
 	if entry == "" {
 		p := notRun(http.StatusServiceUnavailable, ReasonCutOff, "come back later", "no entry of data centre %s can be reached", dc)
--- a/serve/server.go
+++ b/serve/server.go
@@ -47,7 +47,7 @@
 	linked   atomic.Bool
 	active   atomic.Int64 // requests of callers and peers that have begun and not ended
 	attempts atomic.Uint64
-	full     fullPlaces
+	spares   spares
 	tolds    sync.Map // told by toldKey
 
 	mu    sync.Mutex
--- a/serve/view.go
+++ b/serve/view.go
@@ -22,6 +22,23 @@
 	Entries map[string][]string
 	// Near lists the data centres, the nearest first.
 	Near []string
+	// Region is the number of data centres at the beginning of Near that are in this entry's region.
+	Region int
+}
+
+// nearby returns how many of the places, which are in the order of Near, are as near as the first one: in this entry's
+// region, or all when none is.
+func (v *View) nearby(places []string) int {
+	n := 0
+	for _, dc := range places {
+		if slices.Index(v.Near, dc) < v.Region {
+			n++
+		}
+	}
+	if n == 0 {
+		return len(places)
+	}
+	return n
 }
 
 // Service is one service as seen from this entry.
