capacity: fit a slope for running jobs

Cause: the points now hold jobs, and the fit knew entries and workers only.

Change: a fourth unknown where the points differ in jobs; the report works out a size with 3400 jobs by default.

--- a/cmd/rackstep/capacity.go
+++ b/cmd/rackstep/capacity.go
@@ -81,6 +81,7 @@
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "plots", Usage: "`FOLDER` for the plots; none are drawn without it"},
 					&cli.IntFlag{Name: "entries", Usage: "entries of the size to work out", Value: 32}, &cli.IntFlag{Name: "workers", Usage: "workers of that size", Value: 780},
+					&cli.IntFlag{Name: "jobs", Usage: "jobs running at that size", Value: 3400},
 				},
 				Action: reportCapacity,
 			},
@@ -146,23 +147,23 @@
 			}
 		}
 	}
-	return show(c, fits, func(w *table) { printFits(w, points, fits, at) })
+	return show(c, fits, func(w *table) { printFits(w, points, fits, at, c.Int("jobs")) })
 }
 
-func printFits(w *table, points []capacity.Point, fits []capacity.Fit, at capacity.Size) {
+func printFits(w *table, points []capacity.Point, fits []capacity.Fit, at capacity.Size, jobs int) {
 	w.head("LOAD", "ENTRIES", "CENTRES", "WORKERS", "POOLS", "TEAMS", "JOBS", "CPU %", "MOST", "MEMORY MB", "PEERS KB/s", "PLATFORM KB/s", "RECORDS/s")
 	for _, p := range points {
 		w.row(p.Load, p.Entries, p.Centres, p.Workers, p.Pools, p.Teams, p.Jobs, fmt.Sprintf("%.2f", p.CPU), fmt.Sprintf("%.2f", p.MostCPU), fmt.Sprintf("%.1f", p.Memory/1e6),
 			fmt.Sprintf("%.2f", p.PeerBytes/1e3), fmt.Sprintf("%.2f", p.PlatformBytes/1e3), fmt.Sprintf("%.2f", p.Records))
 	}
-	w.head("FIGURE", "BASE", "PER ENTRY", "PER WORKER", "ERROR", fmt.Sprintf("AT %d ENTRIES, %d WORKERS", at.Entries, at.Workers), "LIMIT")
+	w.head("FIGURE", "BASE", "PER ENTRY", "PER WORKER", "PER JOB", "ERROR", fmt.Sprintf("AT %d ENTRIES, %d WORKERS, %d JOBS", at.Entries, at.Workers, jobs), "LIMIT")
 	for _, f := range fits {
 		limit := "-"
 		if f.Figure.Limit > 0 {
 			limit = fmt.Sprint(f.Figure.Limit)
 		}
 		w.row(f.Figure.Name+" "+f.Figure.Unit, fmt.Sprintf("%.3f", f.Base), fmt.Sprintf("%.4f", f.PerEntry), fmt.Sprintf("%.5f", f.PerWorker),
-			fmt.Sprintf("%.3f", f.Error), fmt.Sprintf("%.2f", f.At(at)), limit)
+			fmt.Sprintf("%.6f", f.PerJob), fmt.Sprintf("%.3f", f.Error), fmt.Sprintf("%.2f", f.At(at, jobs)), limit)
 	}
 }
 
@@ -175,7 +176,7 @@
 	lines := make(map[int]plotter.XYs)
 	var args []any
 	for _, x := range points {
-		if x.Load != "idle" {
+		if x.Load != "idle" || x.Jobs > 0 {
 			continue
 		}
 		lines[x.Workers] = append(lines[x.Workers], plotter.XY{X: float64(x.Entries), Y: fig.Of(x)})
