control: let the next in line place jobs that the leader leaves, and end jobs without a pause

Found beside it: since holds took the place of calls about each task, a job that was told to leave was asked only when the pause since its last call was over, so an urgent job ran after 2.5 s in place of 1 s.

Change: the next in line carries out what has been possible for 1.5 s and was left undone, urgent or not. It looks at the decisions and not at what is pending, so it does nothing beside a living leader while jobs wait for room. A job that begins to end is asked about at once.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -18,35 +18,26 @@
 // runJobs decides starts and follows what runs.
 func (c *Controller) runJobs() {
 	c.jobs.refresh(c.tables)
-	if c.placing() {
-		c.startJobs()
+	switch {
+	case c.leads("place", ""):
+		c.startJobs(c.decide())
+	case c.jobs.pending && c.second("place") == c.Self.ID:
+		c.startJobs(c.tasks.overdue.of(c.decide(), time.Now()))
+	default:
+		c.tasks.overdue = overdue{}
 	}
 	c.followTasks()
 }
 
-// urgentWait is how long an urgent job may stay pending before the next entry in line decides as well.
-const urgentWait = 1500 * time.Millisecond
-
-// placing says whether this entry decides starts now: the leader does, and the next in line when the leader lets an
-// urgent job wait, because it may take a while until a dead leader in another data centre is missed.
-func (c *Controller) placing() bool {
-	if c.leads("place", "") {
-		return true
-	}
-	now := time.Now()
-	if !c.jobs.urgent {
-		c.tasks.urgentSince = now
-		return false
+func (c *Controller) decide() place.Decisions {
+	if !c.jobs.pending {
+		return place.Decisions{}
 	}
-	return now.Sub(c.tasks.urgentSince) > urgentWait && c.second("place") == c.Self.ID
+	return place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs)})
 }
 
 // startJobs writes what is decided about pending jobs, and about instances on which too much is in use.
-func (c *Controller) startJobs() {
-	var d place.Decisions
-	if c.jobs.pending {
-		d = place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs)})
-	}
+func (c *Controller) startJobs(d place.Decisions) {
 	for _, s := range d.Starts {
 		c.write(fmt.Sprintf("start/%s/%d", s.Job, s.Attempt), fleet.Record{Start: &s})
 	}
--- a/control/tasks.go
+++ b/control/tasks.go
@@ -19,18 +19,25 @@
 type tasks struct {
 	// asking are the attempts with a call of their own under way, due is when the next such call about each may be made.
 	asking map[string]bool
-	due    map[string]time.Time
+	due    map[string]dueCall
 	// seen is what the platform has reported of each attempt.
 	seen map[string]*usage
 	// holds are the calls that follow what runs on an instance, by instance.
 	holds map[string]*hold
-	// urgentSince is when there was last no urgent job pending.
-	urgentSince time.Time
+	// overdue is what the leader of the placement has left undone.
+	overdue overdue
+}
+
+// dueCall is when the next call about an attempt may be made; one that is to end is asked about at once when it was not to
+// end before.
+type dueCall struct {
+	at     time.Time
+	ending bool
 }
 
 func (m *tasks) init() {
 	m.asking = make(map[string]bool)
-	m.due = make(map[string]time.Time)
+	m.due = make(map[string]dueCall)
 	m.seen = make(map[string]*usage)
 	m.holds = make(map[string]*hold)
 }
@@ -117,11 +124,13 @@
 // askAbout makes a call about one attempt when that is due.
 func (c *Controller) askAbout(id string, j fleet.Job, leaving, down bool) {
 	now := time.Now()
-	if c.tasks.asking[id] || now.Before(c.tasks.due[id]) {
+	ending := leaving || j.State == fleet.JobCancelling
+	due := c.tasks.due[id]
+	if c.tasks.asking[id] || (now.Before(due.at) && due.ending == ending) {
 		return
 	}
 	c.tasks.asking[id] = true
-	c.tasks.due[id] = now.Add(taskPeriod)
+	c.tasks.due[id] = dueCall{now.Add(taskPeriod), ending}
 	go func() {
 		report, err := c.askTask(c.ctx, id, j, leaving, down)
 		_ = c.post(c.ctx, func() { // it fails only when the entry stops
--- /dev/null
+++ b/internal/trial/leader_test.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+
+//go:build !race
+
+package trial
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/fleet"
+	"rackstep.dev/route"
+)
+
+// TestJobsAreSoonPlacedWhenTheirLeaderDies crashes the entry that places jobs, which others miss only after half a minute.
+func TestJobsAreSoonPlacedWhenTheirLeaderDies(t *testing.T) {
+	for _, urgent := range [...]bool{false, true} {
+		inBubble(t, func(t *testing.T) {
+			c := quicktest.New(t)
+			spec := smallest()
+			spec.DataCentres, spec.EntriesEach = 4, 1
+			s := fakeSite(c, spec)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+			defer cancel()
+			var entries []string
+			for i := range spec.DataCentres {
+				entries = append(entries, EntryName(i, 0))
+			}
+			s.CrashEntry(route.Owner("place", entries))
+			run := trialRun{site: s}
+			c.Assert(run.submit(ctx, fleet.JobSpec{ID: "job", Pool: BatchPool, Cores: 2, Urgent: urgent, Command: "run 10s"}), quicktest.IsNil)
+			begin := time.Now()
+			c.Assert(s.Await(ctx, func() bool { return jobsOf(ctx, c, s)["job"].State == fleet.JobRunning }), quicktest.IsNil)
+			took := time.Since(begin)
+			t.Logf("urgent %t: it ran after %s of the fake clock", urgent, took)
+			c.Assert(took <= 3500*time.Millisecond, quicktest.IsTrue)
+		})
+	}
+}
