trial: let jobs outlive the entries of their data centre

Cause: leases last a minute, entries elsewhere miss a data centre's after 32 s and calls wait up to 20 s; nothing proved that this fits together.

Change: a test that crashes both entries of a data centre while a job has run there for long.

Figures: the job is done and was begun once.

--- a/internal/trial/leader_test.go
+++ b/internal/trial/leader_test.go
@@ -40,3 +40,25 @@
 		})
 	}
 }
+
+// TestJobsOutliveTheEntriesOfTheirDataCentre crashes the entries that renew the leases; those elsewhere take over in time.
+func TestJobsOutliveTheEntriesOfTheirDataCentre(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		spec := smallest()
+		s := fakeSite(c, spec)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+		defer cancel()
+		run := trialRun{site: s}
+		job := fleet.JobSpec{ID: "job", Pool: BatchPool, DataCentres: []string{Centre(0)}, Cores: 2, Command: "run 200s"}
+		c.Assert(run.submit(ctx, job), quicktest.IsNil)
+		c.Assert(s.Await(ctx, func() bool { return jobsOf(ctx, c, s)["job"].State == fleet.JobRunning }), quicktest.IsNil)
+		time.Sleep(100 * time.Second) // so that calls wait for long
+		for i := range spec.EntriesEach {
+			s.CrashEntry(EntryName(0, i))
+		}
+		c.Assert(s.Await(ctx, func() bool { return jobsOf(ctx, c, s)["job"].State.Ended() }), quicktest.IsNil)
+		c.Assert(jobsOf(ctx, c, s)["job"].State, quicktest.Equals, fleet.JobDone)
+		c.Assert(s.Platform.Starts()["job"], quicktest.Equals, 1)
+	})
+}
