cmd/rackstep: ask only on a terminal

Change: golang.org/x/term tells a terminal.

Figures: TestNothingIsAskedWithoutATerminal fails before, passes after.

Conclusion: a small fault, mended with the usual library.

--- a/cmd/rackstep/plan.go
+++ b/cmd/rackstep/plan.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"golang.org/x/term"
 
 	"rackstep.dev/fleet"
 )
@@ -92,8 +93,7 @@
 
 // asked asks on a terminal; elsewhere the answer is no.
 func asked(question string) bool {
-	info, err := os.Stdin.Stat()
-	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+	if !term.IsTerminal(int(os.Stdin.Fd())) {
 		return false
 	}
 	fmt.Fprint(os.Stderr, question)
