route: give Lease a file of its own

Cause: gate.go was the largest file of the product and held two types.

Change: Lease and its method moved to lease.go as they were.

--- a/route/gate.go
+++ b/route/gate.go
@@ -73,14 +73,6 @@
 	refused chan *RefusedError
 }
 
-// Lease is a slot of a target; Done must be called once.
-type Lease struct {
-	Target Target
-	gate   *Gate
-	slots  *slots
-	since  time.Time
-}
-
 func (g *Gate) now() time.Time {
 	if g.Clock != nil {
 		return g.Clock()
@@ -384,27 +376,6 @@
 	return time.Duration(requests) * g.service / time.Duration(total)
 }
 
-// Done gives the slot back and says what became of the request.
-func (l *Lease) Done(r Result) {
-	g := l.gate
-	now := g.now()
-	g.mu.Lock()
-	s := l.slots
-	s.busy--
-	g.leaving = slices.DeleteFunc(g.leaving, func(o *slots) bool { return o.busy == 0 })
-	changed := g.learn(s, r, now)
-	if r == ResultOK {
-		g.measure(now.Sub(l.since))
-	}
-	g.hand()
-	g.watch(now)
-	sick := s.sick
-	g.mu.Unlock()
-	if changed && g.Changed != nil {
-		g.Changed(s.Instance, sick)
-	}
-}
-
 func (g *Gate) learn(s *slots, r Result, now time.Time) (changed bool) {
 	switch r {
 	case ResultOK:
