control, serve: decide on relief once, and name the data centre where it is known

Cause: read over the whole change again. Every entry worked out the relief of instances at each change of the tables, although only the leader of the placement writes it; the next in line wrote it beside a living leader. A relayed answer looked for the data centre of its entry among all entries, which its caller had just chosen by data centre. A search for a slot looked up the same gate twice.

Change: relief is worked out when the leader asks for it, and only the leader writes it; relay is given the data centre, and centreOf goes; free holds both questions to the gate.

Conclusion: less work on the way of a request and on the entries that do not lead.

--- a/control/jobindex.go
+++ b/control/jobindex.go
@@ -15,8 +15,17 @@
 	held map[string]map[string][]*fleet.Job
 	// pending says that a job waits to be placed, urgent that an urgent one does.
 	pending, urgent bool
-	// relief is what is to be done where too much is in use.
-	relief place.Relief
+	// relief is what is to be done where too much is in use; nil until somebody asks.
+	relief *place.Relief
+}
+
+// reliefOf returns what is to be done where too much is in use.
+func (x *jobIndex) reliefOf() place.Relief {
+	if x.relief == nil {
+		r := place.Relieve(x.tables)
+		x.relief = &r
+	}
+	return *x.relief
 }
 
 // refresh follows the tables.
@@ -24,7 +33,7 @@
 	if x.tables == t && x.offset == t.Offset {
 		return
 	}
-	*x = jobIndex{tables: t, offset: t.Offset, held: make(map[string]map[string][]*fleet.Job), relief: place.Relieve(t)}
+	*x = jobIndex{tables: t, offset: t.Offset, held: make(map[string]map[string][]*fleet.Job)}
 	for _, j := range t.Jobs.All {
 		switch {
 		case j.State == fleet.JobPending:
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -21,6 +21,7 @@
 	switch {
 	case c.leads("place", ""):
 		c.startJobs(c.decide())
+		c.relieve(c.jobs.reliefOf())
 	case c.jobs.pending && c.second("place") == c.Self.ID:
 		c.startJobs(c.tasks.overdue.of(c.decide(), time.Now()))
 	default:
@@ -36,7 +37,7 @@
 	return place.Decide(c.tables, place.Options{Most: startsATick, Until: plan.Turns(c.tables, c.Costs)})
 }
 
-// startJobs writes what is decided about pending jobs, and about instances on which too much is in use.
+// startJobs writes what is decided about pending jobs.
 func (c *Controller) startJobs(d place.Decisions) {
 	for _, s := range d.Starts {
 		c.write(fmt.Sprintf("start/%s/%d", s.Job, s.Attempt), fleet.Record{Start: &s})
@@ -44,14 +45,23 @@
 	for _, p := range d.Parks {
 		c.write("park/"+p.Job, fleet.Record{Park: &p})
 	}
-	for _, y := range append(d.Yields, c.jobs.relief.Yields...) {
-		c.write(fmt.Sprintf("yield/%s/%d", y.Job, y.Attempt), fleet.Record{Yield: &y})
-	}
-	for _, t := range c.jobs.relief.Throttles {
+	c.yield(d.Yields)
+}
+
+// relieve writes what is decided about instances on which too much is in use.
+func (c *Controller) relieve(r place.Relief) {
+	c.yield(r.Yields)
+	for _, t := range r.Throttles {
 		c.write(fmt.Sprintf("throttle/%s/%d", t.Job, t.Attempt), fleet.Record{Throttle: &t})
 	}
 }
 
+func (c *Controller) yield(yields []fleet.Yield) {
+	for _, y := range yields {
+		c.write(fmt.Sprintf("yield/%s/%d", y.Job, y.Attempt), fleet.Record{Yield: &y})
+	}
+}
+
 // patience is how long a job about to end is waited for, by the weights of the site.
 func (c *Controller) patience() time.Duration { return c.Costs.Wait(c.tables.Configuration.Weights) }
 
--- a/serve/execute.go
+++ b/serve/execute.go
@@ -16,8 +16,7 @@
 
 // execute runs the request on a target of this data centre; this entry is the service's owner.
 func (s *Server) execute(ctx context.Context, r *request) (*answer, *Problem) {
-	if r.NoWait && !s.gateOf(r.Service.Name).Free(s.ask(r, nil)) {
-		s.spares.tell(r.Service.Name, s.DataCentre, s.gateOf(r.Service.Name).Spare(), s.now())
+	if r.NoWait && !s.free(r) {
 		return nil, notRun(http.StatusServiceUnavailable, ReasonBusy, "come back later", "no slot of %s is free in %s", r.Service.Name, s.DataCentre)
 	}
 	if r.Repeatable {
@@ -52,6 +51,16 @@
 	return a, nil
 }
 
+// free says whether the request would get a slot at once, and remembers how much is missing when not.
+func (s *Server) free(r *request) bool {
+	g := s.gateOf(r.Service.Name)
+	if g.Free(s.ask(r, nil)) {
+		return true
+	}
+	s.spares.tell(r.Service.Name, s.DataCentre, g.Spare(), s.now())
+	return false
+}
+
 // claim makes the request's key this entry's; after a Problem it must not be dispatched.
 func (s *Server) claim(ctx context.Context, r *request) (claim.Claim, *Problem) {
 	c := s.claimOf(r, fmt.Sprintf("%s.%d", s.Boot, s.attempts.Add(1)))
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -14,10 +14,10 @@
 	"rackstep.dev/peer/peerpb"
 )
 
-// relay sends the request to another entry and returns the answer from there.
+// relay sends the request to another entry, in the data centre, and returns the answer from there.
 //
 // direct says that the other entry is to run it itself.
-func (s *Server) relay(ctx context.Context, entry string, r *request, direct bool) (*answer, *Problem) {
+func (s *Server) relay(ctx context.Context, dataCentre, entry string, r *request, direct bool) (*answer, *Problem) {
 	s.probe(StepRelay, false)
 	defer s.probe(StepRelay, true)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -39,7 +39,7 @@
 		return nil, relayLost(r, entry, err)
 	}
 	if head.Spare != nil {
-		s.spares.tell(r.Service.Name, s.centreOf(entry), int(*head.Spare), s.now())
+		s.spares.tell(r.Service.Name, dataCentre, int(*head.Spare), s.now())
 	}
 	end := func(whole bool) {
 		if whole {
@@ -117,17 +117,6 @@
 	return &n
 }
 
-// centreOf returns the data centre of the entry, or an empty string when the view does not show it.
-func (s *Server) centreOf(entry string) string {
-	v := s.View()
-	for dc, entries := range v.Entries {
-		if slices.Contains(entries, entry) {
-			return dc
-		}
-	}
-	return ""
-}
-
 // relayed checks and runs a request from another entry; this entry's own view decides what is allowed.
 func (s *Server) relayed(ctx context.Context, m *peerpb.RelayRequest) (*answer, *Problem) {
 	v := s.View()
--- a/serve/run.go
+++ b/serve/run.go
@@ -124,7 +124,7 @@
 		p.RetryAfter = time.Second
 		return nil, p
 	}
-	return s.relay(ctx, entry, r, false)
+	return s.relay(ctx, dc, entry, r, false)
 }
 
 // local runs the request in this data centre: here when this entry owns the gate, else at the owner.
@@ -161,7 +161,7 @@
 	case direct:
 		return nil, notRun(http.StatusServiceUnavailable, ReasonNotOwner, "come back later", "entry %s does not run the gate of %s", s.Self, svc.Name)
 	}
-	return s.relay(ctx, svc.Owner, r, true)
+	return s.relay(ctx, s.DataCentre, svc.Owner, r, true)
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
