provider: give the client of the product's own instance list and commands a name of its own

Cause: platform/ is to hold the adapter to the users' platform and nothing else. Change: package platform is renamed to provider; nothing else changes. Conclusion: platform/ is free for the adapter.

--- a/cmd/rackstep/standin.go
+++ b/cmd/rackstep/standin.go
@@ -17,7 +17,7 @@
 	"rackstep.dev/config"
 	"rackstep.dev/fleet"
 	"rackstep.dev/internal/standin"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // standinSettings describe a stand-in platform and its instances.
@@ -71,9 +71,9 @@
 	}
 	servers := []*http.Server{{Addr: s.Address, Handler: p, ReadHeaderTimeout: 5 * time.Second}}
 	for _, in := range s.Instances {
-		row := platform.Listed{ID: in.ID, Role: platform.Role(in.Role), DataCentre: in.DataCentre, Rack: in.Rack, Address: in.Address, Cores: in.Cores, MemoryMB: in.MemoryMB}
+		row := provider.Listed{ID: in.ID, Role: provider.Role(in.Role), DataCentre: in.DataCentre, Rack: in.Rack, Address: in.Address, Cores: in.Cores, MemoryMB: in.MemoryMB}
 		var target *standin.Target
-		if row.Role == platform.RoleWorker && row.Address != "" {
+		if row.Role == provider.RoleWorker && row.Address != "" {
 			target = &standin.Target{Instance: in.ID}
 			srv := target.Server()
 			srv.Addr = row.Address
--- a/control/controller.go
+++ b/control/controller.go
@@ -17,7 +17,7 @@
 	"rackstep.dev/peer"
 	"rackstep.dev/peer/peerpb"
 	"rackstep.dev/plan"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 	"rackstep.dev/route"
 	"rackstep.dev/serve"
 )
@@ -35,7 +35,7 @@
 	Seeds []Seed
 	// Log is the fleet log, Claims the claims log.
 	Log, Claims *feed.Log
-	Platform    *platform.Client
+	Platform    *provider.Client
 	Mesh        *peer.Mesh
 	Server      *serve.Server
 	Book        *claim.Book
--- a/control/execute.go
+++ b/control/execute.go
@@ -11,7 +11,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
 	"rackstep.dev/plan"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // commands remembers what the platform said of the commands of acting steps.
@@ -61,7 +61,7 @@
 func (c *Controller) missing(in *fleet.Instance) string {
 	acks := c.members.acknowledged(c, in.ID, in.DrainOffset)
 	for id, row := range c.list.rows {
-		if row.Role != platform.RoleEntry {
+		if row.Role != provider.RoleEntry {
 			continue
 		}
 		e := c.tables.Entries.Get(id)
@@ -118,23 +118,23 @@
 		return
 	}
 	c.commands.asking[cmd.ID] = true
-	verb := platform.VerbReboot
+	verb := provider.VerbReboot
 	if cmd.Action == fleet.ActionStop {
-		verb = platform.VerbStop
+		verb = provider.VerbStop
 	}
 	about := event.Subject{Plan: p.ID, Instance: cmd.Instance}
 	c.Events.Emit(event.CommandSent, about, cmd.ID)
 	notAfter := c.Clock().Add(commandTime)
-	go c.ask(c.ctx, cmd, platform.Command{Verb: verb, NotAfter: notAfter}, about)
+	go c.ask(c.ctx, cmd, provider.Command{Verb: verb, NotAfter: notAfter}, about)
 }
 
 // ask sends the command and follows it until its end is known.
-func (c *Controller) ask(ctx context.Context, cmd plan.Command, order platform.Command, about event.Subject) {
+func (c *Controller) ask(ctx context.Context, cmd plan.Command, order provider.Command, about event.Subject) {
 	state, err := c.Platform.Run(ctx, cmd.Instance, cmd.ID, order)
 	if err != nil {
 		c.Events.Emit(event.CommandUncertain, about, err.Error())
 	}
-	for err != nil || state == platform.CommandRunning {
+	for err != nil || state == provider.CommandRunning {
 		sleep(ctx, listPeriod)
 		if ctx.Err() != nil {
 			return
@@ -147,13 +147,13 @@
 	})
 }
 
-func commandFact(s platform.CommandState) plan.CommandFact {
+func commandFact(s provider.CommandState) plan.CommandFact {
 	switch s {
-	case platform.CommandRunning:
+	case provider.CommandRunning:
 		return plan.CommandRunning
-	case platform.CommandDone:
+	case provider.CommandDone:
 		return plan.CommandDone
-	case platform.CommandExpired:
+	case provider.CommandExpired:
 		return plan.CommandExpired
 	}
 	return plan.CommandAbsent
--- a/control/hold.go
+++ b/control/hold.go
@@ -8,13 +8,13 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // hold is a call that renews the leases of what runs on one instance and waits until something ends there.
 type hold struct {
 	// tasks are the attempts that the call names, with their limits.
-	tasks  map[string]platform.HoldTask
+	tasks  map[string]provider.HoldTask
 	cancel context.CancelFunc // nil when no call is under way
 	// calls counts the calls, so that the answer of an earlier one is told from the present one's.
 	calls int
@@ -47,9 +47,9 @@
 	}
 	if !h.names(running) {
 		h.end()
-		h.tasks = make(map[string]platform.HoldTask, len(running))
+		h.tasks = make(map[string]provider.HoldTask, len(running))
 		for _, j := range running {
-			h.tasks[attemptID(j)] = platform.HoldTask{Limit: j.Limit}
+			h.tasks[attemptID(j)] = provider.HoldTask{Limit: j.Limit}
 		}
 	}
 	if h.cancel != nil || len(running) == 0 || time.Now().Before(h.due) {
@@ -97,7 +97,7 @@
 	h.cancel = cancel
 	h.calls++
 	call := h.calls
-	order := platform.Hold{Lease: taskLease, Wait: c.tasks.holdWait(running, time.Now()), Tasks: h.tasks}
+	order := provider.Hold{Lease: taskLease, Wait: c.tasks.holdWait(running, time.Now()), Tasks: h.tasks}
 	jobs := make([]fleet.Job, len(running))
 	for i, j := range running {
 		jobs[i] = *j
@@ -114,7 +114,7 @@
 }
 
 // holdSays passes the reports on, and makes the next call soon when none has ended.
-func (c *Controller) holdSays(instance string, h *hold, jobs []fleet.Job, reports map[string]platform.TaskReport, err error) {
+func (c *Controller) holdSays(instance string, h *hold, jobs []fleet.Job, reports map[string]provider.TaskReport, err error) {
 	h.cancel = nil
 	if err != nil {
 		h.due = time.Now().Add(min(longestHoldPause, holdPause<<min(h.failed, 8)))
@@ -127,7 +127,7 @@
 	for i := range jobs {
 		id := attemptID(&jobs[i])
 		report, told := reports[id]
-		if !told || report.State != platform.TaskRunning {
+		if !told || report.State != provider.TaskRunning {
 			h.due = time.Now().Add(holdPause) // until the tables know of the end
 		}
 		if told {
--- a/control/observe.go
+++ b/control/observe.go
@@ -8,14 +8,14 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // listing is the latest answer of the platform's instance list.
 type listing struct {
-	rows map[string]platform.Listed
+	rows map[string]provider.Listed
 	// last is the latest answer, believed or not.
-	last []platform.Listed
+	last []provider.Listed
 	// seen are the lives of entries that the list has shown; unseen is since when it has not shown a joined one.
 	seen   map[life]bool
 	unseen map[life]time.Time
@@ -31,7 +31,7 @@
 const doubtsToBelieve = 3
 
 // believable says whether the answer may replace the one before it.
-func (l *listing) believable(fresh map[string]platform.Listed) bool {
+func (l *listing) believable(fresh map[string]provider.Listed) bool {
 	kept := 0
 	for id := range l.rows {
 		if _, ok := fresh[id]; ok {
@@ -82,7 +82,7 @@
 }
 
 // listPause is the time to the next read of the list.
-func listPause(l platform.List) time.Duration {
+func listPause(l provider.List) time.Duration {
 	each := listedBytes
 	if l.Compressed {
 		each = compressedBytes
@@ -91,7 +91,7 @@
 	return min(longestList, max(listPeriod, paced))
 }
 
-func (c *Controller) listed(list platform.List, err error) {
+func (c *Controller) listed(list provider.List, err error) {
 	c.listReached(err == nil)
 	if err != nil {
 		return // an old list is better than none: it says nothing of instances that came or went since
@@ -104,7 +104,7 @@
 		rows = c.list.last
 	}
 	c.list.last = rows
-	fresh := make(map[string]platform.Listed, len(rows))
+	fresh := make(map[string]provider.Listed, len(rows))
 	for _, r := range rows {
 		fresh[r.ID] = r
 	}
@@ -120,13 +120,13 @@
 		c.list.unseen = make(map[life]time.Time)
 	}
 	for _, r := range rows {
-		if r.Role == platform.RoleEntry {
+		if r.Role == provider.RoleEntry {
 			c.list.seen[life{r.ID, r.Boot}] = true
 		}
 	}
 }
 
-func (l *listing) differs(fresh map[string]platform.Listed) bool {
+func (l *listing) differs(fresh map[string]provider.Listed) bool {
 	if len(l.rows) != len(fresh) {
 		return true
 	}
@@ -161,7 +161,7 @@
 	var changed []fleet.Observation
 	for id, r := range c.list.rows {
 		ob := fleet.Observation{ID: id, DataCentre: r.DataCentre, Rack: r.Rack, Address: r.Address, Cores: r.Cores, MemoryMB: r.MemoryMB, Leaving: r.Leaving}
-		if r.Role == platform.RoleWorker && c.leads("observe", r.DataCentre) && ob.Differs(c.tables.Instances.Get(id)) {
+		if r.Role == provider.RoleWorker && c.leads("observe", r.DataCentre) && ob.Differs(c.tables.Instances.Get(id)) {
 			changed = append(changed, ob)
 		}
 	}
--- a/control/tasks.go
+++ b/control/tasks.go
@@ -11,7 +11,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
 	"rackstep.dev/plan"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 	"rackstep.dev/route"
 )
 
@@ -140,7 +140,7 @@
 	}()
 }
 
-func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (platform.TaskReport, error) {
+func (c *Controller) askTask(ctx context.Context, id string, j fleet.Job, leaving, down bool) (provider.TaskReport, error) {
 	switch {
 	case j.State == fleet.JobCancelling || (down && j.State == fleet.JobStarting):
 		return c.Platform.StopTask(ctx, j.Instance, id)
@@ -149,13 +149,13 @@
 	case down:
 		return c.Platform.Task(ctx, j.Instance, id)
 	}
-	return c.Platform.StartTask(ctx, j.Instance, id, platform.Task{
+	return c.Platform.StartTask(ctx, j.Instance, id, provider.Task{
 		Cores: j.Spec.Cores, MemoryMB: j.Spec.MemoryMB, Command: j.Spec.Command, Continue: j.Checkpointed, Lease: taskLease, Limit: j.Limit,
 	})
 }
 
 // taskSays writes what the platform said of the attempt when it differs from the tables.
-func (c *Controller) taskSays(id string, j fleet.Job, report platform.TaskReport, err error) {
+func (c *Controller) taskSays(id string, j fleet.Job, report provider.TaskReport, err error) {
 	if err != nil {
 		c.Events.Emit(event.TaskUncertain, event.Subject{Job: j.ID, Instance: j.Instance}, err.Error())
 		return
@@ -177,19 +177,19 @@
 	c.write(fmt.Sprintf("settle/%s/%s", id, outcome), fleet.Record{Settle: &s})
 }
 
-func outcomeOf(s platform.TaskState) (fleet.Outcome, bool) {
+func outcomeOf(s provider.TaskState) (fleet.Outcome, bool) {
 	switch s {
-	case platform.TaskRunning:
+	case provider.TaskRunning:
 		return fleet.OutcomeRunning, true
-	case platform.TaskDone:
+	case provider.TaskDone:
 		return fleet.OutcomeDone, true
-	case platform.TaskFailed:
+	case provider.TaskFailed:
 		return fleet.OutcomeFailed, true
-	case platform.TaskStopped:
+	case provider.TaskStopped:
 		return fleet.OutcomeStopped, true
-	case platform.TaskCheckpointed:
+	case provider.TaskCheckpointed:
 		return fleet.OutcomeCheckpointed, true
-	case platform.TaskVoid:
+	case provider.TaskVoid:
 		return fleet.OutcomeNotStarted, true
 	}
 	return "", false
--- a/control/usage.go
+++ b/control/usage.go
@@ -8,7 +8,7 @@
 
 	"rackstep.dev/fleet"
 	"rackstep.dev/place"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // usageKept is the number of reports of an attempt of which the largest counts.
@@ -25,14 +25,14 @@
 	longest time.Duration
 	told    time.Time
 	// latest are the newest reports, the next one replaces the one at next.
-	latest [usageKept]platform.Usage
+	latest [usageKept]provider.Usage
 	next   int
 	// measured is when this entry last wrote what the attempt uses.
 	measured time.Time
 }
 
 // see remembers the report, which is nil when the platform knows nothing of the usage, and returns all about the attempt.
-func (m *tasks) see(id string, now time.Time, report *platform.Usage) *usage {
+func (m *tasks) see(id string, now time.Time, report *provider.Usage) *usage {
 	u := m.seen[id]
 	if u == nil {
 		u = &usage{since: now}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -24,7 +24,7 @@
 	"rackstep.dev/internal/meter"
 	"rackstep.dev/peer"
 	"rackstep.dev/plan"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 	"rackstep.dev/serve"
 )
 
@@ -81,8 +81,8 @@
 	}}
 }
 
-func newPlatform(s config.Settings, c *http.Client) *platform.Client {
-	return &platform.Client{URL: s.Platform, HTTP: c}
+func newPlatform(s config.Settings, c *http.Client) *provider.Client {
+	return &provider.Client{URL: s.Platform, HTTP: c}
 }
 
 func newLogs(s config.Settings, c *http.Client, clock *feed.Clock) logs {
@@ -162,7 +162,7 @@
 	}
 }
 
-func newController(s config.Settings, self fleet.Entry, l logs, p *platform.Client, mesh *peer.Mesh, server *serve.Server, book *claim.Book, events *event.Ring, clock *feed.Clock, m meters) *control.Controller {
+func newController(s config.Settings, self fleet.Entry, l logs, p *provider.Client, mesh *peer.Mesh, server *serve.Server, book *claim.Book, events *event.Ring, clock *feed.Clock, m meters) *control.Controller {
 	c := &control.Controller{
 		Self: self, Log: l.fleet, Claims: l.claims, Platform: p, Mesh: mesh, Server: server, Book: book, Events: events,
 		PeerMeter: m.peers, PlatformMeter: m.platform,
--- a/internal/standin/hold.go
+++ b/internal/standin/hold.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // wakeHolds lets every hold look again; the caller holds mu.
@@ -18,7 +18,7 @@
 
 // holdTasks renews leases and answers when one of the named tasks does not run, or after the wait.
 func (p *Platform) holdTasks(w http.ResponseWriter, r *http.Request) {
-	var order platform.Hold
+	var order provider.Hold
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -32,7 +32,7 @@
 		}
 		if next.IsZero() || !now.Before(until) {
 			reply(w, struct {
-				Tasks map[string]platform.TaskReport `json:"tasks"`
+				Tasks map[string]provider.TaskReport `json:"tasks"`
 			}{reports})
 			return
 		}
@@ -53,7 +53,7 @@
 
 // lookAt returns the tasks' reports, a channel that closes when one may have ended, and when the next one ends by itself;
 // that is zero when one does not run. It returns no reports when it has answered.
-func (p *Platform) lookAt(w http.ResponseWriter, r *http.Request, order platform.Hold, renew bool) (reports map[string]platform.TaskReport, wake chan struct{}, next time.Time) {
+func (p *Platform) lookAt(w http.ResponseWriter, r *http.Request, order provider.Hold, renew bool) (reports map[string]provider.TaskReport, wake chan struct{}, next time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.machineOf(w, r)
@@ -64,15 +64,15 @@
 		p.lose()
 	}
 	now := time.Now()
-	reports = make(map[string]platform.TaskReport, len(order.Tasks))
+	reports = make(map[string]provider.TaskReport, len(order.Tasks))
 	ended := false
 	for id, h := range order.Tasks {
 		t := m.tasks[id]
-		if renew && t.stateAt(now) == platform.TaskRunning {
+		if renew && t.stateAt(now) == provider.TaskRunning {
 			t.lease, t.limit = now.Add(order.Lease), h.Limit
 		}
 		reports[id] = p.reportOf(t, now)
-		if reports[id].State != platform.TaskRunning {
+		if reports[id].State != provider.TaskRunning {
 			ended = true
 			continue
 		}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -10,19 +10,19 @@
 	"strings"
 	"time"
 
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 )
 
 // command is a reboot or stop that was asked for.
 type command struct {
-	verb    platform.Verb
+	verb    provider.Verb
 	expired bool
 	until   time.Time
 }
 
 // task is one attempt of a job.
 type task struct {
-	state    platform.TaskState
+	state    provider.TaskState
 	fails    bool
 	ends     time.Time
 	lease    time.Time
@@ -30,7 +30,7 @@
 	began    time.Time
 	duration time.Duration
 	// uses is what the task would use, limit the cores that it may use; any when 0.
-	uses  platform.Usage
+	uses  provider.Usage
 	limit int
 }
 
@@ -56,7 +56,7 @@
 }
 
 func (p *Platform) runCommand(w http.ResponseWriter, r *http.Request) {
-	var order platform.Command
+	var order provider.Command
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -72,7 +72,7 @@
 	}
 }
 
-func (p *Platform) applyCommand(w http.ResponseWriter, r *http.Request, order platform.Command) {
+func (p *Platform) applyCommand(w http.ResponseWriter, r *http.Request, order provider.Command) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.machineOf(w, r)
@@ -96,7 +96,7 @@
 // begin takes the machine down for the command; what still runs on it is cut.
 func (p *Platform) begin(m *machine, c *command) {
 	for id, t := range m.tasks {
-		if t.stateAt(time.Now()) == platform.TaskRunning {
+		if t.stateAt(time.Now()) == provider.TaskRunning {
 			p.cuts = append(p.cuts, fmt.Sprintf("%s of %s cut task %s", c.verb, m.listed.ID, id))
 		}
 	}
@@ -105,7 +105,7 @@
 	}
 	m.commanded = true
 	p.setDown(m, true)
-	if c.verb == platform.VerbReboot {
+	if c.verb == provider.VerbReboot {
 		time.AfterFunc(p.RebootTime, func() {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -115,16 +115,16 @@
 	}
 }
 
-func (c *command) state() platform.CommandState {
+func (c *command) state() provider.CommandState {
 	switch {
 	case c == nil:
-		return platform.CommandUnknown
+		return provider.CommandUnknown
 	case c.expired:
-		return platform.CommandExpired
+		return provider.CommandExpired
 	case time.Now().Before(c.until):
-		return platform.CommandRunning
+		return provider.CommandRunning
 	}
-	return platform.CommandDone
+	return provider.CommandDone
 }
 
 func (p *Platform) readCommand(w http.ResponseWriter, r *http.Request) {
@@ -142,7 +142,7 @@
 }
 
 func (p *Platform) startTask(w http.ResponseWriter, r *http.Request) {
-	var order platform.Task
+	var order provider.Task
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -158,7 +158,7 @@
 	}
 }
 
-func (p *Platform) applyTask(w http.ResponseWriter, r *http.Request, order platform.Task) {
+func (p *Platform) applyTask(w http.ResponseWriter, r *http.Request, order provider.Task) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.machineOf(w, r)
@@ -184,15 +184,15 @@
 // report answers with the task's state and, once it is old enough, its usage.
 func (p *Platform) report(w http.ResponseWriter, t *task) { reply(w, p.reportOf(t, time.Now())) }
 
-func (p *Platform) reportOf(t *task, now time.Time) platform.TaskReport {
-	report := platform.TaskReport{State: t.stateAt(now)}
-	if t != nil && report.State == platform.TaskRunning && now.Sub(t.began) >= p.UsageLag {
+func (p *Platform) reportOf(t *task, now time.Time) provider.TaskReport {
+	report := provider.TaskReport{State: t.stateAt(now)}
+	if t != nil && report.State == provider.TaskRunning && now.Sub(t.began) >= p.UsageLag {
 		report.Usage = t.usage(now.Sub(t.began) - p.UsageLag)
 	}
 	return report
 }
 
-func (t *task) usage(ran time.Duration) *platform.Usage {
+func (t *task) usage(ran time.Duration) *provider.Usage {
 	u := t.uses
 	u.Ran = ran
 	if t.limit > 0 {
@@ -202,14 +202,14 @@
 }
 
 // newTask begins a task; its command is "run DURATION", "run DURATION use CORES" or "fail".
-func (p *Platform) newTask(job string, order platform.Task) *task {
+func (p *Platform) newTask(job string, order provider.Task) *task {
 	now := time.Now()
-	t := &task{state: platform.TaskRunning, began: now, leaseFor: order.Lease, lease: now.Add(order.Lease)}
+	t := &task{state: provider.TaskRunning, began: now, leaseFor: order.Lease, lease: now.Add(order.Lease)}
 	word, rest, _ := strings.Cut(order.Command, " ")
 	t.fails = word == "fail"
 	length, uses, _ := strings.Cut(rest, " use ")
 	t.duration, _ = time.ParseDuration(length) // none ends at once
-	t.uses = platform.Usage{Cores: float64(order.Cores), MemoryMB: order.MemoryMB}
+	t.uses = provider.Usage{Cores: float64(order.Cores), MemoryMB: order.MemoryMB}
 	if cores, err := strconv.ParseFloat(uses, 64); err == nil {
 		t.uses.Cores = cores
 	}
@@ -241,27 +241,27 @@
 	return out
 }
 
-func (t *task) stateAt(now time.Time) platform.TaskState {
+func (t *task) stateAt(now time.Time) provider.TaskState {
 	switch {
 	case t == nil:
-		return platform.TaskUnknown
-	case t.state != platform.TaskRunning:
+		return provider.TaskUnknown
+	case t.state != provider.TaskRunning:
 		return t.state
 	case !now.Before(t.ends):
 		if t.fails {
-			return platform.TaskFailed
+			return provider.TaskFailed
 		}
-		return platform.TaskDone
+		return provider.TaskDone
 	case now.After(t.lease):
-		return platform.TaskStopped
+		return provider.TaskStopped
 	}
-	return platform.TaskRunning
+	return provider.TaskRunning
 }
 
 func (m *machine) killTasks(now time.Time) {
 	for _, t := range m.tasks {
-		if t.stateAt(now) == platform.TaskRunning {
-			t.state = platform.TaskStopped
+		if t.stateAt(now) == provider.TaskRunning {
+			t.state = provider.TaskStopped
 		}
 	}
 }
@@ -275,14 +275,14 @@
 }
 
 func (p *Platform) stopTask(w http.ResponseWriter, r *http.Request) {
-	p.endTask(w, r, platform.TaskStopped)
+	p.endTask(w, r, provider.TaskStopped)
 }
 
 func (p *Platform) checkpointTask(w http.ResponseWriter, r *http.Request) {
-	p.endTask(w, r, platform.TaskCheckpointed)
+	p.endTask(w, r, provider.TaskCheckpointed)
 }
 
-func (p *Platform) endTask(w http.ResponseWriter, r *http.Request, as platform.TaskState) {
+func (p *Platform) endTask(w http.ResponseWriter, r *http.Request, as provider.TaskState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.machineOf(w, r)
@@ -294,9 +294,9 @@
 	t := m.tasks[id]
 	switch {
 	case t == nil:
-		t = &task{state: platform.TaskVoid}
+		t = &task{state: provider.TaskVoid}
 		m.tasks[id] = t
-	case t.stateAt(now) == platform.TaskRunning:
+	case t.stateAt(now) == provider.TaskRunning:
 		t.state = as
 		p.progress[jobOf(id)] += now.Sub(t.began)
 	default:
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -20,7 +20,7 @@
 	"rackstep.dev/entry"
 	"rackstep.dev/fleet"
 	"rackstep.dev/internal/standin"
-	"rackstep.dev/platform"
+	"rackstep.dev/provider"
 	"rackstep.dev/serve"
 )
 
@@ -152,7 +152,7 @@
 func (s *Site) put(id string, n int, address string, t *standin.Target) {
 	centre := Centre(n % s.Spec.DataCentres)
 	rack := fmt.Sprintf("%s-rack-%d", centre, n/s.Spec.DataCentres/s.Spec.RackSize+1)
-	s.Platform.Put(platform.Listed{ID: id, Role: platform.RoleWorker, DataCentre: centre, Rack: rack, Address: address,
+	s.Platform.Put(provider.Listed{ID: id, Role: provider.RoleWorker, DataCentre: centre, Rack: rack, Address: address,
 		Cores: s.Spec.Cores, MemoryMB: s.Spec.MemoryMB}, t)
 }
 
@@ -181,7 +181,7 @@
 	s.mu.Lock()
 	s.entries[name] = n
 	s.mu.Unlock()
-	s.Platform.Put(platform.Listed{ID: name, Role: platform.RoleEntry, DataCentre: centre, Boot: e.Self().Boot}, nil)
+	s.Platform.Put(provider.Listed{ID: name, Role: provider.RoleEntry, DataCentre: centre, Boot: e.Self().Boot}, nil)
 	s.work.Go(func() {
 		defer close(n.done)
 		_ = e.RunUntil(ctx, n.crashed.Load) // it ends with StopEntry or CrashEntry
--- a/platform/client.go
+++ b/provider/client.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package provider
 
 import (
 	"bytes"
