--- a/cmd/rackstepd/main.go
+++ b/cmd/rackstepd/main.go
@@ -30,10 +30,11 @@
 		Name:  "rackstepd",
 		Usage: "run one entry instance until SIGTERM, which is a planned stop",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`, JSON with comments"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: start,
+		Action:   start,
+		Commands: []*cli.Command{platformCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "rackstepd:", err)
--- /dev/null
+++ b/cmd/rackstepd/onplatform.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"rackstep.dev/entry"
+	"rackstep.dev/event"
+	"rackstep.dev/platform"
+)
+
+// Figures of the process.
+const (
+	// memoryShare of the machine's memory is where the garbage collector begins to work harder.
+	memoryShare = 0.6
+	// eventsKept bounds the time line in memory; the log is the record on the platform.
+	eventsKept = 64
+)
+
+// platformCommand runs an entry on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "front",
+		Usage: "run one entry on the users' platform until SIGTERM; its settings file is named by " + platform.SettingsVariable,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "metrics", Usage: "`PORT` for metrics", Value: "9464"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: startOnPlatform,
+	}
+}
+
+func startOnPlatform(ctx context.Context, c *cli.Command) error {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return cli.Exit(err, exitSettings)
+	}
+	if c.Bool("check") {
+		fmt.Println("settings are sound")
+		return nil
+	}
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	}
+	out := &event.Writer{Out: os.Stdout}
+	defer out.Flush()
+	logger := log.With(log.NewLogfmtLogger(out), "time", log.DefaultTimestampUTC, "entry", s.Entry)
+	n := &entry.Node{
+		Settings: s, Events: &event.Ring{Entry: s.Entry, Logger: logger, Size: eventsKept},
+		MetricsAddress: net.JoinHostPort(s.IP, c.String("metrics")),
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/oklog/run"
+
+	"rackstep.dev/event"
+	"rackstep.dev/intake"
+	"rackstep.dev/lead"
+	"rackstep.dev/peer"
+	"rackstep.dev/platform"
+	"rackstep.dev/pool"
+)
+
+// Topics of the product on the platform's store.
+const (
+	leadTopic   = "lead"
+	intakeTopic = "intake"
+	stateTopic  = "state"
+)
+
+// linkSecret is what entries prove to each other on the users' platform, whose settings give no secret: it keeps
+// strangers' mistakes out, not attackers, who can't reach the entries' ports there.
+const linkSecret = "rackstep entries of one deployment"
+
+// Node is an entry on the users' platform: it takes clients' jobs, and schedules them while it leads.
+type Node struct {
+	Settings *platform.Settings
+	Events   *event.Ring
+	// Metrics answers at MetricsAddress; neither is needed.
+	Metrics        http.Handler
+	MetricsAddress string
+
+	boot      string
+	mesh      *peer.Mesh
+	scheduler *pool.Scheduler
+	elector   *lead.Elector
+	ingress   *platform.Ingress
+	clients   *http.Server
+	follower  *platform.Follower
+}
+
+// Times of a planned stop.
+const (
+	// readyMissed is how long the platform takes to notice that an entry is not ready: it asks each second, twice.
+	readyMissed = 2300 * time.Millisecond
+	// stopMargin is left of the grace for the process's own end.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Run serves until the context ends, then stops as planned; an error means that the entry could not be set up.
+func (n *Node) Run(ctx context.Context) error {
+	n.boot = rand.Text()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.assemble(listeners.peers)
+	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g run.Group
+	end := make(chan struct{})
+	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
+	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run} {
+		ctx, cancel := context.WithCancel(parts)
+		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
+	}
+	n.clients = newHTTPServer(n.ingress)
+	addServer(&g, n.clients, listeners.clients, end)
+	addServer(&g, newHTTPServer(http.HandlerFunc(n.ready)), listeners.ready, end)
+	if listeners.metrics != nil {
+		addServer(&g, newHTTPServer(n.Metrics), listeners.metrics, end)
+	}
+	n.Events.Emit(event.EntryStarted, event.Subject{Entry: n.Settings.Entry}, "data centre "+n.Settings.DataCentre)
+	err = g.Run()
+	n.Events.Emit(event.EntryStopped, event.Subject{Entry: n.Settings.Entry}, "")
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return fmt.Errorf("entry %s: %w", n.Settings.Entry, err)
+}
+
+// nodeListeners are a node's open addresses; metrics is nil when its address is taken.
+type nodeListeners struct{ clients, ready, peers, metrics net.Listener }
+
+func (n *Node) listen() (nodeListeners, error) {
+	var l nodeListeners
+	for _, x := range [...]struct {
+		into    *net.Listener
+		address string
+	}{
+		{&l.clients, n.Settings.Listen.Clients}, {&l.ready, n.Settings.Listen.Ready},
+		{&l.peers, net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.Ports[0]))},
+	} {
+		ln, err := net.Listen("tcp", x.address)
+		if err != nil {
+			return l, fmt.Errorf("listen: %w; free the address or set another", err)
+		}
+		*x.into = ln
+	}
+	if n.Metrics == nil {
+		return l, nil
+	}
+	ln, err := net.Listen("tcp", n.MetricsAddress)
+	if err != nil {
+		n.Events.Emit(event.EntryStarted, event.Subject{Entry: n.Settings.Entry}, "no metrics: "+err.Error())
+		return l, nil
+	}
+	l.metrics = ln
+	return l, nil
+}
+
+// assemble puts the parts together.
+func (n *Node) assemble(peers net.Listener) {
+	s := n.Settings
+	store := platform.NewStore(s)
+	workers := new(platform.Workers)
+	n.mesh = &peer.Mesh{
+		Self: peer.Identity{Entry: s.Entry, DataCentre: s.DataCentre, Boot: n.boot}, Secret: []byte(linkSecret),
+		Listener: peers, Events: n.Events, Serve: n.serveStream,
+	}
+	n.scheduler = &pool.Scheduler{
+		Entry: s.Entry, Intake: store.Own(intakeTopic), State: store.Own(stateTopic), Workers: store.Workers(),
+		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s).Calls(),
+		PutWave: platform.PutWave(store.Status()), Events: n.Events,
+		Bounds: pool.Bounds{
+			Lease: platform.Millis(s.Bounds.LeaseMillis), Stop: platform.Millis(s.Bounds.StopMillis),
+			Status: platform.Seconds(s.Bounds.StatusSeconds), Upkeep: platform.Seconds(s.Bounds.UpkeepSeconds),
+			Move: platform.Seconds(s.Bounds.MoveSeconds), Notice: platform.Millis(s.Bounds.NoticeMillis),
+			Harm: platform.Millis(s.Bounds.HarmMillis),
+		},
+	}
+	if _, err := netip.ParseAddrPort(s.Advice); err == nil {
+		n.scheduler.Advise = platform.NewAdvice(s).Ask
+	}
+	n.elector = &lead.Elector{
+		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.Own(leadTopic), Events: n.Events,
+		Weight: min(1, s.Limits.Share*max(s.Limits.Cores, 1)), Serve: n.scheduler.Serve, Seen: n.followLeader,
+		May: func() bool { return n.ingress.Ready() },
+	}
+	n.scheduler.Confirmed, n.scheduler.Lost = n.elector.Confirmed, n.elector.Lost
+	n.ingress = &platform.Ingress{Intake: &intake.Intake{Topic: store.Own(intakeTopic), Ask: n.ask, Events: n.Events}}
+	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Wave: n.scheduler.SetWave, Config: func(c *platform.Config) {
+		n.ingress.SetConfig(c)
+		n.scheduler.SetCatalog(&c.Catalog)
+	}}
+}
+
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if !n.ingress.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// stop finishes what clients have begun: first no new connections, then no more requests.
+func (n *Node) stop() {
+	n.Events.Emit(event.EntryStopping, event.Subject{Entry: n.Settings.Entry}, "")
+	n.ingress.Stop()
+	n.elector.Resign()
+	time.Sleep(readyMissed)
+	left := platform.Seconds(n.Settings.Bounds.GraceSeconds) - readyMissed - stopMargin
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	defer cancel()
+	_ = n.clients.Shutdown(ctx) // what is still open then has no time left
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -51,6 +51,33 @@
 	TargetRecovered      Number = 602
 	PlatformUnreachable  Number = 700
 	PlatformReachable    Number = 701
+	LeadTaken            Number = 800
+	LeadNotTaken         Number = 801
+	LeadLost             Number = 802
+	StoreUnreachable     Number = 803
+	StoreReachable       Number = 804
+	SettingsReloaded     Number = 805
+	JobTaken             Number = 810
+	JobRefused           Number = 811
+	JobInDoubt           Number = 812
+	JobAnswered          Number = 813
+	JobRead              Number = 814
+	JobEnded             Number = 815
+	RunOrdered           Number = 820
+	RunRefused           Number = 821
+	RunUnanswered        Number = 822
+	RunEnded             Number = 823
+	RunAdopted           Number = 824
+	RunStopped           Number = 825
+	RunMissing           Number = 826
+	RunPaced             Number = 827
+	WorkerSeen           Number = 830
+	WorkerSilent         Number = 831
+	WorkerLost           Number = 832
+	UpkeepBegun          Number = 840
+	UpkeepRefused        Number = 841
+	WaveChanged          Number = 842
+	MachineMoved         Number = 843
 )
 
 // Kind describes one Number for the catalogue.
@@ -106,6 +133,33 @@
 	{TargetRecovered, "target-recovered", "A target that was sick answers again.", nothing},
 	{PlatformUnreachable, "platform-unreachable", "The instance list does not answer this entry.", "If it lasts, see docs/operations/outages.md."},
 	{PlatformReachable, "platform-reachable", "The instance list answers again.", nothing},
+	{LeadTaken, "lead-taken", "This entry schedules from now on.", nothing},
+	{LeadNotTaken, "lead-not-taken", "This entry asked for the lead, or gave it up, and the store did not confirm it.", nothing},
+	{LeadLost, "lead-lost", "This entry schedules no longer.", nothing},
+	{StoreUnreachable, "store-unreachable", "The platform's store does not answer this entry.", "If it lasts, see docs/operations/outages.md."},
+	{StoreReachable, "store-reachable", "The platform's store answers again.", nothing},
+	{SettingsReloaded, "settings-reloaded", "The settings file was read again.", nothing},
+	{JobTaken, "job-taken", "A client's job was written to the store and accepted.", nothing},
+	{JobRefused, "job-refused", "A client's job was refused and will not run; the text says why.", "If there are many, see docs/OPERATIONS.md."},
+	{JobInDoubt, "job-in-doubt", "The store gave no answer to a job or a cancel; the client was told that the outcome is unknown.", "See docs/OPERATIONS.md."},
+	{JobAnswered, "job-answered", "A question about a job could not be answered; the text says why.", nothing},
+	{JobRead, "job-read", "The scheduling entry has read a job or a cancel from the store.", nothing},
+	{JobEnded, "job-ended", "A job has reached its final state.", nothing},
+	{RunOrdered, "run-ordered", "A worker was told to start a run of a task; the text says on what grounds.", nothing},
+	{RunRefused, "run-refused", "A worker refused an order; the text says why.", nothing},
+	{RunUnanswered, "run-unanswered", "A worker gave no answer to an order; what it lists decides.", nothing},
+	{RunEnded, "run-ended", "A worker has listed the end of a run.", nothing},
+	{RunAdopted, "run-adopted", "A run of an earlier leader goes on under this one.", nothing},
+	{RunStopped, "run-stopped", "A worker was told to stop a run; the text says why.", nothing},
+	{RunMissing, "run-missing", "A worker no longer lists a run and tells no end; its task starts again.", nothing},
+	{RunPaced, "run-paced", "A filling run is to work at another share, for the serving tasks beside it.", nothing},
+	{WorkerSeen, "worker-seen", "A worker is listed, or has changed what it says of itself.", nothing},
+	{WorkerSilent, "worker-silent", "A worker does not answer this entry, or answers again.", nothing},
+	{WorkerLost, "worker-lost", "A worker's life has ended, or all its leases have; its tasks start elsewhere.", nothing},
+	{UpkeepBegun, "upkeep-begun", "A worker's instance was taken down for its upkeep.", nothing},
+	{UpkeepRefused, "upkeep-refused", "The machine interface refused an upkeep or a move, or gave no answer.", nothing},
+	{WaveChanged, "wave-changed", "A wave of upkeep was read, or its state was written.", nothing},
+	{MachineMoved, "machine-moved", "An instance was moved to another pool.", nothing},
 }
 
 // Name returns the event's name, or its number for one that is not in the catalogue.
--- /dev/null
+++ b/event/writer.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+
+package event
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of a Writer.
+const (
+	// writerBytes bounds what waits to be written; what comes beyond it is dropped and counted.
+	writerBytes = 256 << 10
+	// writerPause gathers lines, so that many of them cost one write.
+	writerPause = 50 * time.Millisecond
+)
+
+// Writer writes whole log lines from a goroutine of its own, so that logging never blocks.
+//
+// Lines beyond its bounds are dropped and counted. The fields are set before use.
+type Writer struct {
+	Out io.Writer
+
+	mu      sync.Mutex
+	waiting bytes.Buffer
+	busy    bool
+	dropped atomic.Int64
+}
+
+// Write takes one line; it never blocks and never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waiting.Len()+len(line) > writerBytes {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.waiting.Write(line)
+	if !w.busy {
+		w.busy = true
+		time.AfterFunc(writerPause, w.flush)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Flush writes what waits.
+func (w *Writer) Flush() { w.flush() }
+
+func (w *Writer) flush() {
+	w.mu.Lock()
+	out := w.waiting
+	w.waiting = bytes.Buffer{}
+	w.busy = false
+	w.mu.Unlock()
+	_, _ = w.Out.Write(out.Bytes()) // a log that can't be written must not stop the entry
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: MIT
+
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/job"
+	"rackstep.dev/pool"
+)
+
+// Errors of an Intake.
+var (
+	// ErrRefused means that the job was not taken and will never run.
+	ErrRefused = errors.New("not taken: the store does not accept it now; hand it in again")
+	// ErrInDoubt means that the store gave no answer; the same job may be handed in again.
+	ErrInDoubt = errors.New("in doubt: the store gave no answer; hand the same job in again, or ask for its state")
+	// ErrUnknown means that no such job was accepted.
+	ErrUnknown = errors.New("no such job")
+	// ErrUnclear means that nobody can say now.
+	ErrUnclear = errors.New("the scheduling entry can't be asked now; ask again")
+)
+
+// Times of the writes.
+const (
+	// writeTimeout bounds one write; the store answers in some milliseconds.
+	writeTimeout = 500 * time.Millisecond
+	// writePause is the pause before the next try.
+	writePause = 60 * time.Millisecond
+	// refuseAfter is how long a store that refuses is tried before the client is refused.
+	refuseAfter = 250 * time.Millisecond
+	// askTimeout bounds a question to the scheduling entry.
+	askTimeout = 600 * time.Millisecond
+)
+
+// Intake takes what clients hand in; its fields are set before use, and it may be used by several goroutines.
+type Intake struct {
+	Topic feed.Topic
+	// Ask asks the scheduling entry for a job, or for a queue when id is empty.
+	Ask    func(ctx context.Context, id, queue string) (pool.Answer, error)
+	Events *event.Ring
+}
+
+// Submit writes the job; the error is ErrRefused, ErrInDoubt or a *job.SpecError.
+func (i *Intake) Submit(ctx context.Context, s *job.Spec) error {
+	if err := s.Check(); err != nil {
+		i.Events.Emit(event.JobRefused, event.Subject{Job: s.ID}, err.Error())
+		return err
+	}
+	s.Taken = job.UnixMilli(time.Now().UnixMilli())
+	value, err := job.Encode(s)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	offset, tries, err := i.write(ctx, feed.KeyedRecord{Key: pool.JobKey(s.ID), Value: value})
+	i.tell(s.ID, "submit queue="+s.Queue, offset, tries, time.Since(began), err)
+	return err
+}
+
+// Cancel writes the wish to cancel; the error is ErrRefused, ErrInDoubt or ErrUnknown.
+func (i *Intake) Cancel(ctx context.Context, id string) error {
+	ask, done := context.WithTimeout(ctx, askTimeout)
+	a, err := i.Ask(ask, id, "")
+	done()
+	if err == nil && !a.Known && a.Certain {
+		return ErrUnknown
+	}
+	began := time.Now()
+	offset, tries, err := i.write(ctx, feed.KeyedRecord{Key: pool.CancelKey(id), Value: []byte{1}})
+	i.tell(id, "cancel", offset, tries, time.Since(began), err)
+	return err
+}
+
+func (i *Intake) tell(id, what string, offset int64, tries int, took time.Duration, err error) {
+	n := event.JobTaken
+	switch {
+	case errors.Is(err, ErrInDoubt):
+		n = event.JobInDoubt
+	case err != nil:
+		n = event.JobRefused
+	}
+	text := fmt.Sprintf("%s end=%d tries=%d took=%v", what, offset, tries, took.Round(time.Millisecond))
+	if err != nil {
+		text += fmt.Sprintf(" err=%q", err)
+	}
+	i.Events.Emit(n, event.Subject{Job: id}, text)
+}
+
+// write appends the record, again and again while that can help; the same record twice is the same record.
+func (i *Intake) write(ctx context.Context, r feed.KeyedRecord) (end int64, tries int, err error) {
+	began := time.Now()
+	doubt := false
+	for {
+		tries++
+		call, cancel := context.WithTimeout(ctx, writeTimeout)
+		end, err = i.Topic.Append(call, feed.Batch{Records: []feed.KeyedRecord{r}, At: -1})
+		cancel()
+		if err == nil {
+			return end, tries, nil
+		}
+		doubt = doubt || errors.Is(err, feed.ErrUncertain)
+		if ctx.Err() != nil || (!doubt && time.Since(began) > refuseAfter) {
+			break
+		}
+		pause(ctx, writePause)
+	}
+	if doubt {
+		return 0, tries, fmt.Errorf("%w: %w", ErrInDoubt, err)
+	}
+	return 0, tries, fmt.Errorf("%w: %w", ErrRefused, err)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// State returns a job's state; the error is ErrUnknown or ErrUnclear.
+func (i *Intake) State(ctx context.Context, id string) (job.State, error) {
+	a, err := i.ask(ctx, id, "")
+	switch {
+	case err != nil:
+		return 0, err
+	case a.Known:
+		return a.State, nil
+	case a.Certain:
+		return 0, ErrUnknown
+	}
+	return 0, ErrUnclear
+}
+
+// Pending returns how many of the queue's accepted jobs have not begun; the error is ErrUnclear.
+func (i *Intake) Pending(ctx context.Context, queue string) (int, error) {
+	a, err := i.ask(ctx, "", queue)
+	return a.Pending, err
+}
+
+func (i *Intake) ask(ctx context.Context, id, queue string) (pool.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := i.Ask(ctx, id, queue)
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ErrUnclear, err)
+		i.Events.Emit(event.JobAnswered, event.Subject{Job: id}, err.Error())
+	}
+	return a, err
+}
--- /dev/null
+++ b/lead/lead.go
@@ -0,0 +1,340 @@
+// SPDX-License-Identifier: MIT
+
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+)
+
+// Times of the election.
+const (
+	// renewEvery is the pause between two renewals; each costs a write and wakes every entry once.
+	renewEvery = 700 * time.Millisecond
+	// missedAfter is how long candidates wait for a renewal: three of them.
+	missedAfter = 2100 * time.Millisecond
+	// readWait is how long a read waits for a renewal.
+	readWait = time.Second
+	// callTimeout bounds a call beyond its wait.
+	callTimeout = 700 * time.Millisecond
+	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
+	retakePause = 4 * time.Second
+	// spread keeps candidates from asking all at once; the larger entries ask first.
+	spread = 250 * time.Millisecond
+	// confirmedFor is how long a renewal proves that nobody else has the lead.
+	confirmedFor = 2 * time.Second
+)
+
+// key is the one key of the topic.
+const key = "leader"
+
+// writer names the leader to the store.
+const writer = "leader"
+
+// Record is what the topic says of the leader.
+type Record struct {
+	_ struct{} `cbor:",toarray"`
+	// Entry and Address name the leader and its address for peers.
+	Entry, Address string
+	// Boot tells two lives of the entry apart.
+	Boot string
+	Term int64
+	// Fence is the term's fencing token.
+	Fence int64
+	// Released says that the leader has given up the lead.
+	Released bool
+}
+
+// Term is a lead that was taken.
+type Term struct {
+	Number, Fence int64
+}
+
+// Elector takes part in the election.
+type Elector struct {
+	// Entry, Address and Boot are published when this entry leads.
+	Entry, Address, Boot string
+	Topic                feed.Topic
+	// Weight from 0 to 1 prefers larger entries.
+	Weight float64
+	Events *event.Ring
+	// Serve leads until its context ends; it is called for each term that was taken.
+	Serve func(ctx context.Context, t Term)
+	// Seen is called with every new record of a leader, from one goroutine.
+	Seen func(r Record)
+	// May says whether this entry may lead now; always when nil.
+	May func() bool
+
+	mu        sync.Mutex
+	latest    Record
+	end       int64
+	changed   time.Time // when latest changed, or the store began to answer
+	wait      time.Duration
+	notBefore time.Time
+	lost      context.CancelFunc
+	fence     int64
+	confirmed time.Time
+	resigned  bool
+}
+
+// Confirmed says whether a renewal has lately proved that this entry leads.
+func (e *Elector) Confirmed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.confirmed) < confirmedFor
+}
+
+// Latest returns the newest record that was read.
+func (e *Elector) Latest() Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.latest
+}
+
+// Lost ends the term with the fence, after a refusal for a higher one.
+func (e *Elector) Lost(fence int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lost != nil && e.fence == fence {
+		e.notBefore = time.Now().Add(retakePause)
+		e.lost()
+	}
+}
+
+// Resign gives up the lead for good, before a planned stop.
+func (e *Elector) Resign() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resigned = true
+	if e.lost != nil {
+		e.lost()
+	}
+}
+
+// Run follows the topic and leads whenever the lead is taken, until the context ends.
+func (e *Elector) Run(ctx context.Context) error {
+	e.drawWait()
+	known := false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			err = e.begin(ctx)
+			known = err == nil
+		} else {
+			err = e.follow(ctx)
+		}
+		var trimmed *feed.TrimmedError
+		if errors.As(err, &trimmed) {
+			known = false
+		}
+		if err != nil {
+			e.silent()
+			pause(ctx, 100*time.Millisecond)
+			continue
+		}
+		if known && e.vacant() {
+			e.take(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (e *Elector) drawWait() {
+	first := time.Duration((1 - e.Weight) * float64(spread))
+	e.wait = first + rand.N(spread)
+}
+
+func (e *Elector) begin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := e.Topic.Newest(ctx)
+	if err != nil {
+		return fmt.Errorf("read the leader's record: %w", err)
+	}
+	e.took(page)
+	return nil
+}
+
+func (e *Elector) follow(ctx context.Context) error {
+	wait := readWait
+	if e.Latest().Term == 0 || e.Latest().Released {
+		wait = e.wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	page, err := e.Topic.Read(ctx, e.end, wait)
+	if err != nil {
+		return fmt.Errorf("follow the leader's record: %w", err)
+	}
+	e.took(page)
+	return nil
+}
+
+// took applies what was read.
+func (e *Elector) took(page feed.KeyedPage) {
+	var news *Record
+	e.mu.Lock()
+	e.end = max(e.end, page.Next)
+	for _, r := range page.Records {
+		var rec Record
+		if r.Key != key || cbor.Unmarshal(r.Value, &rec) != nil || rec.Fence < e.latest.Fence {
+			continue
+		}
+		e.changed = time.Now()
+		if rec != e.latest {
+			e.latest = rec
+			news = &rec
+		}
+	}
+	if e.changed.IsZero() {
+		e.changed = time.Now()
+	}
+	if e.lost != nil && e.latest.Fence > e.fence {
+		e.notBefore = time.Now().Add(retakePause)
+		e.lost()
+	}
+	e.mu.Unlock()
+	if news != nil && e.Seen != nil {
+		e.Seen(*news)
+	}
+}
+
+// silent restarts the wait for a renewal: while the store does not answer, nothing is known of the leader.
+func (e *Elector) silent() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.changed = time.Now()
+}
+
+// vacant says whether this entry should try to take the lead.
+func (e *Elector) vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.lost != nil || e.resigned || now.Before(e.notBefore) || (e.May != nil && !e.May()) {
+		return false
+	}
+	quiet := now.Sub(e.changed)
+	switch {
+	case e.latest.Term == 0 || e.latest.Released:
+		return quiet >= e.wait
+	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot:
+		return true // an earlier life of this very process
+	}
+	return quiet >= missedAfter+e.wait
+}
+
+// fenceBits are the low bits of a fence, drawn at random so that two candidates of one term never share it.
+const fenceBits = 16
+
+// take appends the next term under the condition that nobody else has.
+func (e *Elector) take(ctx context.Context) {
+	e.mu.Lock()
+	term := e.latest.Term + 1
+	end := e.end
+	e.mu.Unlock()
+	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Term: term, Fence: term<<fenceBits | rand.Int64N(1<<fenceBits)}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	next, err := e.append(call, rec, end, 0)
+	cancel()
+	e.drawWait()
+	if err != nil {
+		// After a lost answer the record may still appear; its fence is never used, so it only delays the next term.
+		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d err=%q", term, err))
+		return
+	}
+	serve, lost := context.WithCancel(ctx)
+	e.mu.Lock()
+	e.latest, e.end = rec, next
+	e.lost, e.fence = lost, rec.Fence
+	e.changed, e.confirmed = time.Now(), time.Now()
+	e.mu.Unlock()
+	if e.Seen != nil {
+		e.Seen(rec)
+	}
+	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d", term, rec.Fence))
+	go e.lead(serve, rec)
+}
+
+func (e *Elector) append(ctx context.Context, rec Record, at, sequence int64) (int64, error) {
+	value, err := cbor.Marshal(rec)
+	if err != nil {
+		return 0, fmt.Errorf("encode the leader's record: %w", err)
+	}
+	return e.Topic.Append(ctx, feed.Batch{
+		Records: []feed.KeyedRecord{{Key: key, Value: value}}, At: at,
+		Writer: feed.Writer{Name: writer, Epoch: rec.Fence, Sequence: sequence},
+	})
+}
+
+// lead serves and renews until the term ends.
+func (e *Elector) lead(ctx context.Context, rec Record) {
+	done := make(chan struct{})
+	go func() {
+		e.Serve(ctx, Term{Number: rec.Term, Fence: rec.Fence})
+		close(done)
+	}()
+	sequence := int64(1)
+	for ctx.Err() == nil {
+		pause(ctx, renewEvery)
+		if ctx.Err() == nil {
+			sequence = e.renew(ctx, rec, sequence)
+		}
+	}
+	<-done
+	e.mu.Lock()
+	e.lost()
+	e.lost = nil
+	released := e.resigned
+	e.confirmed = time.Time{}
+	e.mu.Unlock()
+	e.Events.Emit(event.LeadLost, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d resigned=%t", rec.Term, released))
+	if released {
+		e.release(rec, sequence)
+	}
+}
+
+// renew appends the record once more and returns the next sequence number.
+func (e *Elector) renew(ctx context.Context, rec Record, sequence int64) int64 {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := e.append(call, rec, -1, sequence)
+	var fenced *feed.FencedError
+	switch {
+	case err == nil:
+		e.mu.Lock()
+		e.confirmed = time.Now()
+		e.mu.Unlock()
+		return sequence + 1
+	case errors.As(err, &fenced):
+		e.Lost(rec.Fence)
+	}
+	return sequence // the same number again is taken once
+}
+
+func (e *Elector) release(rec Record, sequence int64) {
+	rec.Released = true
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if _, err := e.append(ctx, rec, -1, sequence); err != nil {
+		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("release term=%d err=%q", rec.Term, err))
+	}
+}
--- /dev/null
+++ b/place/tasks.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+// Room is what one worker has free for tasks.
+type Room struct {
+	Worker *work.Worker
+	Free   job.Need
+	// Serving and Filling count its lasting tasks that serve users and those that fill beside them.
+	Serving, Filling int
+	// Tickets are the steps for which the worker has a valid ticket; nil when the pool's queues need none.
+	Tickets map[string]string
+}
+
+// Group is the waiting tasks of one step of one time of a job.
+type Group struct {
+	Job        *job.Job
+	Time, Step int
+	Priority   int
+	// By is when the job has to be done to be on time, as far as estimates tell.
+	By time.Time
+	// Tasks wait for a worker.
+	Tasks []*job.Task
+	// OnWorker counts the step's tasks on each worker's life; it is filled only where the step limits them.
+	OnWorker map[string]int
+	// Racks counts the step's tasks in each rack, for lasting steps, so that they are spread.
+	Racks map[string]int
+}
+
+// Choice puts one task on one worker.
+type Choice struct {
+	Task *job.Task
+	Room *Room
+}
+
+// Order sorts groups by what comes first: priority, then what has to be done first.
+func Order(groups []*Group) {
+	slices.SortStableFunc(groups, func(a, b *Group) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.By.Compare(b.By), cmp.Compare(a.Job.Spec.ID, b.Job.Spec.ID))
+	})
+}
+
+// Tasks chooses workers for the tasks of the groups, in the order given, and takes what they need from the rooms.
+func Tasks(groups []*Group, rooms []*Room) []Choice {
+	var out []Choice
+	var full []job.Need // needs for which no room was found, without conditions
+	for _, g := range groups {
+		step := &g.Job.Spec.Steps[g.Step]
+		plain := step.Label == "" && step.PerWorker == 0
+		if plain && slices.ContainsFunc(full, func(n job.Need) bool { return atLeast(charge(step), n) }) {
+			continue
+		}
+		before := len(out)
+		for _, t := range g.Tasks {
+			r := choose(g, t, rooms)
+			if r == nil {
+				if plain {
+					full = append(full, charge(step))
+				}
+				break
+			}
+			take(g, r)
+			out = append(out, Choice{Task: t, Room: r})
+		}
+		if step.Gang && len(out)-before < len(g.Tasks) {
+			for _, c := range out[before:] {
+				giveBack(g, c.Room)
+			}
+			out = out[:before]
+		}
+	}
+	return out
+}
+
+// charge is what a task of the step is counted with.
+func charge(s *job.Step) job.Need {
+	n := s.Need
+	if s.Fills {
+		n.MilliCPU = 0
+	}
+	return n
+}
+
+// Charge returns what a task of the step is counted with on its worker.
+func Charge(s *job.Step) job.Need { return charge(s) }
+
+func atLeast(a, b job.Need) bool {
+	return a.MilliCPU >= b.MilliCPU && a.MemoryMB >= b.MemoryMB && a.GPU >= b.GPU
+}
+
+func take(g *Group, r *Room) {
+	change(g, r, -1)
+}
+
+func giveBack(g *Group, r *Room) {
+	change(g, r, 1)
+}
+
+func change(g *Group, r *Room, sign int) {
+	step := &g.Job.Spec.Steps[g.Step]
+	n := charge(step)
+	r.Free.MilliCPU += sign * n.MilliCPU
+	r.Free.MemoryMB += sign * n.MemoryMB
+	r.Free.GPU += sign * n.GPU
+	if g.OnWorker != nil {
+		g.OnWorker[r.Worker.Life] -= sign
+	}
+	if g.Racks != nil {
+		g.Racks[r.Worker.Rack] -= sign
+	}
+	if step.Lasting && step.Fills {
+		r.Filling -= sign
+	} else if step.Lasting {
+		r.Serving -= sign
+	}
+}
+
+// choose returns the best room for the task, or nil.
+func choose(g *Group, t *job.Task, rooms []*Room) *Room {
+	step := &g.Job.Spec.Steps[g.Step]
+	need := charge(step)
+	var best *Room
+	var bestScore float64
+	for _, r := range rooms {
+		if !atLeast(r.Free, need) || !allowed(g, step, r) {
+			continue
+		}
+		s := score(g, t, step, r)
+		if best == nil || s > bestScore {
+			best, bestScore = r, s
+		}
+	}
+	return best
+}
+
+func allowed(g *Group, step *job.Step, r *Room) bool {
+	if step.Label != "" && !slices.Contains(r.Worker.Labels, step.Label) {
+		return false
+	}
+	if step.PerWorker > 0 && g.OnWorker[r.Worker.Life] >= step.PerWorker {
+		return false
+	}
+	return true
+}
+
+// Weights of a room's score; each outweighs those below it in most cases.
+const (
+	// nearWeight: away from its data a task takes at least twice as long.
+	nearWeight = 4
+	// avoidWeight keeps a task from the worker on which it failed last.
+	avoidWeight = 3
+	// spreadWeight spreads lasting tasks over racks; besideWeight keeps fills away from what serves.
+	spreadWeight = 0.5
+	besideWeight = 2
+)
+
+// score is higher for better rooms; free capacity counts from 0 to 1.
+func score(g *Group, t *job.Task, step *job.Step, r *Room) float64 {
+	s := float64(r.Free.MilliCPU) / float64(max(r.Worker.Room.MilliCPU, 1))
+	if step.Rack != "" && slices.Contains(r.Worker.Labels, step.Rack) {
+		s += nearWeight
+	}
+	if t.Avoid == r.Worker.Life {
+		s -= avoidWeight
+	}
+	if step.Lasting {
+		s -= spreadWeight * float64(g.Racks[r.Worker.Rack])
+		if step.Fills {
+			s -= besideWeight * float64(r.Serving)
+		} else {
+			s -= besideWeight * float64(r.Filling)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/pool/commit.go
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/job"
+)
+
+// Figures of a commit.
+const (
+	// commitMost bounds the jobs of one batch, so that it stays far under what the store takes in one call.
+	commitMost = 400
+	// commitPause is the pause after a batch that was not taken.
+	commitPause = 150 * time.Millisecond
+)
+
+// commitEnded tells what is kept now.
+type commitEnded struct {
+	versions map[*job.Job]int64
+	acks     map[*worker]int64
+	workers  []keptWorker
+	waves    map[int64]int
+}
+
+// commit begins to keep what has changed, one batch at a time; without changes ends are acknowledged at once.
+func (c *session) commit() {
+	if c.committing {
+		return
+	}
+	if len(c.dirty)+len(c.gone) == 0 && !c.workersDirty && !c.wavesDirty() {
+		for _, w := range c.workers {
+			w.ack(w.processed)
+		}
+		return
+	}
+	done := commitEnded{versions: make(map[*job.Job]int64), acks: make(map[*worker]int64), waves: make(map[int64]int)}
+	var records []feed.KeyedRecord
+	records = c.keepWorkers(&done, records)
+	records = c.keepWaves(&done, records)
+	for _, id := range c.gone {
+		records = append(records, feed.KeyedRecord{Key: stateKey + id})
+	}
+	c.gone = c.gone[:0]
+	for id, j := range c.dirty {
+		if len(records) >= commitMost {
+			break
+		}
+		value, err := job.Encode(j.Keep())
+		if err != nil {
+			c.emit(event.RecordRefused, event.Subject{Job: id}, "not kept: %v", err)
+			continue
+		}
+		records = append(records, feed.KeyedRecord{Key: stateKey + id, Value: value})
+		done.versions[j] = j.Version
+		delete(c.dirty, id)
+	}
+	if len(c.dirty) == 0 { // else some of the ends are not in this batch
+		for _, w := range c.workers {
+			done.acks[w] = w.processed
+		}
+	}
+	c.committing = true
+	sequence := c.sequence
+	c.sequence++
+	c.work.Go(func() { c.append(records, sequence, done) })
+}
+
+// append tries until the store has taken the batch; the same sequence number again is taken once.
+func (c *session) append(records []feed.KeyedRecord, sequence int64, done commitEnded) {
+	b := feed.Batch{Records: records, At: -1, Writer: feed.Writer{Name: writer, Epoch: c.term.Fence, Sequence: sequence + 1}}
+	failed := false
+	for c.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		_, err := c.State.Append(ctx, b)
+		cancel()
+		if err == nil {
+			if failed {
+				c.emit(event.StoreReachable, event.Subject{Entry: c.Entry}, "state kept again")
+			}
+			c.post(done)
+			return
+		}
+		var fenced *feed.FencedError
+		if errors.As(err, &fenced) {
+			c.Lost(c.term.Fence)
+			return
+		}
+		if !failed {
+			c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "state not kept: %v", err)
+		}
+		failed = true
+		sleep(c.ctx, commitPause)
+	}
+}
+
+func (m commitEnded) apply(c *session) {
+	c.committing = false
+	for j, v := range m.versions {
+		j.KeptVersion = max(j.KeptVersion, v)
+		if j.State.Ended() && v == j.Version {
+			c.emit(event.JobEnded, event.Subject{Job: j.Spec.ID}, "state=%v after=%v", j.State, time.Since(j.Received).Round(time.Millisecond))
+		}
+	}
+	for w, n := range m.acks {
+		w.ack(n)
+	}
+	for _, k := range m.workers {
+		c.workersKept[k.Life] = true
+		c.dirtyPool(k.Pool)
+	}
+	for n, done := range m.waves {
+		c.waveKept(n, done)
+	}
+}
+
+// keepWorkers adds the record of the lives that may be given work, if it has changed.
+func (c *session) keepWorkers(done *commitEnded, records []feed.KeyedRecord) []feed.KeyedRecord {
+	if !c.workersDirty {
+		return records
+	}
+	c.workersDirty = false
+	for _, w := range c.workers {
+		done.workers = append(done.workers, keptWorker{Life: w.Life, Machine: w.Machine, Pool: w.Pool, Address: w.Address})
+	}
+	value, err := job.Encode(done.workers)
+	if err != nil {
+		return records
+	}
+	return append(records, feed.KeyedRecord{Key: workersKey, Value: value})
+}
+
+// drop takes what is kept of a job out of the store; a failure leaves records that the next leader drops.
+func (c *session) drop(id string) {
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		defer cancel()
+		b := feed.Batch{At: -1, Records: []feed.KeyedRecord{{Key: jobKey + id}, {Key: cancelKey + id}}}
+		if _, err := c.Intake.Append(ctx, b); err != nil {
+			c.emit(event.StoreUnreachable, event.Subject{Job: id}, "old job not dropped: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/pool/load.go
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+// Keys of the topics: what a client handed in, its wish to cancel, and what became of the job.
+const (
+	jobKey     = "j/"
+	cancelKey  = "c/"
+	stateKey   = "s/"
+	waveKey    = "wave/"
+	workersKey = "workers"
+)
+
+// JobKey and CancelKey return the intake's keys of a job.
+func JobKey(id string) string { return jobKey + id }
+
+// CancelKey returns the intake's key of a job's cancel.
+func CancelKey(id string) string { return cancelKey + id }
+
+// writer names the scheduler to the store.
+const writer = "schedule"
+
+// Pauses of the followers.
+const (
+	storeTimeout = time.Second
+	storePause   = 200 * time.Millisecond
+	intakeWait   = 1500 * time.Millisecond
+	// workersEvery spaces the reads of the list of workers, which is written to all the time.
+	workersEvery = 150 * time.Millisecond
+	// handover is what an earlier leader may take to notice that it leads no longer, beyond its lease.
+	handover = 1500 * time.Millisecond
+)
+
+// keptWorker is what is kept of a life that may have been given work.
+type keptWorker struct {
+	_                            struct{} `cbor:",toarray"`
+	Life, Machine, Pool, Address string
+}
+
+// load shuts out the earlier leader's writes and reads all that is kept; it tries until the context ends.
+func (c *session) load(ctx context.Context) error {
+	for {
+		err := c.tryLoad(ctx)
+		if err == nil || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		var fenced *feed.FencedError
+		if errors.As(err, &fenced) {
+			c.Lost(c.term.Fence)
+			return err
+		}
+		c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "loading: %v", err)
+		sleep(ctx, storePause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (c *session) tryLoad(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*storeTimeout)
+	defer cancel()
+	fence := feed.Batch{At: -1, Writer: feed.Writer{Name: writer, Epoch: c.term.Fence}}
+	if _, err := c.State.Append(ctx, fence); err != nil {
+		return fmt.Errorf("take over the state: %w", err)
+	}
+	state, err := c.State.Newest(ctx)
+	if err != nil {
+		return fmt.Errorf("read the state: %w", err)
+	}
+	asked := time.Now()
+	intake, err := c.Intake.Newest(ctx)
+	if err != nil {
+		return fmt.Errorf("read the intake: %w", err)
+	}
+	list, err := c.Workers.Newest(ctx)
+	if err != nil {
+		return fmt.Errorf("read the workers: %w", err)
+	}
+	c.fresh = asked
+	c.take(state, intake, list)
+	return nil
+}
+
+// take fills the tables with what was read.
+func (c *session) take(state, intake, list feed.KeyedPage) {
+	now := time.Now()
+	clear(c.jobs)
+	kept := make(map[string]job.Kept)
+	var earlier []keptWorker
+	for _, r := range state.Records {
+		switch {
+		case strings.HasPrefix(r.Key, stateKey):
+			var k job.Kept
+			if job.Decode(r.Value, &k) == nil {
+				kept[r.Key[len(stateKey):]] = k
+			}
+		case r.Key == workersKey:
+			_ = job.Decode(r.Value, &earlier)
+		case strings.HasPrefix(r.Key, waveKey):
+			c.restoreWave(r.Key[len(waveKey):], r.Value)
+		}
+	}
+	c.doubtUntil = now.Add(c.Bounds.Lease*102/100 + handover)
+	c.intakeEnd, c.serversEnd = intake.Next, list.Next
+	for _, r := range list.Records {
+		c.listWorker(r.Key, r.Value)
+	}
+	for _, k := range earlier {
+		w := c.workers[k.Life]
+		if w == nil {
+			w = newWorker(work.Worker{Life: k.Life, Machine: k.Machine, Pool: k.Pool, Address: k.Address})
+			w.listed = false
+			c.workers[k.Life] = w
+		}
+		c.unheard[k.Life] = w
+		c.workersKept[k.Life] = true
+	}
+	for _, r := range intake.Records {
+		c.readIntake(r, now)
+	}
+	for id, j := range c.jobs {
+		if k, ok := kept[id]; ok {
+			j.Restore(k, now)
+			delete(c.dirty, id)
+		}
+		c.restored[id] = true
+	}
+	for _, r := range intake.Records {
+		c.readCancel(r, now)
+	}
+	for _, j := range c.jobs {
+		c.openJob(j, now)
+	}
+	c.emit(event.TablesFromPeer, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
+}
+
+// followIntake hands on what clients hand in.
+func (c *session) followIntake() {
+	from := c.intakeEnd
+	for c.ctx.Err() == nil {
+		asked := time.Now()
+		ctx, cancel := context.WithTimeout(c.ctx, intakeWait+storeTimeout)
+		page, err := c.Intake.Read(ctx, from, intakeWait)
+		cancel()
+		var trimmed *feed.TrimmedError
+		if errors.As(err, &trimmed) {
+			ctx, cancel := context.WithTimeout(c.ctx, 3*storeTimeout)
+			page, err = c.Intake.Newest(ctx)
+			cancel()
+		}
+		if err != nil {
+			sleep(c.ctx, storePause)
+			continue
+		}
+		from = page.Next
+		c.post(intakeRead{page: page, asked: asked})
+	}
+}
+
+// intakeRead is a page of the intake.
+type intakeRead struct {
+	page  feed.KeyedPage
+	asked time.Time
+}
+
+func (m intakeRead) apply(c *session) {
+	now := time.Now()
+	c.fresh = m.asked
+	for _, r := range m.page.Records {
+		if j := c.readIntake(r, now); j != nil {
+			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "queue=%s tasks=%d offset=%d", j.Spec.Queue, len(j.Tasks), r.Offset)
+			c.openJob(j, now)
+		}
+		c.readCancel(r, now)
+	}
+}
+
+// readIntake adds the job that a record hands in, and returns it if it is new.
+func (c *session) readIntake(r feed.KeyedRecord, now time.Time) *job.Job {
+	if !strings.HasPrefix(r.Key, jobKey) || len(r.Value) == 0 || c.jobs[r.Key[len(jobKey):]] != nil {
+		return nil
+	}
+	spec := new(job.Spec)
+	if err := job.Decode(r.Value, spec); err != nil || spec.Check() != nil {
+		c.emit(event.RecordRefused, event.Subject{Job: r.Key[len(jobKey):]}, "offset=%d err=%v", r.Offset, err)
+		return nil
+	}
+	j := job.New(spec, now)
+	j.KeptVersion = j.Version // the intake itself keeps a new job
+	c.jobs[spec.ID] = j
+	return j
+}
+
+// readCancel applies a record's wish to cancel.
+func (c *session) readCancel(r feed.KeyedRecord, now time.Time) {
+	if !strings.HasPrefix(r.Key, cancelKey) || len(r.Value) == 0 {
+		return
+	}
+	j := c.jobs[r.Key[len(cancelKey):]]
+	if j == nil || !j.Cancel(now) {
+		return
+	}
+	c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "cancel offset=%d", r.Offset)
+	c.changed(j)
+	c.stopAll(j, "cancelled")
+}
+
+// changed marks a job for the next commit, and settles one that has ended.
+func (c *session) changed(j *job.Job) {
+	if j.Version > j.KeptVersion {
+		c.dirty[j.Spec.ID] = j
+	}
+	if !j.State.Ended() {
+		return
+	}
+	delete(c.later, j.Spec.ID)
+	c.closeJob(j)
+}
--- /dev/null
+++ b/pool/orders.go
@@ -0,0 +1,207 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+// Times of the orders to workers.
+const (
+	// orderTimeout bounds an order.
+	orderTimeout = 800 * time.Millisecond
+	// startValid is how long a start may take to reach its worker: one that comes later does nothing there, so that a
+	// start without an answer is settled after this time.
+	startValid = 1500 * time.Millisecond
+	// stopAgain is the pause between two stops of a run that goes on.
+	stopAgain = 600 * time.Millisecond
+	// runBits leave room for 16 million starts in one term, so that a run's number rises over terms.
+	runBits = 24
+)
+
+// nextRun returns a number above that of every earlier run of any leader.
+func (c *session) nextRun() int64 {
+	c.starts++
+	return c.term.Number<<runBits | c.starts
+}
+
+// start orders a run of the task.
+func (c *session) start(w *worker, t *job.Task, number int64, ticket string, now time.Time) {
+	r := &run{number: number, sentAt: now, pace: fullPercent}
+	t.Phase, t.Run, t.Worker, t.Since = job.Starting, number, w.Life, now
+	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
+	w.add(t, r)
+	r.deadline = w.deadline(startValid)
+	o := work.Start{
+		Task: t.Name(), Run: number, Text: t.Job.Spec.Text, Deadline: r.deadline,
+		Fence: c.term.Fence, Saved: t.Saved, Ticket: ticket,
+	}
+	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v free=%d config=%d", number, now.Sub(t.Job.Received).Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
+	row := w.Worker
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+		defer cancel()
+		a, err := c.Calls.Start(ctx, &row, o)
+		c.post(startEnded{worker: w, task: t, run: number, answer: a, err: err})
+	})
+}
+
+// startEnded is the answer to a start, or the lack of one.
+type startEnded struct {
+	worker *worker
+	task   *job.Task
+	run    int64
+	answer work.Answer
+	err    error
+}
+
+func (m startEnded) apply(c *session) {
+	w, t := m.worker, m.task
+	if m.err == nil {
+		w.read(m.answer.Clock)
+	}
+	r := w.runs[t]
+	if c.workers[w.Life] != w || r == nil || r.number != m.run {
+		return // it has ended, or its worker has
+	}
+	now := time.Now()
+	switch {
+	case errors.Is(m.err, work.ErrNotSent):
+		c.refused(w, t, m.err.Error())
+		w.rest(now)
+	case m.err != nil:
+		r.unanswered = r.confirmed == 0
+		c.emit(event.RunUnanswered, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d err=%q", m.run, m.err)
+	case m.answer.Refusal == work.Done:
+		w.rests = 0
+		c.confirm(w, t, r, m.answer.Clock)
+		if t.Job.State.Ended() {
+			c.stopTask(w, t, "its job has ended")
+		}
+	case m.answer.Refusal == work.Fenced:
+		c.Lost(c.term.Fence)
+	case m.answer.Refusal == work.OtherLife:
+		c.lose(w, "its address has another life")
+	default:
+		c.refused(w, t, m.answer.Refusal.String())
+		c.learnRefusal(w, t, m.answer.Refusal, now)
+	}
+}
+
+// refused lets the task start elsewhere.
+func (c *session) refused(w *worker, t *job.Task, why string) {
+	c.emit(event.RunRefused, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d why=%q", t.Run, why)
+	w.drop(t)
+	if t.Spec().Gang {
+		c.stopGang(t, "a member was refused")
+	}
+	c.requeue(t)
+}
+
+func (c *session) learnRefusal(w *worker, t *job.Task, why work.Refusal, now time.Time) {
+	switch why {
+	case work.NoRoom, work.Unhealthy, work.Unknown:
+		w.rest(now)
+	case work.BadTicket:
+		c.forgetTicket(t, w.Life)
+	}
+}
+
+// stopGang stops the other members of a task's gang.
+func (c *session) stopGang(t *job.Task, why string) {
+	tasks := t.Job.StepTasks(t.Time, t.Step)
+	for i := range tasks {
+		m := &tasks[i]
+		if w := c.workers[m.Worker]; m != t && w != nil && w.runs[m] != nil {
+			c.stopTask(w, m, why)
+		}
+	}
+}
+
+// stopAll stops whatever runs of a job.
+func (c *session) stopAll(j *job.Job, why string) {
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if w := c.workers[t.Worker]; w != nil && w.runs[t] != nil {
+			c.stopTask(w, t, why)
+		}
+	}
+}
+
+// stopTask orders the end of a task's run; the worker's list tells when it has ended.
+func (c *session) stopTask(w *worker, t *job.Task, why string) {
+	r := w.runs[t]
+	if r == nil || (r.stopSent && time.Since(r.sentAt) < stopAgain) {
+		return
+	}
+	r.stopSent, r.sentAt = true, time.Now()
+	t.Stopping = true
+	c.emit(event.RunStopped, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d why=%q", r.number, why)
+	c.sendStop(w, t, r.number)
+}
+
+// stopRun orders the end of a run that belongs to no task.
+func (c *session) stopRun(w *worker, name string, number int64, why string) {
+	c.emit(event.RunStopped, event.Subject{Job: name, Instance: w.Life}, "run=%d why=%q", number, why)
+	c.callStop(w, name, number, nil)
+}
+
+func (c *session) sendStop(w *worker, t *job.Task, number int64) {
+	c.callStop(w, t.Name(), number, t)
+}
+
+func (c *session) callStop(w *worker, name string, number int64, t *job.Task) {
+	row := w.Worker
+	o := work.Stop{Task: name, Run: number, Fence: c.term.Fence}
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+		defer cancel()
+		a, err := c.Calls.Stop(ctx, &row, o)
+		c.post(stopEnded{worker: w, task: t, run: number, answer: a, err: err})
+	})
+}
+
+// stopEnded is the answer to a stop, or the lack of one.
+type stopEnded struct {
+	worker *worker
+	task   *job.Task
+	run    int64
+	answer work.Answer
+	err    error
+}
+
+func (m stopEnded) apply(c *session) {
+	w := m.worker
+	if c.workers[w.Life] != w || m.err != nil {
+		return // what the worker lists decides
+	}
+	w.read(m.answer.Clock)
+	switch m.answer.Refusal {
+	case work.Fenced:
+		c.Lost(c.term.Fence)
+	case work.OtherLife:
+		c.lose(w, "its address has another life")
+	case work.Done:
+		if r := w.runs[m.task]; r != nil && r.number == m.run {
+			r.stopped = m.answer.Clock
+		}
+	}
+}
+
+// settleUnanswered stops runs whose start got no answer, and stops again what goes on after a stop.
+func (c *session) settleUnanswered(now time.Time) {
+	for _, w := range c.workers {
+		for t, r := range w.runs {
+			lost := r.unanswered && now.Sub(r.sentAt) > orderTimeout
+			if (lost || t.Stopping) && r.stopped == 0 {
+				c.stopTask(w, t, "no answer")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pool/placing.go
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"time"
+
+	"rackstep.dev/job"
+	"rackstep.dev/place"
+)
+
+func (c *session) dirtyPool(name string) { c.pool(name).dirty = true }
+
+// openAll opens every job's steps anew, after what held some of them back is gone.
+func (c *session) openAll(now time.Time) {
+	for _, j := range c.jobs {
+		c.openJob(j, now)
+	}
+}
+
+// openJob makes the tasks of a job whose turn has come ready to be placed.
+func (c *session) openJob(j *job.Job, now time.Time) {
+	if j.State.Ended() {
+		return
+	}
+	for k := range max(j.Spec.Times, 1) {
+		c.openTime(j, k, now)
+	}
+}
+
+// openTime opens the steps of one time of a job.
+func (c *session) openTime(j *job.Job, k int, now time.Time) {
+	if j.Spec.Times > 0 && now.Before(j.Due(k)) {
+		c.later[j.Spec.ID] = j
+		return
+	}
+	for step := range j.Spec.Steps {
+		if j.StepLeft(k, step) > 0 && j.StepOpen(k, step, now) {
+			c.openStep(j, k, step)
+		}
+	}
+}
+
+// openDue opens the times that have become due.
+func (c *session) openDue(now time.Time) {
+	for id, j := range c.later {
+		delete(c.later, id)
+		c.openJob(j, now)
+	}
+}
+
+// openStep puts the waiting tasks of a step into its pool's open groups.
+func (c *session) openStep(j *job.Job, k, step int) {
+	q := c.queue(j)
+	p := c.pool(q.Pool)
+	key := groupKey{job: j.Spec.ID, time: k, step: step}
+	g := &place.Group{Job: j, Time: k, Step: step, Priority: q.Priority, By: dueBy(j, k, q)}
+	tasks := j.StepTasks(k, step)
+	for i := range tasks {
+		if tasks[i].Phase == job.Waiting {
+			g.Tasks = append(g.Tasks, &tasks[i])
+		}
+	}
+	if len(g.Tasks) == 0 {
+		delete(p.open, key)
+		return
+	}
+	p.open[key] = g
+	p.dirty = true
+}
+
+// dueBy is until when the job has to be done to earn fully, as far as its estimates tell.
+func dueBy(j *job.Job, k int, q job.Queue) time.Time {
+	from := j.Received
+	if j.Spec.Times > 0 {
+		from = j.Due(k)
+	}
+	return from.Add(time.Duration(q.Stretch*float64(j.Chain())) + q.Target)
+}
+
+// closeJob takes an ended job out of the open groups.
+func (c *session) closeJob(j *job.Job) {
+	p := c.pool(c.queue(j).Pool)
+	for key := range p.open {
+		if key.job == j.Spec.ID {
+			delete(p.open, key)
+		}
+	}
+}
+
+// requeue makes a task wait for another run.
+func (c *session) requeue(t *job.Task) {
+	now := time.Now()
+	t.Phase, t.Worker, t.Stopping = job.Waiting, "", false
+	if t.Spec().Lasting && (t.AtWork || t.Gone.IsZero()) {
+		t.Gone = now
+	}
+	t.AtWork = false
+	if t.Job.StepOpen(t.Time, t.Step, now) {
+		c.openStep(t.Job, t.Time, t.Step)
+	}
+}
+
+// placeAll places what is open in the pools in which something has changed.
+func (c *session) placeAll(now time.Time) {
+	for _, p := range c.pools {
+		if p.dirty {
+			p.dirty = false
+			c.placePool(p, now)
+		}
+	}
+}
+
+func (c *session) placePool(p *poolRow, now time.Time) {
+	if len(p.open) == 0 {
+		return
+	}
+	rooms := c.rooms(p, now)
+	if len(rooms) == 0 {
+		return
+	}
+	groups := c.groups(p, now)
+	place.Order(groups)
+	for _, x := range place.Tasks(groups, rooms) {
+		c.startChoice(x, now)
+	}
+	for key, g := range p.open {
+		g.Tasks = waiting(g.Tasks)
+		if len(g.Tasks) == 0 {
+			delete(p.open, key)
+		}
+	}
+}
+
+// rooms returns copies of the rooms of the pool's usable workers.
+func (c *session) rooms(p *poolRow, now time.Time) []*place.Room {
+	var rooms []*place.Room
+	for _, w := range c.workers {
+		if w.Pool != p.name {
+			continue
+		}
+		if now.Before(w.restUntil) {
+			p.dirty = true // looked at again with the next tick
+		}
+		if w.usable(now) && c.workersKept[w.Life] {
+			r := w.room
+			rooms = append(rooms, &r)
+		}
+	}
+	return rooms
+}
+
+// groups returns the open groups of which something may start now.
+func (c *session) groups(p *poolRow, now time.Time) []*place.Group {
+	blocked := c.blocked(p.name)
+	groups := make([]*place.Group, 0, len(p.open))
+	for _, g := range p.open {
+		if blocked && c.restored[g.Job.Spec.ID] {
+			continue
+		}
+		step := &g.Job.Spec.Steps[g.Step]
+		if step.Gang && len(g.Tasks) < step.Count {
+			continue // the others of its gang are still to end
+		}
+		if held := g.Tasks[0].NotBefore; now.Before(held) {
+			p.dirty = true
+			continue
+		}
+		c.countGroup(g, step)
+		groups = append(groups, g)
+	}
+	return groups
+}
+
+// blocked says whether a worker of the pool that has not answered may still run what an earlier leader started.
+func (c *session) blocked(pool string) bool {
+	for _, w := range c.unheard {
+		if w.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// countGroup counts where the step's tasks are, if its placement depends on that.
+func (c *session) countGroup(g *place.Group, step *job.Step) {
+	if step.PerWorker == 0 && !step.Lasting {
+		return
+	}
+	g.OnWorker, g.Racks = make(map[string]int), nil
+	if step.Lasting {
+		g.Racks = make(map[string]int)
+	}
+	tasks := g.Job.StepTasks(g.Time, g.Step)
+	for i := range tasks {
+		t := &tasks[i]
+		w := c.workers[t.Worker]
+		if w == nil || w.runs[t] == nil {
+			continue
+		}
+		g.OnWorker[w.Life]++
+		if g.Racks != nil {
+			g.Racks[w.Rack]++
+		}
+	}
+}
+
+func waiting(tasks []*job.Task) []*job.Task {
+	kept := tasks[:0]
+	for _, t := range tasks {
+		if t.Phase == job.Waiting {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
+// startChoice orders what placement chose; the members of a gang share one run number and what was saved.
+func (c *session) startChoice(x place.Choice, now time.Time) {
+	t := x.Task
+	w := c.workers[x.Room.Worker.Life]
+	number := int64(0)
+	if t.Spec().Gang {
+		number = c.gangRun(t)
+	} else {
+		number = c.nextRun()
+	}
+	c.start(w, t, number, x.Room.Tickets[stepName(t)], now)
+}
+
+// gangRun returns the number that the members of the gang started now share, and gives them the same saved progress.
+func (c *session) gangRun(t *job.Task) int64 {
+	tasks := t.Job.StepTasks(t.Time, t.Step)
+	for i := range tasks {
+		if tasks[i].Phase == job.Starting {
+			t.Saved = tasks[i].Saved
+			return tasks[i].Run
+		}
+	}
+	for i := range tasks {
+		if tasks[i].Saved != "" {
+			t.Saved = tasks[i].Saved
+			break
+		}
+	}
+	return c.nextRun()
+}
+
+func stepName(t *job.Task) string {
+	n := t.Name()
+	for i := len(n) - 1; i >= 0; i-- {
+		if n[i] == '.' {
+			return n[:i]
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pool/report.go
@@ -0,0 +1,249 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+const (
+	// endsPage is how many ends a worker lists at once; a full page may hide the end of a run that is not listed.
+	endsPage = 500
+	// sickAfter is how many runs in a row must fail on a worker before it rests, whatever their jobs.
+	sickAfter = 3
+	// failPause keeps a lasting task that fails from being started over and over.
+	failPause = 50 * time.Millisecond
+	// fullPercent is a lasting task's progress once it is at work.
+	fullPercent = 100
+)
+
+func (m holdEnded) apply(c *session) {
+	w := m.worker
+	if c.workers[w.Life] != w {
+		return
+	}
+	now := time.Now()
+	switch {
+	case m.err != nil:
+		c.silent(w, m.err, now)
+	case m.report.Refusal == work.OtherLife:
+		c.lose(w, "its address has another life")
+	case m.report.Refusal == work.Fenced:
+		c.Lost(c.term.Fence)
+	case m.report.Refusal != work.Done:
+		w.answered = now
+	default:
+		c.report(w, m.report, now)
+	}
+}
+
+func (c *session) silent(w *worker, err error, now time.Time) {
+	if !w.silentSince.IsZero() {
+		return
+	}
+	w.silentSince = now
+	c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "machine=%s runs=%d err=%q", w.Machine, len(w.runs), err)
+}
+
+// report takes in what a worker says of its runs.
+func (c *session) report(w *worker, rep work.Report, now time.Time) {
+	if !w.silentSince.IsZero() {
+		c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "answers again after %v", now.Sub(w.silentSince).Round(time.Millisecond))
+		w.silentSince = time.Time{}
+		c.dirtyPool(w.Pool)
+	}
+	w.answered = now
+	for _, e := range rep.Ended {
+		if e.N > w.processed {
+			c.endRun(w, e, now)
+		}
+	}
+	for _, e := range rep.Ended {
+		w.processed = max(w.processed, e.N)
+	}
+	listed := make(map[*job.Task]int64, len(rep.Running))
+	for _, row := range rep.Running {
+		if t := c.running(w, row, rep.Clock, now); t != nil {
+			listed[t] = row.Run
+		}
+	}
+	for t, r := range w.runs {
+		if listed[t] != r.number {
+			c.notListed(w, t, r, rep)
+		}
+	}
+	if w.heard {
+		return
+	}
+	w.heard = true
+	c.dirtyPool(w.Pool)
+	if c.unheard[w.Life] != nil {
+		delete(c.unheard, w.Life)
+		c.openAll(now)
+	}
+}
+
+// task returns the task that a worker names, or nil when no such task is known.
+func (c *session) task(name string) *job.Task {
+	n, ok := job.ParseName(name)
+	if !ok || c.jobs[n.ID] == nil {
+		return nil
+	}
+	return c.jobs[n.ID].Task(n.Time, n.Step, n.Index)
+}
+
+// running takes in a run that a worker lists; it returns the task if the run is the task's latest.
+func (c *session) running(w *worker, row work.Row, clock work.Clock, now time.Time) *job.Task {
+	t := c.task(row.Task)
+	if t == nil {
+		c.stopRun(w, row.Task, row.Run, "no such job")
+		return nil
+	}
+	r := w.runs[t]
+	if r == nil || r.number != row.Run {
+		if r != nil || !c.adopt(w, t, row, clock) {
+			c.stopRun(w, row.Task, row.Run, "not the task's run")
+			return nil
+		}
+		r = w.runs[t]
+	}
+	c.confirm(w, t, r, clock)
+	if row.Saved != "" {
+		t.Saved = row.Saved
+	}
+	t.Percent, t.Gauge = row.Percent, row.Gauge
+	if t.Spec().Lasting && row.Percent >= fullPercent && !t.AtWork {
+		t.AtWork, t.Gone = true, time.Time{}
+	}
+	if t.Job.State.Ended() && !r.stopSent {
+		c.stopTask(w, t, "its job has ended")
+	}
+	return t
+}
+
+// adopt takes over a run that an earlier leader started.
+func (c *session) adopt(w *worker, t *job.Task, row work.Row, clock work.Clock) bool {
+	if t.Phase != job.Waiting || t.Job.State.Ended() {
+		return false
+	}
+	t.Phase, t.Run, t.Worker, t.Since = job.Active, row.Run, w.Life, time.Now()
+	t.Job.Began = true
+	w.add(t, &run{number: row.Run, confirmed: clock, pace: fullPercent})
+	c.emit(event.RunAdopted, event.Subject{Job: row.Task, Instance: w.Life}, "run=%d percent=%d", row.Run, row.Percent)
+	return true
+}
+
+// confirm notes that the worker has the run.
+func (c *session) confirm(w *worker, t *job.Task, r *run, clock work.Clock) {
+	r.confirmed = max(r.confirmed, clock)
+	r.unanswered = false
+	if t.Phase == job.Starting {
+		t.Phase = job.Active
+	}
+	t.Job.Began = true
+}
+
+// notListed decides about a run that a worker neither runs nor has told the end of.
+func (c *session) notListed(w *worker, t *job.Task, r *run, rep work.Report) {
+	switch {
+	case r.confirmed > 0 && rep.Clock > r.confirmed && len(rep.Ended) < endsPage:
+		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
+	case r.unanswered && rep.Clock > r.deadline:
+		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d never began: its deadline has passed", r.number)
+	case r.unanswered && r.stopped > 0 && rep.Clock > r.stopped+work.Clock(c.Bounds.Stop.Milliseconds()):
+		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d never began: it was stopped before", r.number)
+	default:
+		return
+	}
+	w.drop(t)
+	if t.Run == r.number {
+		c.requeue(t)
+	}
+}
+
+// endRun takes in the end of a run.
+func (c *session) endRun(w *worker, e work.End, now time.Time) {
+	t := c.task(e.Task)
+	if t == nil {
+		return
+	}
+	j := t.Job
+	current := false
+	if r := w.runs[t]; r != nil && r.number == e.Run {
+		w.drop(t)
+		current = t.Run == e.Run && t.Phase != job.Finished
+	}
+	c.dirtyPool(w.Pool)
+	c.emit(event.RunEnded, event.Subject{Job: e.Task, Instance: w.Life}, "run=%d how=%v n=%d", e.Run, e.How, e.N)
+	if e.Saved != "" {
+		t.Saved = e.Saved
+	}
+	switch e.How {
+	case work.Succeeded:
+		w.failures = 0
+		c.doneTask(t, now)
+	case work.Failed:
+		c.failTask(w, t, e, now)
+	}
+	if current && t.Phase != job.Finished {
+		c.requeue(t)
+	}
+	c.changed(j)
+}
+
+// doneTask takes note of success: of the task, and of its whole gang if it is in one.
+func (c *session) doneTask(t *job.Task, now time.Time) {
+	j := t.Job
+	members := []*job.Task{t}
+	if t.Spec().Gang {
+		members = members[:0]
+		tasks := j.StepTasks(t.Time, t.Step)
+		for i := range tasks {
+			members = append(members, &tasks[i])
+		}
+	}
+	for _, m := range members {
+		if m.Phase != job.Waiting && m.Phase != job.Finished {
+			if o := c.workers[m.Worker]; o != nil && o.runs[m] != nil {
+				c.finishElsewhere(o, m)
+			}
+		}
+		j.Done(m, now)
+	}
+	if j.StepLeft(t.Time, t.Step) == 0 && !j.State.Ended() {
+		c.openTime(j, t.Time, now)
+	}
+}
+
+// finishElsewhere ends another run of a task that is done: members of a gang end by themselves.
+func (c *session) finishElsewhere(w *worker, t *job.Task) {
+	if t.Spec().Gang {
+		w.drop(t)
+		return
+	}
+	c.stopTask(w, t, "the task is done")
+}
+
+// failTask takes note of a failure and learns from it about the worker.
+func (c *session) failTask(w *worker, t *job.Task, e work.End, now time.Time) {
+	news := t.Job.Fail(t, e.Run, c.queue(t.Job).Attempts, now)
+	t.Avoid = w.Life
+	if t.Spec().Lasting {
+		t.NotBefore = now.Add(failPause)
+	}
+	if !news && !t.Spec().Lasting {
+		return
+	}
+	w.failures++
+	if w.failures >= sickAfter {
+		w.rest(now)
+		c.emit(event.WorkerQuarantined, event.Subject{Instance: w.Life}, "failures=%d rests until %v", w.failures, w.restUntil.Sub(now))
+	}
+	if t.Job.State.Ended() {
+		c.stopAll(t.Job, "the job has failed")
+	}
+}
--- /dev/null
+++ b/pool/scheduler.go
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/job"
+	"rackstep.dev/lead"
+	"rackstep.dev/work"
+)
+
+// Bounds are what the deployment states; all of them are read from the settings.
+type Bounds struct {
+	// Lease is the longest time for which a worker goes on without a hold.
+	Lease time.Duration
+	// Stop is the longest time that stopping a run takes.
+	Stop time.Duration
+	// Status is how long the state of an ended job is to be told.
+	Status time.Duration
+	// Upkeep and Move are how long an instance is away for them.
+	Upkeep, Move time.Duration
+	// Notice is how long a lasting task may be away before it counts as missed.
+	Notice time.Duration
+	// Harm is how long a serving task may be over its target because of what fills beside it.
+	Harm time.Duration
+}
+
+// Wave is a request to maintain instances.
+type Wave struct {
+	Number   int64
+	Machines []string
+	// Within is the time in which all are to have begun, Most how many may be away at once.
+	Within time.Duration
+	Most   int
+}
+
+// MachineState is where an instance stands, by the machine interface.
+type MachineState uint8
+
+// States of an instance.
+const (
+	MachineUp MachineState = iota
+	MachineMoving
+	MachineInUpkeep
+	MachineDown
+)
+
+// Machine is what the machine interface says of an instance.
+type Machine struct {
+	Name, Pool string
+	// Life is the life of its worker, empty when it has none.
+	Life  string
+	State MachineState
+}
+
+// Machines is the machine interface, filled in by an adapter.
+//
+// Upkeep and Move return no error also when the same was done before; ErrBusy, ErrFenced and others say why not.
+type Machines struct {
+	List   func(ctx context.Context) ([]Machine, error)
+	Upkeep func(ctx context.Context, machine string, wave, fence int64) error
+	Move   func(ctx context.Context, machine, pool string, fence int64) error
+}
+
+// Errors of the machine interface.
+var (
+	ErrBusy   = errors.New("instance is not up; ask again when it is")
+	ErrFenced = errors.New("another leader has used a higher fencing token; stop")
+	ErrWave   = errors.New("instance is not of that wave, or unknown")
+)
+
+// Ticket lets a worker's life run a step.
+type Ticket struct {
+	Life, Ticket string
+	Until        time.Time
+}
+
+// Scheduler is the part of an entry that schedules while the entry leads.
+//
+// The exported fields are set before Run.
+type Scheduler struct {
+	Entry string
+	// Intake holds what clients handed in, State what became of it.
+	Intake, State feed.Topic
+	// Workers lists the live workers; Status takes what the operator reads.
+	Workers feed.Topic
+	// ParseWorker reads a record of Workers.
+	ParseWorker func(life string, value []byte) (work.Worker, error)
+	Calls       work.Calls
+	Machines    Machines
+	// Advise says which workers may run a step.
+	Advise func(ctx context.Context, step string, lives []string) ([]Ticket, error)
+	// PutWave writes a wave's state for the operator.
+	PutWave func(ctx context.Context, wave int64, done bool) error
+	Bounds  Bounds
+	Events  *event.Ring
+	// Confirmed says whether the lead was lately confirmed by the store; Lost is told of a higher fencing token.
+	Confirmed func() bool
+	Lost      func(fence int64)
+
+	catalog atomic.Pointer[job.Catalog]
+	mu      sync.Mutex
+	waves   map[int64]Wave
+	current *session
+}
+
+// SetCatalog puts a version of the configuration in force.
+func (s *Scheduler) SetCatalog(c *job.Catalog) {
+	s.catalog.Store(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		s.current.post(catalogChanged{c})
+	}
+}
+
+// SetWave takes a request for a wave of upkeep.
+func (s *Scheduler) SetWave(w Wave) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waves == nil {
+		s.waves = make(map[int64]Wave)
+	}
+	s.waves[w.Number] = w
+	if s.current != nil {
+		s.current.post(waveRead{w})
+	}
+}
+
+// ErrNotLeading means that this entry can't answer, because it does not schedule or has not read all yet.
+var ErrNotLeading = errors.New("this entry does not schedule now; ask again in a moment")
+
+// Answer is what is known of a job or a queue.
+type Answer struct {
+	// Known says that the job was accepted; otherwise Certain says that it was not.
+	Known, Certain bool
+	State          job.State
+	// Pending counts the queue's jobs of which nothing has begun.
+	Pending int
+}
+
+// Ask returns what is known of a job, or of a queue when id is empty.
+func (s *Scheduler) Ask(ctx context.Context, id, queue string) (Answer, error) {
+	s.mu.Lock()
+	c := s.current
+	s.mu.Unlock()
+	if c == nil {
+		return Answer{}, ErrNotLeading
+	}
+	reply := make(chan Answer, 1)
+	c.post(question{id: id, queue: queue, reply: reply})
+	select {
+	case a := <-reply:
+		return a, nil
+	case <-c.ended:
+		return Answer{}, ErrNotLeading
+	case <-ctx.Done():
+		return Answer{}, fmt.Errorf("ask the scheduler: %w", ctx.Err())
+	}
+}
+
+// Serve schedules until the context ends; it is called once a term.
+func (s *Scheduler) Serve(ctx context.Context, t lead.Term) {
+	c := newSession(s, t)
+	defer close(c.ended)
+	if err := c.load(ctx); err != nil {
+		return // the context has ended
+	}
+	s.mu.Lock()
+	s.current = c
+	for _, w := range s.waves {
+		c.post(waveRead{w})
+	}
+	s.mu.Unlock()
+	c.run(ctx)
+	s.mu.Lock()
+	s.current = nil
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/pool/session.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/lead"
+	"rackstep.dev/place"
+)
+
+// Times of a session.
+const (
+	// tickEvery is the pause between two looks at what only time changes: leases, due times, waves, paces.
+	tickEvery = 100 * time.Millisecond
+	// gather is how long messages are gathered before the systems run, so that one pass serves several.
+	gather = 2 * time.Millisecond
+)
+
+// session is one lead: its tables and the goroutine that owns them.
+type session struct {
+	*Scheduler
+	term  lead.Term
+	inbox *inbox
+	ended chan struct{}
+	ctx   context.Context
+	work  sync.WaitGroup
+
+	config  *job.Catalog
+	jobs    map[string]*job.Job
+	pools   map[string]*poolRow
+	workers map[string]*worker
+	// dirty are the jobs with changes that are not kept.
+	dirty map[string]*job.Job
+	// later are jobs with times that are not due yet.
+	later map[string]*job.Job
+	// restored are the jobs that an earlier leader may have started.
+	restored map[string]bool
+	// unheard are the lives that may still run what an earlier leader started, until doubtUntil.
+	unheard    map[string]*worker
+	doubtUntil time.Time
+
+	// reachesMost says that most listed workers have answered lately.
+	reachesMost atomic.Bool
+
+	starts       int64
+	sequence     int64
+	committing   bool
+	workersKept  map[string]bool
+	workersDirty bool
+	fresh        time.Time // what was handed in before this time has been read
+	serversEnd   int64
+	intakeEnd    int64
+	waveRows     map[int64]*waveRow
+	gone         []string // jobs whose state is to be dropped from the store
+	machinesAt   time.Time
+	machinesAsk  bool
+	machines     map[string]Machine
+	tickets      map[string]*stepTickets
+}
+
+func newSession(s *Scheduler, t lead.Term) *session {
+	return &session{
+		Scheduler: s, term: t, inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
+		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker),
+		dirty: make(map[string]*job.Job), later: make(map[string]*job.Job), restored: make(map[string]bool),
+		unheard: make(map[string]*worker), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
+		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
+	}
+}
+
+func (c *session) post(m message) { c.inbox.post(m) }
+
+// run owns the tables until the context ends.
+func (c *session) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer c.work.Wait()
+	defer cancel()
+	c.ctx = ctx
+	c.work.Go(c.followIntake)
+	c.work.Go(c.followWorkers)
+	for _, w := range c.workers {
+		c.startHolds(w)
+	}
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.inbox.signal:
+			time.Sleep(gather)
+			for _, m := range c.inbox.take() {
+				m.apply(c)
+			}
+		case <-tick.C:
+			c.passTime(time.Now())
+		}
+		c.placeAll(time.Now())
+		c.commit()
+	}
+}
+
+// passTime runs the systems that time alone drives.
+func (c *session) passTime(now time.Time) {
+	c.openDue(now)
+	c.watchLeases(now)
+	c.settleUnanswered(now)
+	c.emptyLeaving(now)
+	c.runWaves(now)
+	c.paceFills(now)
+	c.forget(now)
+}
+
+// queue returns what the configuration says of the job's queue; a queue that was taken away keeps what the job knew.
+func (c *session) queue(j *job.Job) job.Queue {
+	if c.config != nil {
+		if q, ok := c.config.Queues[j.Spec.Queue]; ok {
+			return q
+		}
+	}
+	return job.Queue{Name: j.Spec.Queue, Pool: j.Spec.Pool, Attempts: defaultAttempts, Stretch: 2, Target: time.Second}
+}
+
+// defaultAttempts is for jobs whose queue was taken away before its figures were read.
+const defaultAttempts = 3
+
+func (c *session) pool(name string) *poolRow {
+	p := c.pools[name]
+	if p == nil {
+		p = &poolRow{name: name, open: make(map[groupKey]*place.Group)}
+		c.pools[name] = p
+	}
+	return p
+}
+
+// catalogChanged puts a version of the configuration in force.
+type catalogChanged struct{ catalog *job.Catalog }
+
+func (m catalogChanged) apply(c *session) {
+	c.config = m.catalog
+	for _, p := range c.pools {
+		clear(p.open)
+	}
+	for _, j := range c.jobs {
+		c.openJob(j, time.Now())
+	}
+}
+
+// question asks for a job's state or a queue's pending jobs.
+type question struct {
+	id, queue string
+	reply     chan<- Answer
+}
+
+// freshFor is how old the latest look at the intake may be for a job to be certainly unknown; it is under the time
+// after which an accepted job has to be known.
+const freshFor = 2 * time.Second
+
+func (m question) apply(c *session) {
+	if m.id == "" {
+		m.reply <- Answer{Known: true, Pending: c.pending(m.queue)}
+		return
+	}
+	j := c.jobs[m.id]
+	if j == nil {
+		m.reply <- Answer{Certain: time.Since(c.fresh) < freshFor}
+		return
+	}
+	m.reply <- Answer{Known: true, State: j.Shown()}
+}
+
+func (c *session) pending(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.Spec.Queue == queue && !j.Began && !j.State.Ended() && j.Spec.Times == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// forgetAfter is how long beyond the owed time the state of an ended job is kept.
+const forgetAfter = 30 * time.Second
+
+// forget drops jobs whose state is owed to nobody any more.
+func (c *session) forget(now time.Time) {
+	for id, j := range c.jobs {
+		if j.State.Ended() && j.KeptVersion >= j.Version && now.Sub(j.Ended) > c.Bounds.Status+forgetAfter {
+			delete(c.jobs, id)
+			delete(c.restored, id)
+			c.gone = append(c.gone, id)
+			c.drop(id)
+		}
+	}
+}
+
+func (c *session) emit(n event.Number, s event.Subject, format string, args ...any) {
+	c.Events.Emit(n, s, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/pool/tables.go
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rackstep.dev/job"
+	"rackstep.dev/place"
+	"rackstep.dev/work"
+)
+
+// worker is a row of the table of workers: one life.
+type worker struct {
+	work.Worker
+	// room is what the worker has free by this table.
+	room place.Room
+	// runs are the tasks whose latest run is or may be here.
+	runs map[*job.Task]*run
+	// listed says that the platform lists the life; one that is no longer listed gets no starts.
+	listed bool
+	// heard says that it answered this leader, so that no order of an earlier one can land there.
+	heard bool
+	// since is when the life was first listed here, answered when it last answered.
+	since, answered time.Time
+	// silentSince is when it stopped answering; zero while it answers.
+	silentSince time.Time
+	// restUntil is until when it gets no starts, and rests how often in a row that was so.
+	restUntil time.Time
+	rests     int
+	// processed is the newest end that the tables have taken in.
+	processed int64
+	// leftAt is when it began to leave, or was no longer listed; zero otherwise.
+	leftAt time.Time
+	// out says that it is to be emptied for its upkeep or a move.
+	out bool
+	// failures counts failed runs in a row.
+	failures int
+	cancel   context.CancelFunc
+
+	// acked is the newest end that is kept; the hold loop waits for signal after it has seen ends.
+	acked  atomic.Int64
+	signal chan struct{}
+
+	mu    sync.Mutex
+	lease work.Lease
+}
+
+// run is what the tables know of a task's run on a worker.
+type run struct {
+	number int64
+	// confirmed is the worker's clock when it confirmed the run, 0 before.
+	confirmed work.Clock
+	// deadline is the start's; a start that is carried out later does nothing.
+	deadline work.Clock
+	// unanswered says that the start got no answer.
+	unanswered bool
+	// stopSent says that a stop is on its way or was answered; stopped is the worker's clock of that answer.
+	stopSent bool
+	stopped  work.Clock
+	sentAt   time.Time
+	pace     int
+}
+
+func newWorker(w work.Worker) *worker {
+	row := &worker{Worker: w, since: time.Now(), runs: make(map[*job.Task]*run), listed: true, signal: make(chan struct{}, 1)}
+	row.room = place.Room{Worker: &row.Worker, Free: w.Room}
+	return row
+}
+
+// deadline returns a lease's end by the worker's clock, and takes note of it.
+func (w *worker) deadline(d time.Duration) work.Clock {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.lease.Deadline(d, time.Now())
+	w.lease.Sent(c)
+	return c
+}
+
+func (w *worker) read(c work.Clock) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lease.Read(c, time.Now())
+}
+
+func (w *worker) leasedUntil() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lease.Until()
+}
+
+// ack lets the worker forget ends up to n.
+func (w *worker) ack(n int64) {
+	if n <= w.acked.Load() {
+		return
+	}
+	w.acked.Store(n)
+	select {
+	case w.signal <- struct{}{}:
+	default:
+	}
+}
+
+// usable says whether the worker may get starts.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.heard && !w.Leaving && !w.out && w.silentSince.IsZero() && !now.Before(w.restUntil)
+}
+
+// rest keeps starts from the worker for a while, longer each time in a row.
+func (w *worker) rest(now time.Time) {
+	w.rests = min(w.rests+1, 5)
+	w.restUntil = now.Add(restFirst << (w.rests - 1))
+}
+
+// restFirst is the first pause after a worker refused to start anything; it doubles up to 16 times that.
+const restFirst = 100 * time.Millisecond
+
+// add counts a run in; drop counts it out.
+func (w *worker) add(t *job.Task, r *run) {
+	w.runs[t] = r
+	w.count(t, -1)
+}
+
+func (w *worker) drop(t *job.Task) {
+	if w.runs[t] == nil {
+		return
+	}
+	delete(w.runs, t)
+	w.count(t, 1)
+}
+
+func (w *worker) count(t *job.Task, sign int) {
+	s := t.Spec()
+	n := place.Charge(s)
+	w.room.Free.MilliCPU += sign * n.MilliCPU
+	w.room.Free.MemoryMB += sign * n.MemoryMB
+	w.room.Free.GPU += sign * n.GPU
+	switch {
+	case s.Lasting && s.Fills:
+		w.room.Filling -= sign
+	case s.Lasting:
+		w.room.Serving -= sign
+	}
+}
+
+// groupKey names the tasks of one step of one time.
+type groupKey struct {
+	job        string
+	time, step int
+}
+
+// poolRow is a row of the table of pools.
+type poolRow struct {
+	name string
+	// open are the groups with waiting tasks whose turn has come.
+	open map[groupKey]*place.Group
+	// dirty says that something changed that may let tasks start.
+	dirty bool
+}
--- /dev/null
+++ b/pool/upkeep.go
@@ -0,0 +1,319 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/job"
+)
+
+// Times of a wave.
+const (
+	// callAgain is the pause before an instance that refused, or gave no answer, is asked again.
+	callAgain = 500 * time.Millisecond
+	// patience is how long an instance is left to finish short work before the work is stopped for its upkeep.
+	patience = 2500 * time.Millisecond
+)
+
+// waveRow is a row of the table of waves.
+type waveRow struct {
+	Wave
+	// since is when this leader learned of the wave.
+	since time.Time
+	// begun are the instances whose upkeep has begun, kept so that none is emptied twice.
+	begun map[string]bool
+	// steps are the instances being emptied or away.
+	steps map[string]*upkeepStep
+	// keptCount is how many of begun are kept; written says which state the operator reads.
+	keptCount int
+	running   bool
+	finished  bool
+	writing   bool
+}
+
+// upkeepStep is one instance on its way through a wave.
+type upkeepStep struct {
+	// life is the one to be ended.
+	life  string
+	since time.Time
+	// asking says that a call is on its way, doubt that one got no answer, away that the upkeep has begun.
+	asking, doubt, away bool
+	notBefore           time.Time
+}
+
+// waveRead is a request for a wave.
+type waveRead struct{ wave Wave }
+
+func (m waveRead) apply(c *session) {
+	row := c.wave(m.wave.Number)
+	if row.since.IsZero() {
+		row.since = time.Now()
+		c.emit(event.WaveChanged, event.Subject{}, "wave=%d machines=%d most=%d within=%v", m.wave.Number, len(m.wave.Machines), m.wave.Most, m.wave.Within)
+	}
+	row.Wave = m.wave
+}
+
+func (c *session) wave(n int64) *waveRow {
+	row := c.waveRows[n]
+	if row == nil {
+		row = &waveRow{begun: make(map[string]bool), steps: make(map[string]*upkeepStep)}
+		row.Number = n
+		c.waveRows[n] = row
+	}
+	return row
+}
+
+// restoreWave reads what an earlier leader kept of a wave.
+func (c *session) restoreWave(name string, value []byte) {
+	n, err := strconv.ParseInt(name, 10, 64)
+	var begun []string
+	if err != nil || job.Decode(value, &begun) != nil {
+		return
+	}
+	row := c.wave(n)
+	for _, m := range begun {
+		row.begun[m] = true
+	}
+	row.keptCount = len(begun)
+}
+
+func (c *session) wavesDirty() bool {
+	for _, row := range c.waveRows {
+		if len(row.begun) > row.keptCount {
+			return true
+		}
+	}
+	return false
+}
+
+// keepWaves adds what has changed of the waves to a batch.
+func (c *session) keepWaves(done *commitEnded, records []feed.KeyedRecord) []feed.KeyedRecord {
+	for n, row := range c.waveRows {
+		if len(row.begun) <= row.keptCount {
+			continue
+		}
+		begun := make([]string, 0, len(row.begun))
+		for m := range row.begun {
+			begun = append(begun, m)
+		}
+		slices.Sort(begun)
+		value, err := job.Encode(begun)
+		if err != nil {
+			continue
+		}
+		records = append(records, feed.KeyedRecord{Key: waveKey + strconv.FormatInt(n, 10), Value: value})
+		done.waves[n] = len(begun)
+	}
+	return records
+}
+
+func (c *session) waveKept(n int64, count int) {
+	c.waveRows[n].keptCount = max(c.waveRows[n].keptCount, count)
+}
+
+// runWaves takes each wave's next instances out, empties them and has them maintained.
+func (c *session) runWaves(now time.Time) {
+	for _, row := range c.waveRows {
+		if row.finished || row.since.IsZero() {
+			continue
+		}
+		c.runWave(row, now)
+		c.tellWave(row)
+	}
+}
+
+func (c *session) runWave(row *waveRow, now time.Time) {
+	away := c.countAway(row)
+	for _, m := range row.Machines {
+		if len(row.steps) >= 2*max(row.Most, 1) {
+			break // as many are emptied as are away, so that none waits to begin
+		}
+		if !row.begun[m] && row.steps[m] == nil {
+			c.takeOut(row, m, now)
+		}
+	}
+	for m, s := range row.steps {
+		if s.away || s.asking || now.Before(s.notBefore) {
+			continue
+		}
+		if !c.emptied(m, s, now) {
+			continue
+		}
+		if s.doubt || away < max(row.Most, 1) { // one in doubt is counted as away already
+			if !s.doubt {
+				away++
+			}
+			c.askUpkeep(row, m, s)
+		}
+	}
+}
+
+// countAway counts the instances that are away for their upkeep, and ends the steps of those that are back.
+func (c *session) countAway(row *waveRow) int {
+	away := 0
+	for m, s := range row.steps {
+		switch {
+		case s.asking, s.doubt:
+			away++
+		case s.away && c.back(m, s):
+			delete(row.steps, m)
+		case s.away:
+			away++
+		}
+	}
+	return away
+}
+
+// back says whether the instance has a new life that answers.
+func (c *session) back(machine string, s *upkeepStep) bool {
+	for _, w := range c.workers {
+		if w.Machine == machine && w.Life != s.life && w.listed {
+			return true
+		}
+	}
+	x, ok := c.machines[machine]
+	return ok && x.State == MachineUp && x.Life != "" && x.Life != s.life
+}
+
+// takeOut begins to empty an instance.
+func (c *session) takeOut(row *waveRow, machine string, now time.Time) {
+	s := &upkeepStep{since: now}
+	if w := c.workerOf(machine); w != nil {
+		w.out = true
+		s.life = w.Life
+	}
+	row.steps[machine] = s
+}
+
+func (c *session) workerOf(machine string) *worker {
+	for _, w := range c.workers {
+		if w.Machine == machine && w.listed {
+			return w
+		}
+	}
+	return nil
+}
+
+// emptied says whether nothing runs on the instance that its upkeep would end without leave; it stops what it may.
+func (c *session) emptied(machine string, s *upkeepStep, now time.Time) bool {
+	w := c.workers[s.life]
+	if w == nil {
+		w = c.workerOf(machine) // it may have been restarted, or listed only now
+	}
+	if w == nil {
+		return true
+	}
+	s.life = w.Life
+	w.out = true
+	for t := range w.runs {
+		switch {
+		case t.Stopping:
+		case t.Spec().Lasting:
+			if c.mayTakeAway(t, now) {
+				c.stopTask(w, t, "upkeep")
+			}
+		case now.Sub(s.since) > patience:
+			c.stopTask(w, t, "upkeep")
+		}
+	}
+	return len(w.runs) == 0
+}
+
+// mayTakeAway says whether a lasting task may be ended by planned work, given which others of its step are away.
+func (c *session) mayTakeAway(t *job.Task, now time.Time) bool {
+	if t.Phase != job.Active || !t.AtWork {
+		return true // it is not at work anyway
+	}
+	away := 0
+	tasks := t.Job.StepTasks(t.Time, t.Step)
+	for i := range tasks {
+		if o := &tasks[i]; o != t && (!o.AtWork || o.Stopping) {
+			away++
+		}
+	}
+	return away < t.Spec().MayMiss
+}
+
+// askUpkeep has the instance maintained.
+func (c *session) askUpkeep(row *waveRow, machine string, s *upkeepStep) {
+	s.asking = true
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		defer cancel()
+		err := c.Machines.Upkeep(ctx, machine, row.Number, c.term.Fence)
+		c.post(upkeepAsked{row: row, machine: machine, step: s, err: err})
+	})
+}
+
+// upkeepAsked is the answer to a call for an upkeep, or the lack of one.
+type upkeepAsked struct {
+	row     *waveRow
+	machine string
+	step    *upkeepStep
+	err     error
+}
+
+func (m upkeepAsked) apply(c *session) {
+	m.step.asking = false
+	now := time.Now()
+	switch {
+	case m.err == nil:
+		m.step.away, m.step.doubt = true, false
+		m.row.begun[m.machine] = true
+		if w := c.workers[m.step.life]; w != nil {
+			c.lose(w, "its upkeep has begun")
+		}
+		c.emit(event.UpkeepBegun, event.Subject{Instance: m.machine}, "wave=%d done=%d of %d", m.row.Number, len(m.row.begun), len(m.row.Machines))
+		return
+	case errors.Is(m.err, ErrBusy):
+		m.step.doubt = false
+	case errors.Is(m.err, ErrFenced):
+		c.Lost(c.term.Fence)
+	case errors.Is(m.err, ErrWave):
+		m.row.begun[m.machine] = true // it is gone, or was never part of it
+		delete(m.row.steps, m.machine)
+	default:
+		m.step.doubt = true
+	}
+	m.step.notBefore = now.Add(callAgain)
+	c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "wave=%d err=%q", m.row.Number, m.err)
+}
+
+// tellWave writes the wave's state for the operator when it has changed.
+func (c *session) tellWave(row *waveRow) {
+	done := len(row.begun) >= len(row.Machines) && row.keptCount >= len(row.begun)
+	if row.writing || (row.running && !done) {
+		return
+	}
+	row.writing = true
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		defer cancel()
+		err := c.PutWave(ctx, row.Number, done)
+		c.post(waveTold{row: row, done: done, err: err})
+	})
+}
+
+// waveTold says that the operator can read the wave's state.
+type waveTold struct {
+	row  *waveRow
+	done bool
+	err  error
+}
+
+func (m waveTold) apply(c *session) {
+	m.row.writing = false
+	if m.err != nil {
+		return // written again with the next tick
+	}
+	m.row.running = true
+	m.row.finished = m.done
+	c.emit(event.WaveChanged, event.Subject{}, "wave=%d finished=%t", m.row.Number, m.done)
+}
--- /dev/null
+++ b/pool/workers.go
@@ -0,0 +1,345 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+	"rackstep.dev/work"
+)
+
+// Times of the holds.
+const (
+	// holdWait is how long a hold waits for an end; the longest that workers allow.
+	holdWait = 2 * time.Second
+	// holdTimeout bounds a hold beyond its wait.
+	holdTimeout = 700 * time.Millisecond
+	// ackWait is how long the next hold waits for the ends of the last one to be kept; without the store holds go on
+	// at this pace, since a worker answers at once while it lists ends.
+	ackWait = 600 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a hold that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+	// reachWithin is how lately a worker must have answered to count as reached.
+	reachWithin = 2500 * time.Millisecond
+	// settledAfter is how long a life must be known before the machine interface may declare it ended: its answers
+	// may lag behind the list of workers.
+	settledAfter = 4 * time.Second
+	// askMachinesEvery is the pause between two looks at the machine interface while workers are silent.
+	askMachinesEvery = 700 * time.Millisecond
+	// silentAfter is how long a worker is silent before the machine interface is asked about it.
+	silentAfter = 500 * time.Millisecond
+)
+
+// followWorkers hands on what the list of workers says.
+func (c *session) followWorkers() {
+	from := c.serversEnd
+	for c.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(c.ctx, intakeWait+storeTimeout)
+		page, err := c.Workers.Read(ctx, from, intakeWait)
+		cancel()
+		whole := false
+		var trimmed *feed.TrimmedError
+		if errors.As(err, &trimmed) {
+			ctx, cancel := context.WithTimeout(c.ctx, 3*storeTimeout)
+			page, err = c.Workers.Newest(ctx)
+			cancel()
+			whole = true
+		}
+		if err != nil {
+			sleep(c.ctx, storePause)
+			continue
+		}
+		from = page.Next
+		c.post(workersRead{page: page, whole: whole})
+		sleep(c.ctx, workersEvery)
+	}
+}
+
+// workersRead is a page of the list of workers; whole ones name every life that is listed.
+type workersRead struct {
+	page  feed.KeyedPage
+	whole bool
+}
+
+func (m workersRead) apply(c *session) {
+	named := make(map[string]bool)
+	for _, r := range m.page.Records {
+		named[r.Key] = len(r.Value) > 0
+		if w := c.listWorker(r.Key, r.Value); w != nil {
+			c.startHolds(w)
+		}
+	}
+	if !m.whole {
+		return
+	}
+	for life, w := range c.workers {
+		if !named[life] && w.listed {
+			c.unlist(w)
+		}
+	}
+}
+
+// listWorker takes in a record of the list and returns the worker if it is new.
+func (c *session) listWorker(life string, value []byte) *worker {
+	w := c.workers[life]
+	if len(value) == 0 {
+		if w != nil && w.listed {
+			c.unlist(w)
+		}
+		return nil
+	}
+	row, err := c.ParseWorker(life, value)
+	if err != nil {
+		c.emit(event.RecordRefused, event.Subject{Instance: life}, "list of workers: %v", err)
+		return nil
+	}
+	if w == nil {
+		w = newWorker(row)
+		c.workers[life] = w
+		c.workersDirty = true
+		c.endOtherLives(w)
+		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s room=%d leaving=%t", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving)
+		return w
+	}
+	if w.Leaving != row.Leaving || !w.listed {
+		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s leaving=%t", row.Machine, row.Pool, row.Leaving)
+	}
+	c.updateWorker(w, row)
+	return nil
+}
+
+// updateWorker takes over what a known life says anew.
+func (c *session) updateWorker(w *worker, row work.Worker) {
+	grown := row.Room
+	w.room.Free.MilliCPU += grown.MilliCPU - w.Room.MilliCPU
+	w.room.Free.MemoryMB += grown.MemoryMB - w.Room.MemoryMB
+	w.room.Free.GPU += grown.GPU - w.Room.GPU
+	left := row.Leaving && !w.Leaving
+	w.Worker = row
+	w.listed = true
+	c.dirtyPool(w.Pool)
+	if left {
+		c.leave(w)
+	}
+}
+
+func (c *session) unlist(w *worker) {
+	w.listed = false
+	c.emit(event.WorkerSeen, event.Subject{Instance: w.Life}, "machine=%s no longer listed runs=%d", w.Machine, len(w.runs))
+	c.leave(w)
+}
+
+// endOtherLives ends the earlier lives of the new worker's instance: an instance has one life at a time.
+func (c *session) endOtherLives(w *worker) {
+	for life, o := range c.workers {
+		if life != w.Life && o.Machine == w.Machine && o.Machine != "" {
+			c.lose(o, "the instance has a new life "+w.Life)
+		}
+	}
+}
+
+// startHolds begins to hold what runs on the worker.
+func (c *session) startHolds(w *worker) {
+	if c.ctx == nil || w.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	w.cancel = cancel
+	row := w.Worker // the goroutine's own copy: the table's may change
+	c.work.Go(func() { c.hold(ctx, w, &row) })
+}
+
+// holdEnded is an answer to a hold, or the lack of one.
+type holdEnded struct {
+	worker *worker
+	report work.Report
+	err    error
+}
+
+// hold extends the leases on one worker and brings what it reports, until the context ends.
+func (c *session) hold(ctx context.Context, w *worker, row *work.Worker) {
+	pause := retryFirst
+	first := true
+	for ctx.Err() == nil {
+		o := work.Hold{Fence: c.term.Fence, Acked: w.acked.Load(), Wait: holdWait}
+		if c.mayExtend() {
+			o.Deadline = w.deadline(c.Bounds.Lease)
+		}
+		if first {
+			o.Wait = 0
+		}
+		call, cancel := context.WithTimeout(ctx, o.Wait+holdTimeout)
+		rep, err := c.Calls.Hold(call, row, o)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			w.read(rep.Clock)
+		}
+		c.post(holdEnded{worker: w, report: rep, err: err})
+		if err != nil || rep.Refusal != work.Done {
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		first = false
+		pause = retryFirst
+		w.awaitAck(ctx, rep.Ended)
+	}
+}
+
+// awaitAck waits until the ends are kept, so that the next hold may acknowledge them, but not for long.
+func (w *worker) awaitAck(ctx context.Context, ends []work.End) {
+	newest := int64(0)
+	for _, e := range ends {
+		newest = max(newest, e.N)
+	}
+	t := time.NewTimer(ackWait)
+	defer t.Stop()
+	for w.acked.Load() < newest {
+		select {
+		case <-w.signal:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// mayExtend says whether leases may be extended: only while no other leader can be giving the same work to others.
+//
+// The store's word is proof. Without it, a leader that another one has followed would be refused by the workers that
+// one reaches; so it goes on only while it reaches most of them.
+func (c *session) mayExtend() bool {
+	return c.Confirmed() || c.reachesMost.Load()
+}
+
+// countReached notes whether most of the listed workers have answered lately.
+func (c *session) countReached(now time.Time) {
+	reached, all := 0, 0
+	for _, w := range c.workers {
+		if !w.listed {
+			continue
+		}
+		all++
+		if now.Sub(w.answered) < reachWithin {
+			reached++
+		}
+	}
+	c.reachesMost.Store(2*reached > all)
+}
+
+// watchLeases looks after workers that are silent: their runs are over when their life or their lease is.
+func (c *session) watchLeases(now time.Time) {
+	c.countReached(now)
+	silent := false
+	for _, w := range c.workers {
+		if w.silentSince.IsZero() {
+			continue
+		}
+		silent = silent || now.Sub(w.silentSince) > silentAfter
+		if c.leaseOver(w, now) {
+			c.endLease(w)
+		}
+	}
+	if len(c.unheard) > 0 && now.After(c.doubtUntil) {
+		clear(c.unheard)
+		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over")
+		c.openAll(now)
+	}
+	if (silent || len(c.waveRows) > 0) && !c.machinesAsk && now.Sub(c.machinesAt) > askMachinesEvery {
+		c.askMachines()
+	}
+}
+
+// leaseOver says whether nothing can run on the worker any more.
+func (c *session) leaseOver(w *worker, now time.Time) bool {
+	if now.Before(w.leasedUntil()) {
+		return false
+	}
+	return w.heard || now.After(c.doubtUntil)
+}
+
+// endLease gives up the runs of a worker whose lease is over; one that is not listed either is forgotten.
+func (c *session) endLease(w *worker) {
+	if !w.listed {
+		c.lose(w, "its lease is over and it is not listed")
+		return
+	}
+	if len(w.runs) > 0 {
+		c.emit(event.WorkerLost, event.Subject{Instance: w.Life}, "its lease is over runs=%d", len(w.runs))
+		c.giveUpRuns(w)
+	}
+}
+
+// lose takes a life that has ended out of the tables.
+func (c *session) lose(w *worker, why string) {
+	c.emit(event.WorkerLost, event.Subject{Instance: w.Life}, "%s runs=%d", why, len(w.runs))
+	c.giveUpRuns(w)
+	if w.cancel != nil {
+		w.cancel()
+	}
+	delete(c.workers, w.Life)
+	c.workersDirty = true
+	delete(c.workersKept, w.Life)
+	if c.unheard[w.Life] != nil {
+		delete(c.unheard, w.Life)
+		c.openAll(time.Now())
+	}
+	go c.Calls.Forget(&w.Worker)
+}
+
+// giveUpRuns lets the tasks of a worker start elsewhere; nothing of them counts as an attempt.
+func (c *session) giveUpRuns(w *worker) {
+	for t, r := range w.runs {
+		w.drop(t)
+		if t.Run == r.number {
+			c.requeue(t)
+		}
+	}
+}
+
+// askMachines asks the machine interface which lives there are.
+func (c *session) askMachines() {
+	c.machinesAsk = true
+	c.machinesAt = time.Now()
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		defer cancel()
+		list, err := c.Machines.List(ctx)
+		c.post(machinesRead{list: list, err: err})
+	})
+}
+
+// machinesRead is the machine interface's list.
+type machinesRead struct {
+	list []Machine
+	err  error
+}
+
+func (m machinesRead) apply(c *session) {
+	c.machinesAsk = false
+	if m.err != nil {
+		return // asked again while it matters
+	}
+	now := time.Now()
+	for _, x := range m.list {
+		c.machines[x.Name] = x
+	}
+	for _, w := range c.workers {
+		x, ok := c.machines[w.Machine]
+		if !ok || w.silentSince.IsZero() || now.Sub(w.since) < settledAfter || now.Sub(w.silentSince) < silentAfter {
+			continue
+		}
+		if x.Life != w.Life {
+			c.lose(w, "the machine interface knows its instance by another life")
+		}
+	}
+}
