pool, entry: never place a task that a worker has listed meanwhile, and take SIGHUP for what it is

Cause: after a takeover a task whose end or run a worker had just listed was still among the waiting ones of its group and was started again (TWICE, then MIXED and LOST); a list read whole named an ended life after the newer one of its instance, which was given up for it; SIGHUP ended the process. Change: groups are filtered before placing; lists are taken in the order of their offsets and an ended life stays ended; the settings are read again on SIGHUP and when the file changes.

--- a/cmd/rackstepd/onplatform.go
+++ b/cmd/rackstepd/onplatform.go
@@ -54,7 +54,7 @@
 	defer out.Flush()
 	logger := log.With(log.NewLogfmtLogger(out), "time", log.DefaultTimestampUTC, "entry", s.Entry)
 	n := &entry.Node{
-		Settings: s, Events: &event.Ring{Entry: s.Entry, Logger: logger, Size: eventsKept},
+		Settings: s, SettingsPath: os.Getenv(platform.SettingsVariable), Events: &event.Ring{Entry: s.Entry, Logger: logger, Size: eventsKept},
 		MetricsAddress: net.JoinHostPort(s.IP, c.String("metrics")),
 	}
 	return n.Run(ctx)
--- a/entry/node.go
+++ b/entry/node.go
@@ -37,7 +37,9 @@
 // Node is an entry on the users' platform: it takes clients' jobs, and schedules them while it leads.
 type Node struct {
 	Settings *platform.Settings
-	Events   *event.Ring
+	// SettingsPath is the file that Settings came from; it is read again when it changes.
+	SettingsPath string
+	Events       *event.Ring
 	// Metrics answers at MetricsAddress; neither is needed.
 	Metrics        http.Handler
 	MetricsAddress string
@@ -72,7 +74,7 @@
 	var g run.Group
 	end := make(chan struct{})
 	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
-	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run} {
+	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings} {
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -134,13 +136,8 @@
 		Entry: s.Entry, Intake: store.Own(intakeTopic), State: store.Own(stateTopic), Workers: store.Workers(),
 		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s).Calls(),
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
-		Bounds: pool.Bounds{
-			Lease: platform.Millis(s.Bounds.LeaseMillis), Stop: platform.Millis(s.Bounds.StopMillis),
-			Status: platform.Seconds(s.Bounds.StatusSeconds), Upkeep: platform.Seconds(s.Bounds.UpkeepSeconds),
-			Move: platform.Seconds(s.Bounds.MoveSeconds), Notice: platform.Millis(s.Bounds.NoticeMillis),
-			Harm: platform.Millis(s.Bounds.HarmMillis),
-		},
 	}
+	n.scheduler.SetBounds(boundsOf(s))
 	if _, err := netip.ParseAddrPort(s.Advice); err == nil {
 		n.scheduler.Advise = platform.NewAdvice(s).Ask
 	}
--- /dev/null
+++ b/entry/reload.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/platform"
+	"rackstep.dev/pool"
+)
+
+// reloadEvery is the pause between two looks at the settings file, which may change without a signal.
+const reloadEvery = 2 * time.Second
+
+// watchSettings reads the settings again on SIGHUP and when the file has changed, until the context ends.
+func (n *Node) watchSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	look := time.NewTicker(reloadEvery)
+	defer look.Stop()
+	changed := n.settingsTime()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hup:
+		case <-look.C:
+			if n.settingsTime().Equal(changed) {
+				continue
+			}
+		}
+		changed = n.settingsTime()
+		n.reload()
+	}
+}
+
+// settingsTime returns when the file was last written, and the zero time if that can't be told.
+func (n *Node) settingsTime() time.Time {
+	info, err := os.Stat(n.SettingsPath)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload puts new bounds in force; a file with mistakes changes nothing.
+func (n *Node) reload() {
+	s, err := platform.LoadSettings(n.SettingsPath)
+	if err != nil {
+		n.Events.Emit(event.SettingsReloaded, event.Subject{Entry: n.Settings.Entry}, "nothing changed: "+err.Error())
+		return
+	}
+	restart := s.Listen != n.Settings.Listen || s.Store.Address != n.Settings.Store.Address || s.Machines.Address != n.Settings.Machines.Address
+	n.scheduler.SetBounds(boundsOf(s))
+	n.Events.Emit(event.SettingsReloaded, event.Subject{Entry: n.Settings.Entry}, fmt.Sprintf("bounds in force; addresses changed, which needs a restart: %t", restart))
+}
+
+// boundsOf returns the settings' bounds as the scheduler wants them.
+func boundsOf(s *platform.Settings) pool.Bounds {
+	return pool.Bounds{
+		Lease: platform.Millis(s.Bounds.LeaseMillis), Stop: platform.Millis(s.Bounds.StopMillis),
+		Status: platform.Seconds(s.Bounds.StatusSeconds), Upkeep: platform.Seconds(s.Bounds.UpkeepSeconds),
+		Move: platform.Seconds(s.Bounds.MoveSeconds), Notice: platform.Millis(s.Bounds.NoticeMillis),
+		Harm: platform.Millis(s.Bounds.HarmMillis),
+	}
+}
--- a/pool/load.go
+++ b/pool/load.go
@@ -3,9 +3,11 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -120,8 +122,9 @@
 			c.restoreWave(r.Key[len(waveKey):], r.Value)
 		}
 	}
-	c.doubtUntil = now.Add(c.Bounds.Lease*102/100 + handover)
+	c.doubtUntil = now.Add(c.Bounds().Lease*102/100 + handover)
 	c.intakeEnd, c.serversEnd = intake.Next, list.Next
+	slices.SortFunc(list.Records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, r := range list.Records {
 		c.listWorker(r.Key, r.Value)
 	}
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -148,6 +148,10 @@
 
 // stopRun orders the end of a run that belongs to no task.
 func (c *session) stopRun(w *worker, name string, number int64, why string) {
+	if time.Since(w.strays[number]) < stopAgain {
+		return
+	}
+	w.strays[number] = time.Now()
 	c.emit(event.RunStopped, event.Subject{Job: name, Instance: w.Life}, "run=%d why=%q", number, why)
 	c.callStop(w, name, number, nil)
 }
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -159,6 +159,10 @@
 			continue
 		}
 		step := &g.Job.Spec.Steps[g.Step]
+		g.Tasks = waiting(g.Tasks) // a worker may have listed some of them meanwhile
+		if len(g.Tasks) == 0 {
+			continue
+		}
 		if step.Gang && len(g.Tasks) < step.Count {
 			continue // the others of its gang are still to end
 		}
--- a/pool/report.go
+++ b/pool/report.go
@@ -154,7 +154,7 @@
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
 	case r.unanswered && rep.Clock > r.deadline:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d never began: its deadline has passed", r.number)
-	case r.unanswered && r.stopped > 0 && rep.Clock > r.stopped+work.Clock(c.Bounds.Stop.Milliseconds()):
+	case r.unanswered && r.stopped > 0 && rep.Clock > r.stopped+work.Clock(c.Bounds().Stop.Milliseconds()):
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d never began: it was stopped before", r.number)
 	default:
 		return
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -100,18 +100,24 @@
 	Advise func(ctx context.Context, step string, lives []string) ([]Ticket, error)
 	// PutWave writes a wave's state for the operator.
 	PutWave func(ctx context.Context, wave int64, done bool) error
-	Bounds  Bounds
 	Events  *event.Ring
 	// Confirmed says whether the lead was lately confirmed by the store; Lost is told of a higher fencing token.
 	Confirmed func() bool
 	Lost      func(fence int64)
 
 	catalog atomic.Pointer[job.Catalog]
+	bounds  atomic.Pointer[Bounds]
 	mu      sync.Mutex
 	waves   map[int64]Wave
 	current *session
 }
 
+// SetBounds puts bounds in force; it is called before Serve, and whenever they change.
+func (s *Scheduler) SetBounds(b Bounds) { s.bounds.Store(&b) }
+
+// Bounds returns the bounds in force.
+func (s *Scheduler) Bounds() Bounds { return *s.bounds.Load() }
+
 // SetCatalog puts a version of the configuration in force.
 func (s *Scheduler) SetCatalog(c *job.Catalog) {
 	s.catalog.Store(c)
--- a/pool/session.go
+++ b/pool/session.go
@@ -36,6 +36,8 @@
 	jobs    map[string]*job.Job
 	pools   map[string]*poolRow
 	workers map[string]*worker
+	// over are the lives that have ended.
+	over map[string]bool
 	// dirty are the jobs with changes that are not kept.
 	dirty map[string]*job.Job
 	// later are jobs with times that are not due yet.
@@ -68,7 +70,7 @@
 func newSession(s *Scheduler, t lead.Term) *session {
 	return &session{
 		Scheduler: s, term: t, inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
-		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker),
+		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), over: make(map[string]bool),
 		dirty: make(map[string]*job.Job), later: make(map[string]*job.Job), restored: make(map[string]bool),
 		unheard: make(map[string]*worker), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
@@ -192,7 +194,7 @@
 // forget drops jobs whose state is owed to nobody any more.
 func (c *session) forget(now time.Time) {
 	for id, j := range c.jobs {
-		if j.State.Ended() && j.KeptVersion >= j.Version && now.Sub(j.Ended) > c.Bounds.Status+forgetAfter {
+		if j.State.Ended() && j.KeptVersion >= j.Version && now.Sub(j.Ended) > c.Bounds().Status+forgetAfter {
 			delete(c.jobs, id)
 			delete(c.restored, id)
 			c.gone = append(c.gone, id)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -20,6 +20,8 @@
 	room place.Room
 	// runs are the tasks whose latest run is or may be here.
 	runs map[*job.Task]*run
+	// strays are the runs that belong to no task, and when they were told to stop.
+	strays map[int64]time.Time
 	// listed says that the platform lists the life; one that is no longer listed gets no starts.
 	listed bool
 	// heard says that it answered this leader, so that no order of an earlier one can land there.
@@ -66,7 +68,7 @@
 }
 
 func newWorker(w work.Worker) *worker {
-	row := &worker{Worker: w, since: time.Now(), runs: make(map[*job.Task]*run), listed: true, signal: make(chan struct{}, 1)}
+	row := &worker{Worker: w, since: time.Now(), strays: make(map[int64]time.Time), runs: make(map[*job.Task]*run), listed: true, signal: make(chan struct{}, 1)}
 	row.room = place.Room{Worker: &row.Worker, Free: w.Room}
 	return row
 }
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -3,8 +3,10 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"rackstep.dev/event"
@@ -68,6 +70,7 @@
 
 func (m workersRead) apply(c *session) {
 	named := make(map[string]bool)
+	slices.SortFunc(m.page.Records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, r := range m.page.Records {
 		named[r.Key] = len(r.Value) > 0
 		if w := c.listWorker(r.Key, r.Value); w != nil {
@@ -99,6 +102,9 @@
 		return nil
 	}
 	if w == nil {
+		if c.over[life] {
+			return nil // its record is older than the proof that it has ended
+		}
 		w = newWorker(row)
 		c.workers[life] = w
 		c.workersDirty = true
@@ -168,7 +174,7 @@
 	for ctx.Err() == nil {
 		o := work.Hold{Fence: c.term.Fence, Acked: w.acked.Load(), Wait: holdWait}
 		if c.mayExtend() {
-			o.Deadline = w.deadline(c.Bounds.Lease)
+			o.Deadline = w.deadline(c.Bounds().Lease)
 		}
 		if first {
 			o.Wait = 0
@@ -287,6 +293,7 @@
 		w.cancel()
 	}
 	delete(c.workers, w.Life)
+	c.over[w.Life] = true
 	c.workersDirty = true
 	delete(c.workersKept, w.Life)
 	if c.unheard[w.Life] != nil {
