pool, upkeep: move instances to the pools that have work, and idle ones into the headroom

Cause: classes come in turns at four times their mean; a pool had capacity for half of its turn while other pools idled, and idle instances are paid by the second. Change: package upkeep decides on moves from what each pool's runs and waiting tasks fill; idle instances are parked.

--- a/pool/load.go
+++ b/pool/load.go
@@ -191,7 +191,7 @@
 	c.fresh = m.asked
 	for _, r := range m.page.Records {
 		if j := c.readIntake(r, now); j != nil {
-			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "queue=%s tasks=%d offset=%d", j.Spec.Queue, len(j.Tasks), r.Offset)
+			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s offset=%d", describe(j), r.Offset)
 			c.openJob(j, now)
 		}
 		c.readCancel(r, now)
@@ -239,3 +239,23 @@
 	delete(c.later, j.Spec.ID)
 	c.closeJob(j)
 }
+
+// describe returns what a job asks for, in one line.
+func describe(j *job.Job) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "queue=%s tasks=%d", j.Spec.Queue, len(j.Tasks))
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		fmt.Fprintf(&b, " step=%dx%dm/%dMB/%dms", s.Count, s.Need.MilliCPU, s.Need.MemoryMB, s.Estimate)
+		if s.Lasting {
+			fmt.Fprintf(&b, ",lasting,image=%s,target=%d,fills=%t,miss=%d", s.Image, s.TailTarget, s.Fills, s.MayMiss)
+		}
+		if s.PerWorker > 0 {
+			fmt.Fprintf(&b, ",perworker=%d", s.PerWorker)
+		}
+		if s.Gang || s.Copies || s.Saves {
+			fmt.Fprintf(&b, ",gang=%t,copies=%t,saves=%t", s.Gang, s.Copies, s.Saves)
+		}
+	}
+	return b.String()
+}
--- a/pool/session.go
+++ b/pool/session.go
@@ -65,6 +65,9 @@
 	machinesAsk  bool
 	machines     map[string]Machine
 	tickets      map[string]*stepTickets
+	moves        map[string]*moveStep
+	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
+	unmovable, ownWord map[string]time.Time
 }
 
 func newSession(s *Scheduler, t lead.Term) *session {
@@ -74,6 +77,7 @@
 		dirty: make(map[string]*job.Job), later: make(map[string]*job.Job), restored: make(map[string]bool),
 		unheard: make(map[string]*worker), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
+		moves: make(map[string]*moveStep), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
 }
 
@@ -116,6 +120,7 @@
 	c.settleUnanswered(now)
 	c.emptyLeaving(now)
 	c.runWaves(now)
+	c.sizePools(now)
 	c.paceFills(now)
 	c.forget(now)
 }
--- /dev/null
+++ b/pool/size.go
@@ -0,0 +1,259 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/place"
+	"rackstep.dev/upkeep"
+)
+
+// Figures of the pools' sizes; the rounds that chose them are in docs/design/pools.md.
+const (
+	// keepFor is how long a pool keeps what it lately needed: a move costs about as much as an idle second, and the
+	// instance is away for the time of the move.
+	keepFor = 2 * time.Second
+	// spareShare is what a pool keeps beyond its need, since tasks do not pack without gaps.
+	spareShare = 0.08
+	// spareInstances is the least that a pool keeps idle for what comes next.
+	spareInstances = 1
+	// moveAgain is the pause before an instance that could not be moved is tried again.
+	moveAgain = 600 * time.Millisecond
+	// moveLost is how long an instance may take to appear in its new pool, beyond the time of the move.
+	moveLost = 4 * time.Second
+	// ownWord is how long this leader's own knowledge of an instance goes before the machine interface's list.
+	ownWord = 3 * time.Second
+)
+
+// moveStep is an instance on its way to another pool.
+type moveStep struct {
+	to, life string
+	since    time.Time
+	// asking says that a call is on its way, moved that it was done.
+	asking, moved bool
+	notBefore     time.Time
+}
+
+// need is a pool's need at one time, in thousandths of an instance.
+type need struct {
+	at        time.Time
+	instances float64
+}
+
+// sizePools moves instances to where the work is.
+func (c *session) sizePools(now time.Time) {
+	if c.config == nil || len(c.machines) == 0 {
+		return
+	}
+	c.carryMoves(now)
+	pools, instances := c.sizes(now)
+	for _, m := range upkeep.Moves(pools, instances) {
+		c.beginMove(m, now)
+	}
+}
+
+// sizes returns the pools and the instances as package upkeep wants them.
+func (c *session) sizes(now time.Time) ([]upkeep.Pool, []upkeep.Instance) {
+	rows := make(map[string]*upkeep.Pool)
+	var pools []upkeep.Pool
+	for name, p := range c.config.Pools {
+		pools = append(pools, upkeep.Pool{Name: name, Headroom: p.Headroom})
+	}
+	for i := range pools {
+		rows[pools[i].Name] = &pools[i]
+	}
+	used := make(map[string]job.Need)
+	whole := c.wholeInstance()
+	byMachine := make(map[string]*worker, len(c.workers))
+	for _, w := range c.workers {
+		byMachine[w.Machine] = w
+		n := used[w.Pool]
+		n.MilliCPU += w.Room.MilliCPU - w.room.Free.MilliCPU
+		n.MemoryMB += w.Room.MemoryMB - w.room.Free.MemoryMB
+		used[w.Pool] = n
+	}
+	var instances []upkeep.Instance
+	for name, m := range c.machines {
+		x := upkeep.Instance{Name: name, Pool: m.Pool, Fixed: m.State != MachineUp || c.fixed(name, now)}
+		if s := c.moves[name]; s != nil {
+			x.Pool = s.to
+		}
+		w := byMachine[name]
+		if w != nil && !w.out && (w.Leaving || !w.listed || !w.silentSince.IsZero()) {
+			continue // it is of no use to anybody
+		}
+		if w != nil {
+			x.Runs = len(w.runs)
+			x.Lasting = w.room.Serving + w.room.Filling
+		} else if p := c.config.Pools[x.Pool]; !p.Headroom {
+			x.Fixed = true // it has no life that is known yet
+		}
+		instances = append(instances, x)
+		if row := rows[x.Pool]; row != nil {
+			row.Have++
+		}
+	}
+	for name, row := range rows {
+		if !row.Headroom {
+			c.wants(row, c.demand(c.pool(name), used[name], whole), now)
+		}
+	}
+	return pools, instances
+}
+
+// wholeInstance returns the room of a typical instance.
+func (c *session) wholeInstance() job.Need {
+	for _, w := range c.workers {
+		if w.Room.MilliCPU > 0 {
+			return w.Room
+		}
+	}
+	return job.Need{}
+}
+
+// demand returns how many instances a pool's runs and waiting tasks fill.
+func (c *session) demand(p *poolRow, used, whole job.Need) float64 {
+	for _, g := range p.open {
+		n := place.Charge(&g.Job.Spec.Steps[g.Step])
+		for _, t := range g.Tasks {
+			if t.Phase == job.Waiting {
+				used.MilliCPU += n.MilliCPU
+				used.MemoryMB += n.MemoryMB
+			}
+		}
+	}
+	if whole.MilliCPU == 0 || whole.MemoryMB == 0 {
+		return 0
+	}
+	return max(float64(used.MilliCPU)/float64(whole.MilliCPU), float64(used.MemoryMB)/float64(whole.MemoryMB))
+}
+
+// wants sets what the pool wants now, and what it keeps because it lately needed it.
+func (c *session) wants(row *upkeep.Pool, instances float64, now time.Time) {
+	p := c.pool(row.Name)
+	p.needs = append(p.needs, need{at: now, instances: instances})
+	for len(p.needs) > 0 && now.Sub(p.needs[0].at) > keepFor {
+		p.needs = p.needs[1:]
+	}
+	most := 0.0
+	for _, n := range p.needs {
+		most = max(most, n.instances)
+	}
+	row.Want = instances*(1+spareShare) + spareInstances
+	row.Keep = most*(1+spareShare) + spareInstances
+}
+
+// fixed says whether an instance is on its way, or is to have its upkeep soon.
+func (c *session) fixed(machine string, now time.Time) bool {
+	if s := c.moves[machine]; s != nil {
+		return true
+	}
+	if now.Before(c.unmovable[machine]) {
+		return true
+	}
+	for _, row := range c.waveRows {
+		if row.steps[machine] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// beginMove takes an instance out of its pool.
+func (c *session) beginMove(m upkeep.Move, now time.Time) {
+	s := &moveStep{to: m.To, since: now}
+	if w := c.workerOf(m.Instance); w != nil {
+		w.out = true
+		s.life = w.Life
+	}
+	c.moves[m.Instance] = s
+	c.carryMove(m.Instance, s, now)
+}
+
+// carryMoves goes on with the moves that have begun.
+func (c *session) carryMoves(now time.Time) {
+	for machine, s := range c.moves {
+		c.carryMove(machine, s, now)
+	}
+}
+
+func (c *session) carryMove(machine string, s *moveStep, now time.Time) {
+	switch {
+	case s.asking || now.Before(s.notBefore):
+	case s.moved:
+		c.awaitMoved(machine, s, now)
+	case c.workers[s.life] != nil && len(c.workers[s.life].runs) > 0:
+		if now.Sub(s.since) > patience {
+			c.endMove(machine, s) // its work takes too long; another one may go
+		}
+	default:
+		c.askMove(machine, s)
+	}
+}
+
+// awaitMoved ends the move once the instance has arrived, or is off.
+func (c *session) awaitMoved(machine string, s *moveStep, now time.Time) {
+	w := c.workerOf(machine)
+	arrived := w != nil && w.Life != s.life && w.heard
+	off := c.config.Pools[s.to].Headroom && now.Sub(s.since) > c.Bounds().Move
+	if arrived || off || now.Sub(s.since) > c.Bounds().Move+moveLost {
+		delete(c.moves, machine)
+	}
+}
+
+// endMove leaves the instance where it is.
+func (c *session) endMove(machine string, s *moveStep) {
+	if w := c.workers[s.life]; w != nil {
+		w.out = false
+		c.dirtyPool(w.Pool)
+	}
+	delete(c.moves, machine)
+	c.unmovable[machine] = time.Now().Add(moveAgain)
+}
+
+func (c *session) askMove(machine string, s *moveStep) {
+	s.asking = true
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		defer cancel()
+		err := c.Machines.Move(ctx, machine, s.to, c.term.Fence)
+		c.post(moveAsked{machine: machine, step: s, err: err})
+	})
+}
+
+// moveAsked is the answer to a move, or the lack of one.
+type moveAsked struct {
+	machine string
+	step    *moveStep
+	err     error
+}
+
+func (m moveAsked) apply(c *session) {
+	s := m.step
+	s.asking = false
+	now := time.Now()
+	switch {
+	case m.err == nil:
+		s.moved, s.since = true, now
+		from := c.machines[m.machine].Pool
+		c.machines[m.machine] = Machine{Name: m.machine, Pool: s.to, State: MachineUp}
+		c.ownWord[m.machine] = now
+		if w := c.workers[s.life]; w != nil {
+			c.lose(w, "its instance was moved")
+		}
+		c.emit(event.MachineMoved, event.Subject{Instance: m.machine}, "from=%s to=%s", from, s.to)
+	case errors.Is(m.err, ErrFenced):
+		c.Lost(c.term.Fence)
+	case errors.Is(m.err, ErrBusy), errors.Is(m.err, ErrWave):
+		c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "move to=%s err=%q", s.to, m.err)
+		c.endMove(m.machine, s)
+	default: // it may have been done: the same call again does no harm
+		c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "move to=%s err=%q", s.to, m.err)
+		s.notBefore = now.Add(moveAgain)
+	}
+}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -161,4 +161,6 @@
 	open map[groupKey]*place.Group
 	// dirty says that something changed that may let tasks start.
 	dirty bool
+	// needs are what it lately needed, oldest first.
+	needs []need
 }
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -228,19 +228,22 @@
 
 // mayTakeAway says whether a lasting task may be ended by planned work, given which others of its step are away.
 func (c *session) mayTakeAway(t *job.Task, now time.Time) bool {
-	if t.Phase != job.Active || !t.AtWork {
-		return true // it is not at work anyway
-	}
 	away := 0
 	tasks := t.Job.StepTasks(t.Time, t.Step)
 	for i := range tasks {
-		if o := &tasks[i]; o != t && (!o.AtWork || o.Stopping) {
+		if o := &tasks[i]; o != t && !c.surelyAtWork(o, now) {
 			away++
 		}
 	}
 	return away < t.Spec().MayMiss
 }
 
+// surelyAtWork says whether a lasting task is at work as far as its worker's latest word goes.
+func (c *session) surelyAtWork(t *job.Task, now time.Time) bool {
+	w := c.workers[t.Worker]
+	return t.AtWork && !t.Stopping && w != nil && w.silentSince.IsZero() && now.Sub(w.answered) < reachWithin
+}
+
 // askUpkeep has the instance maintained.
 func (c *session) askUpkeep(row *waveRow, machine string, s *upkeepStep) {
 	s.asking = true
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -33,6 +33,8 @@
 	settledAfter = 4 * time.Second
 	// askMachinesEvery is the pause between two looks at the machine interface while workers are silent.
 	askMachinesEvery = 700 * time.Millisecond
+	// lookEvery is the pause between two looks at all instances.
+	lookEvery = 1500 * time.Millisecond
 	// silentAfter is how long a worker is silent before the machine interface is asked about it.
 	silentAfter = 500 * time.Millisecond
 )
@@ -260,7 +262,7 @@
 		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over")
 		c.openAll(now)
 	}
-	if (silent || len(c.waveRows) > 0) && !c.machinesAsk && now.Sub(c.machinesAt) > askMachinesEvery {
+	if !c.machinesAsk && (now.Sub(c.machinesAt) > lookEvery || (silent && now.Sub(c.machinesAt) > askMachinesEvery)) {
 		c.askMachines()
 	}
 }
@@ -338,7 +340,9 @@
 	}
 	now := time.Now()
 	for _, x := range m.list {
-		c.machines[x.Name] = x
+		if now.Sub(c.ownWord[x.Name]) > ownWord {
+			c.machines[x.Name] = x
+		}
 	}
 	for _, w := range c.workers {
 		x, ok := c.machines[w.Machine]
--- /dev/null
+++ b/upkeep/moves.go
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: MIT
+
+package upkeep
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Pool is what is known of a pool's size.
+type Pool struct {
+	Name string
+	// Headroom pools are off; what nobody wants belongs there.
+	Headroom bool
+	// Want is how many instances its tasks need now, Keep how many it is not to fall under.
+	Want, Keep float64
+	// Have counts those that serve it or are on their way to it.
+	Have int
+}
+
+// Instance is one that can move.
+type Instance struct {
+	Name, Pool string
+	// Runs counts its runs, Lasting those that last: they hold it where it is.
+	Runs, Lasting int
+	// Fixed says that it is on its way somewhere, or down.
+	Fixed bool
+}
+
+// Move takes an instance to another pool.
+type Move struct{ Instance, From, To string }
+
+// Moves returns the moves that bring the pools nearest to what they want: first into pools that lack instances, from
+// the headroom and from pools with more than they keep; then what is left over into the headroom.
+func Moves(pools []Pool, instances []Instance) []Move {
+	m := mover{pools: make(map[string]*Pool, len(pools))}
+	for i := range pools {
+		p := pools[i]
+		m.pools[p.Name] = &p
+		m.names = append(m.names, p.Name)
+		if p.Headroom && m.headroom == "" {
+			m.headroom = p.Name
+		}
+	}
+	slices.Sort(m.names)
+	m.free = m.candidates(instances)
+	for p := m.neediest(); p != nil; p = m.neediest() {
+		if !m.supply(p) {
+			break
+		}
+	}
+	m.park()
+	return m.moves
+}
+
+type mover struct {
+	pools    map[string]*Pool
+	names    []string
+	headroom string
+	free     []Instance
+	moves    []Move
+}
+
+// candidates returns the instances that may move, those first that cost least to take.
+func (m *mover) candidates(all []Instance) []Instance {
+	var free []Instance
+	for _, x := range all {
+		if p := m.pools[x.Pool]; p != nil && !x.Fixed && x.Lasting == 0 {
+			free = append(free, x)
+		}
+	}
+	cost := func(x Instance) int {
+		if m.pools[x.Pool].Headroom {
+			return -1
+		}
+		return x.Runs
+	}
+	slices.SortStableFunc(free, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(a.Name, b.Name))
+	})
+	return free
+}
+
+// neediest returns the pool that lacks the largest part of what it wants, or nil when none lacks any.
+func (m *mover) neediest() *Pool {
+	var worst *Pool
+	var part float64
+	for _, n := range m.names {
+		p := m.pools[n]
+		if p.Headroom || float64(p.Have) >= math.Ceil(p.Want) {
+			continue
+		}
+		if lack := (p.Want - float64(p.Have)) / p.Want; worst == nil || lack > part {
+			worst, part = p, lack
+		}
+	}
+	return worst
+}
+
+// supply moves the cheapest instance to the pool; it says whether there was one.
+func (m *mover) supply(to *Pool) bool {
+	for i, x := range m.free {
+		from := m.pools[x.Pool]
+		if from == to || (!from.Headroom && !spares(from)) {
+			continue
+		}
+		m.move(i, to)
+		return true
+	}
+	return false
+}
+
+// spares says whether a pool has an instance more than it keeps.
+func spares(p *Pool) bool { return float64(p.Have-1) >= math.Ceil(p.Keep) }
+
+func (m *mover) move(i int, to *Pool) {
+	x := m.free[i]
+	m.moves = append(m.moves, Move{Instance: x.Name, From: x.Pool, To: to.Name})
+	m.pools[x.Pool].Have--
+	to.Have++
+	m.free = slices.Delete(m.free, i, i+1)
+}
+
+// park moves idle instances that no pool keeps into the headroom.
+func (m *mover) park() {
+	if m.headroom == "" {
+		return
+	}
+	for i := 0; i < len(m.free); {
+		from := m.pools[m.free[i].Pool]
+		if from.Headroom || m.free[i].Runs > 0 || !spares(from) {
+			i++
+			continue
+		}
+		m.move(i, m.pools[m.headroom])
+	}
+}
