place, pool: keep lasting tasks together and fill the fullest room first; count an upkeep's end from its answer

Change: lasting tasks go where others are, short ones where least is free; an upkeep is over when its time has passed and a new life or a later list says so.

--- a/place/tasks.go
+++ b/place/tasks.go
@@ -158,27 +158,33 @@
 	nearWeight = 4
 	// avoidWeight keeps a task from the worker on which it failed last.
 	avoidWeight = 3
-	// spreadWeight spreads lasting tasks over racks; besideWeight keeps fills away from what serves.
-	spreadWeight = 0.5
+	// besideWeight keeps fills away from what serves.
 	besideWeight = 2
+	// togetherWeight keeps lasting tasks on few workers, so that the others are free to move; sameWeight spreads those
+	// of one step over them, and rackWeight over racks.
+	togetherWeight = 1
+	sameWeight     = 0.8
+	rackWeight     = 0.2
 )
 
-// score is higher for better rooms; free capacity counts from 0 to 1.
+// score is higher for better rooms. The fullest room with space is best, so that others empty and can be used elsewhere.
 func score(g *Group, t *job.Task, step *job.Step, r *Room) float64 {
-	s := float64(r.Free.MilliCPU) / float64(max(r.Worker.Room.MilliCPU, 1))
+	s := -float64(r.Free.MilliCPU) / float64(max(r.Worker.Room.MilliCPU, 1))
 	if step.Rack != "" && slices.Contains(r.Worker.Labels, step.Rack) {
 		s += nearWeight
 	}
 	if t.Avoid == r.Worker.Life {
 		s -= avoidWeight
 	}
-	if step.Lasting {
-		s -= spreadWeight * float64(g.Racks[r.Worker.Rack])
-		if step.Fills {
-			s -= besideWeight * float64(r.Serving)
-		} else {
-			s -= besideWeight * float64(r.Filling)
-		}
+	if !step.Lasting {
+		return s
+	}
+	s -= sameWeight*float64(g.OnWorker[r.Worker.Life]) + rackWeight*float64(g.Racks[r.Worker.Rack])
+	if r.Serving+r.Filling > 0 {
+		s += togetherWeight
+	}
+	if step.Fills {
+		return s - besideWeight*float64(r.Serving)
 	}
-	return s
+	return s - besideWeight*float64(r.Filling)
 }
--- a/pool/session.go
+++ b/pool/session.go
@@ -60,8 +60,9 @@
 	serversEnd   int64
 	intakeEnd    int64
 	waveRows     map[int64]*waveRow
-	gone         []string // jobs whose state is to be dropped from the store
-	machinesAt   time.Time
+	gone         []string  // jobs whose state is to be dropped from the store
+	machinesAt   time.Time // when the machine interface was last asked
+	machinesRead time.Time // when it was asked for the list that is in the table
 	machinesAsk  bool
 	machines     map[string]Machine
 	tickets      map[string]*stepTickets
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -18,6 +18,8 @@
 const (
 	// callAgain is the pause before an instance that refused, or gave no answer, is asked again.
 	callAgain = 500 * time.Millisecond
+	// upkeepMargin is added to the time of an upkeep, for the way of the answer that it is counted from.
+	upkeepMargin = 200 * time.Millisecond
 	// patience is how long an instance is left to finish short work before the work is stopped for its upkeep.
 	patience = 2500 * time.Millisecond
 )
@@ -45,7 +47,9 @@
 	since time.Time
 	// asking says that a call is on its way, doubt that one got no answer, away that the upkeep has begun.
 	asking, doubt, away bool
-	notBefore           time.Time
+	// begun is when the call was answered.
+	begun     time.Time
+	notBefore time.Time
 }
 
 // waveRead is a request for a wave.
@@ -135,7 +139,7 @@
 		if len(row.steps) >= 2*max(row.Most, 1) {
 			break // as many are emptied as are away, so that none waits to begin
 		}
-		if !row.begun[m] && row.steps[m] == nil {
+		if !row.begun[m] && row.steps[m] == nil && c.moves[m] == nil {
 			c.takeOut(row, m, now)
 		}
 	}
@@ -171,15 +175,17 @@
 	return away
 }
 
-// back says whether the instance has a new life that answers.
+// back says whether the upkeep is over: its time has passed, and a new life or the machine interface says so.
 func (c *session) back(machine string, s *upkeepStep) bool {
-	for _, w := range c.workers {
-		if w.Machine == machine && w.Life != s.life && w.listed {
-			return true
-		}
+	over := s.begun.Add(c.Bounds().Upkeep + upkeepMargin)
+	if time.Now().Before(over) {
+		return false
+	}
+	if w := c.workerOf(machine); w != nil && w.Life != s.life && w.since.After(s.begun) {
+		return true
 	}
 	x, ok := c.machines[machine]
-	return ok && x.State == MachineUp && x.Life != "" && x.Life != s.life
+	return ok && c.machinesRead.After(over) && x.State != MachineInUpkeep
 }
 
 // takeOut begins to empty an instance.
@@ -268,7 +274,7 @@
 	now := time.Now()
 	switch {
 	case m.err == nil:
-		m.step.away, m.step.doubt = true, false
+		m.step.away, m.step.doubt, m.step.begun = true, false, now
 		m.row.begun[m.machine] = true
 		if w := c.workers[m.step.life]; w != nil {
 			c.lose(w, "its upkeep has begun")
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -262,11 +262,21 @@
 		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over")
 		c.openAll(now)
 	}
-	if !c.machinesAsk && (now.Sub(c.machinesAt) > lookEvery || (silent && now.Sub(c.machinesAt) > askMachinesEvery)) {
+	if !c.machinesAsk && (now.Sub(c.machinesAt) > lookEvery || ((silent || c.waving()) && now.Sub(c.machinesAt) > askMachinesEvery)) {
 		c.askMachines()
 	}
 }
 
+// waving says whether a wave of upkeep goes on.
+func (c *session) waving() bool {
+	for _, row := range c.waveRows {
+		if !row.finished {
+			return true
+		}
+	}
+	return false
+}
+
 // leaseOver says whether nothing can run on the worker any more.
 func (c *session) leaseOver(w *worker, now time.Time) bool {
 	if now.Before(w.leasedUntil()) {
@@ -319,18 +329,20 @@
 func (c *session) askMachines() {
 	c.machinesAsk = true
 	c.machinesAt = time.Now()
+	asked := c.machinesAt
 	c.work.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 		defer cancel()
 		list, err := c.Machines.List(ctx)
-		c.post(machinesRead{list: list, err: err})
+		c.post(machinesRead{list: list, asked: asked, err: err})
 	})
 }
 
 // machinesRead is the machine interface's list.
 type machinesRead struct {
-	list []Machine
-	err  error
+	list  []Machine
+	asked time.Time
+	err   error
 }
 
 func (m machinesRead) apply(c *session) {
@@ -339,6 +351,7 @@
 		return // asked again while it matters
 	}
 	now := time.Now()
+	c.machinesRead = m.asked
 	for _, x := range m.list {
 		if now.Sub(c.ownWord[x.Name]) > ownWord {
 			c.machines[x.Name] = x
