place, pool: reserve rooms for what does not fit yet, put what can still be on time first, learn run times

Change: the emptiest room is kept for a task that fits nowhere; jobs that can't be on time go behind; the others by what they earn for the work they still need; run times are learned by queue and blended with estimates.

--- a/place/tasks.go
+++ b/place/tasks.go
@@ -26,8 +26,14 @@
 	Job        *job.Job
 	Time, Step int
 	Priority   int
-	// By is when the job has to be done to be on time, as far as estimates tell.
-	By time.Time
+	// Lasting groups come first: they serve users all the time.
+	Lasting bool
+	// Slack is what is left before the job can't be on time any more, as far as estimates tell.
+	Slack time.Duration
+	// Density is what the job earns for each core-second that it still needs.
+	Density float64
+	// Since is when the job was handed in.
+	Since time.Time
 	// Tasks wait for a worker.
 	Tasks []*job.Task
 	// OnWorker counts the step's tasks on each worker's life; it is filled only where the step limits them.
@@ -42,18 +48,49 @@
 	Room *Room
 }
 
-// Order sorts groups by what comes first: priority, then what has to be done first.
+// Order sorts groups by what comes first.
+//
+// Lasting tasks serve users all the time. Then comes priority, and within it what can still be on time before what
+// can't; of the former what earns most for the work it still needs, of the latter what waits longest.
 func Order(groups []*Group) {
-	slices.SortStableFunc(groups, func(a, b *Group) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.By.Compare(b.By), cmp.Compare(a.Job.Spec.ID, b.Job.Spec.ID))
+	slices.SortFunc(groups, func(a, b *Group) int {
+		if a.Lasting != b.Lasting {
+			return first(a.Lasting)
+		}
+		if a.Priority != b.Priority {
+			return cmp.Compare(a.Priority, b.Priority)
+		}
+		if late := a.Slack < 0; late != (b.Slack < 0) {
+			return first(!late)
+		} else if !late && a.Density != b.Density {
+			return cmp.Compare(b.Density, a.Density)
+		}
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Job.Spec.ID, b.Job.Spec.ID), cmp.Compare(a.Step, b.Step))
 	})
 }
 
+func first(yes bool) int {
+	if yes {
+		return -1
+	}
+	return 1
+}
+
+// reserveMost is how many rooms at the most are kept free for short tasks that fit nowhere yet.
+const reserveMost = 2
+
 // Tasks chooses workers for the tasks of the groups, in the order given, and takes what they need from the rooms.
+//
+// A task that fits nowhere keeps the emptiest room from those behind it, so that small tasks do not take for ever what
+// a large one waits for.
 func Tasks(groups []*Group, rooms []*Room) []Choice {
 	var out []Choice
 	var full []job.Need // needs for which no room was found, without conditions
+	reserved := 0
 	for _, g := range groups {
+		if len(rooms) == 0 {
+			break
+		}
 		step := &g.Job.Spec.Steps[g.Step]
 		plain := step.Label == "" && step.PerWorker == 0
 		if plain && slices.ContainsFunc(full, func(n job.Need) bool { return atLeast(charge(step), n) }) {
@@ -66,6 +103,10 @@
 				if plain {
 					full = append(full, charge(step))
 				}
+				if step.Lasting || reserved < reserveMost {
+					rooms = reserve(g, step, rooms)
+					reserved++
+				}
 				break
 			}
 			take(g, r)
@@ -81,6 +122,23 @@
 	return out
 }
 
+// reserve returns the rooms without the emptiest one that the step may use once it has space.
+func reserve(g *Group, step *job.Step, rooms []*Room) []*Room {
+	best := -1
+	for i, r := range rooms {
+		if !atLeast(r.Worker.Room, charge(step)) || !allowed(g, step, r) {
+			continue
+		}
+		if best < 0 || r.Free.MilliCPU > rooms[best].Free.MilliCPU {
+			best = i
+		}
+	}
+	if best < 0 {
+		return rooms
+	}
+	return slices.Delete(slices.Clone(rooms), best, best+1)
+}
+
 // charge is what a task of the step is counted with.
 func charge(s *job.Step) job.Need {
 	n := s.Need
--- a/pool/load.go
+++ b/pool/load.go
@@ -192,6 +192,7 @@
 	for _, r := range m.page.Records {
 		if j := c.readIntake(r, now); j != nil {
 			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s offset=%d", describe(j), r.Offset)
+			c.learnJob(j)
 			c.openJob(j, now)
 		}
 		c.readCancel(r, now)
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -54,7 +54,7 @@
 	q := c.queue(j)
 	p := c.pool(q.Pool)
 	key := groupKey{job: j.Spec.ID, time: k, step: step}
-	g := &place.Group{Job: j, Time: k, Step: step, Priority: q.Priority, By: dueBy(j, k, q)}
+	g := &place.Group{Job: j, Time: k, Step: step, Priority: q.Priority, Lasting: j.Spec.Steps[step].Lasting, Since: j.Received}
 	tasks := j.StepTasks(k, step)
 	for i := range tasks {
 		if tasks[i].Phase == job.Waiting {
@@ -69,15 +69,26 @@
 	p.dirty = true
 }
 
-// dueBy is until when the job has to be done to earn fully, as far as its estimates tell.
-func dueBy(j *job.Job, k int, q job.Queue) time.Time {
+// rank works out how urgent and how worthwhile a group is now.
+func (c *session) rank(g *place.Group, now time.Time) {
+	j := g.Job
+	q := c.queue(j)
 	from := j.Received
 	if j.Spec.Times > 0 {
-		from = j.Due(k)
+		from = j.Due(g.Time)
 	}
-	return from.Add(time.Duration(q.Stretch*float64(j.Chain())) + q.Target)
+	whole, left, work := c.chains(j, g.Time, q.Name)
+	due := from.Add(time.Duration(q.Stretch*float64(whole)) + q.Target)
+	g.Slack = due.Sub(now) - left
+	g.Density = earns(c.jobWork(j, q.Name)/max(c.learned(q.Name).work, minWork)) / max(work, minWork)
 }
 
+// minWork bounds what a job is taken to need, in core-seconds, so that nothing is divided by nothing.
+const minWork = 0.01
+
+// earns is what a job earns by its work relative to the mean of its queue, as the users weigh it.
+func earns(work float64) float64 { return min(0.3+0.7*work, 4) }
+
 // closeJob takes an ended job out of the open groups.
 func (c *session) closeJob(j *job.Job) {
 	p := c.pool(c.queue(j).Pool)
@@ -171,6 +182,7 @@
 			continue
 		}
 		c.countGroup(g, step)
+		c.rank(g, now)
 		groups = append(groups, g)
 	}
 	return groups
--- a/pool/report.go
+++ b/pool/report.go
@@ -185,6 +185,9 @@
 	switch e.How {
 	case work.Succeeded:
 		w.failures = 0
+		if current {
+			c.learnRun(t, now)
+		}
 		c.doneTask(t, now)
 	case work.Failed:
 		c.failTask(w, t, e, now)
--- a/pool/session.go
+++ b/pool/session.go
@@ -67,6 +67,7 @@
 	machines     map[string]Machine
 	tickets      map[string]*stepTickets
 	moves        map[string]*moveStep
+	lessons      map[string]*lesson
 	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
 	unmovable, ownWord map[string]time.Time
 }
@@ -78,7 +79,7 @@
 		dirty: make(map[string]*job.Job), later: make(map[string]*job.Job), restored: make(map[string]bool),
 		unheard: make(map[string]*worker), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
-		moves: make(map[string]*moveStep), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
+		moves: make(map[string]*moveStep), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
 }
 
