lead, pool: start nothing that another leader may be running

Cause: a leader cut off from the store and from most workers gave up runs when its own leases were over, though the next leader had extended them, and started them again in its own data centre at the cut's end (TWICE). Change: starts need the same proof as extending leases; a renewal proves the lead from when it was sent; no orders leave after the term is lost.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -253,6 +253,7 @@
 	e.mu.Unlock()
 	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Term: term, Fence: term<<fenceBits | rand.Int64N(1<<fenceBits)}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
+	sent := time.Now()
 	next, err := e.append(call, rec, end, 0)
 	cancel()
 	e.drawWait()
@@ -265,7 +266,7 @@
 	e.mu.Lock()
 	e.latest, e.end = rec, next
 	e.lost, e.fence = lost, rec.Fence
-	e.changed, e.confirmed = time.Now(), time.Now()
+	e.changed, e.confirmed = time.Now(), sent
 	e.mu.Unlock()
 	if e.Seen != nil {
 		e.Seen(rec)
@@ -316,12 +317,13 @@
 func (e *Elector) renew(ctx context.Context, rec Record, sequence int64) int64 {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := time.Now() // candidates may have read the record as early as this
 	_, err := e.append(call, rec, -1, sequence)
 	var fenced *feed.FencedError
 	switch {
 	case err == nil:
 		e.mu.Lock()
-		e.confirmed = time.Now()
+		e.confirmed = sent
 		e.mu.Unlock()
 		return sequence + 1
 	case errors.As(err, &fenced):
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -113,7 +113,12 @@
 }
 
 // placeAll places what is open in the pools in which something has changed.
+//
+// A leader that another one may have followed starts nothing.
 func (c *session) placeAll(now time.Time) {
+	if !c.mayExtend() {
+		return
+	}
 	for _, p := range c.pools {
 		if p.dirty {
 			p.dirty = false
--- a/pool/session.go
+++ b/pool/session.go
@@ -110,6 +110,9 @@
 		case <-tick.C:
 			c.passTime(time.Now())
 		}
+		if ctx.Err() != nil {
+			return // another leader gives the orders now
+		}
 		c.placeAll(time.Now())
 		c.commit()
 	}
