intake, pool: write what clients hand in in batches, over several partitions, and refuse at once while the store is silent

Cause: with a slow store one partition takes eight appends a second; jobs waited behind each other until their clients' time was over, and the next leader took 3 s to read its tables one after the other. Change: each entry has one append on its way and gathers the rest; the intake has up to four partitions; a leader reads all at once; while an append got no answer new jobs are refused unsent.

--- a/entry/node.go
+++ b/entry/node.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"rackstep.dev/event"
+	"rackstep.dev/feed"
 	"rackstep.dev/intake"
 	"rackstep.dev/lead"
 	"rackstep.dev/peer"
@@ -30,6 +32,10 @@
 	stateTopic  = "state"
 )
 
+// intakeParts is how many partitions the intake has at the most: a partition takes one append after the other, so that
+// entries would wait for each other when the store is slow.
+const intakeParts = 4
+
 // linkSecret is what entries prove to each other on the users' platform, whose settings give no secret: it keeps
 // strangers' mistakes out, not attackers, who can't reach the entries' ports there.
 const linkSecret = "rackstep entries of one deployment"
@@ -128,12 +134,16 @@
 	s := n.Settings
 	store := platform.NewStore(s)
 	workers := new(platform.Workers)
+	intakes := make([]feed.Topic, max(1, min(intakeParts, s.Store.Partitions)))
+	for i := range intakes {
+		intakes[i] = store.Own(intakeTopic, i)
+	}
 	n.mesh = &peer.Mesh{
 		Self: peer.Identity{Entry: s.Entry, DataCentre: s.DataCentre, Boot: n.boot}, Secret: []byte(linkSecret),
 		Listener: peers, Events: n.Events, Serve: n.serveStream,
 	}
 	n.scheduler = &pool.Scheduler{
-		Entry: s.Entry, Intake: store.Own(intakeTopic), State: store.Own(stateTopic), Workers: store.Workers(),
+		Entry: s.Entry, Intake: intakes, State: store.Own(stateTopic, 0), Workers: store.Workers(),
 		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s).Calls(),
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
 	}
@@ -142,18 +152,25 @@
 		n.scheduler.Advise = platform.NewAdvice(s).Ask
 	}
 	n.elector = &lead.Elector{
-		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.Own(leadTopic), Events: n.Events,
+		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.Own(leadTopic, 0), Events: n.Events,
 		Weight: min(1, s.Limits.Share*max(s.Limits.Cores, 1)), Serve: n.scheduler.Serve, Seen: n.followLeader,
 		May: func() bool { return n.ingress.Ready() },
 	}
 	n.scheduler.Confirmed, n.scheduler.Lost = n.elector.Confirmed, n.elector.Lost
-	n.ingress = &platform.Ingress{Intake: &intake.Intake{Topic: store.Own(intakeTopic), Ask: n.ask, Events: n.Events}}
+	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Wave: n.scheduler.SetWave, Config: func(c *platform.Config) {
 		n.ingress.SetConfig(c)
 		n.scheduler.SetCatalog(&c.Catalog)
 	}}
 }
 
+// partOf spreads entries over the partitions of the intake.
+func partOf(entry string, parts int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(entry)) // it never fails, says its documentation
+	return int(h.Sum32() % uint32(parts))
+}
+
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
 	if !n.ingress.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -26,21 +26,12 @@
 	ErrUnclear = errors.New("the scheduling entry can't be asked now; ask again")
 )
 
-// Times of the writes.
-const (
-	// writeTimeout bounds one write; the store answers in some milliseconds.
-	writeTimeout = 500 * time.Millisecond
-	// writePause is the pause before the next try.
-	writePause = 60 * time.Millisecond
-	// refuseAfter is how long a store that refuses is tried before the client is refused.
-	refuseAfter = 250 * time.Millisecond
-	// askTimeout bounds a question to the scheduling entry.
-	askTimeout = 600 * time.Millisecond
-)
+// askTimeout bounds a question to the scheduling entry.
+const askTimeout = 600 * time.Millisecond
 
 // Intake takes what clients hand in; its fields are set before use, and it may be used by several goroutines.
 type Intake struct {
-	Topic feed.Topic
+	Writer *Writer
 	// Ask asks the scheduling entry for a job, or for a queue when id is empty.
 	Ask    func(ctx context.Context, id, queue string) (pool.Answer, error)
 	Events *event.Ring
@@ -58,7 +49,7 @@
 		return err
 	}
 	began := time.Now()
-	offset, tries, err := i.write(ctx, feed.KeyedRecord{Key: pool.JobKey(s.ID), Value: value})
+	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: pool.JobKey(s.ID), Value: value})
 	i.tell(s.ID, "submit queue="+s.Queue, offset, tries, time.Since(began), err)
 	return err
 }
@@ -72,7 +63,7 @@
 		return ErrUnknown
 	}
 	began := time.Now()
-	offset, tries, err := i.write(ctx, feed.KeyedRecord{Key: pool.CancelKey(id), Value: []byte{1}})
+	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: pool.CancelKey(id), Value: []byte{1}})
 	i.tell(id, "cancel", offset, tries, time.Since(began), err)
 	return err
 }
@@ -92,39 +83,6 @@
 	i.Events.Emit(n, event.Subject{Job: id}, text)
 }
 
-// write appends the record, again and again while that can help; the same record twice is the same record.
-func (i *Intake) write(ctx context.Context, r feed.KeyedRecord) (end int64, tries int, err error) {
-	began := time.Now()
-	doubt := false
-	for {
-		tries++
-		call, cancel := context.WithTimeout(ctx, writeTimeout)
-		end, err = i.Topic.Append(call, feed.Batch{Records: []feed.KeyedRecord{r}, At: -1})
-		cancel()
-		if err == nil {
-			return end, tries, nil
-		}
-		doubt = doubt || errors.Is(err, feed.ErrUncertain)
-		if ctx.Err() != nil || (!doubt && time.Since(began) > refuseAfter) {
-			break
-		}
-		pause(ctx, writePause)
-	}
-	if doubt {
-		return 0, tries, fmt.Errorf("%w: %w", ErrInDoubt, err)
-	}
-	return 0, tries, fmt.Errorf("%w: %w", ErrRefused, err)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // State returns a job's state; the error is ErrUnknown or ErrUnclear.
 func (i *Intake) State(ctx context.Context, id string) (job.State, error) {
 	a, err := i.ask(ctx, id, "")
--- /dev/null
+++ b/intake/writer.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: MIT
+
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"rackstep.dev/feed"
+)
+
+// Figures of a Writer.
+const (
+	// writeTimeout bounds one append: the store refuses what would wait for over two seconds.
+	writeTimeout = 2400 * time.Millisecond
+	// probeTimeout bounds an append while the store is not known to answer.
+	probeTimeout = 800 * time.Millisecond
+	// refusedPause is the pause after a refusal, silentPause that after no answer.
+	refusedPause = 60 * time.Millisecond
+	silentPause  = 200 * time.Millisecond
+	// refuseAfter is how long a store that refuses is tried before a client is refused.
+	refuseAfter = 300 * time.Millisecond
+	// batchMost bounds the records of one append.
+	batchMost = 256
+)
+
+// Writer appends records to a topic in batches, one at a time: what comes while an append is on its way leaves with the
+// next one. The zero value with a Topic is ready.
+type Writer struct {
+	Topic feed.Topic
+
+	mu      sync.Mutex
+	waiting []*entry
+	busy    bool
+	// silent says that the latest append got no answer.
+	silent bool
+}
+
+// entry is one record on its way.
+type entry struct {
+	record feed.KeyedRecord
+	ctx    context.Context
+	since  time.Time
+	// doubt says that an append with it got no answer.
+	doubt bool
+	tries int
+	done  chan outcome
+}
+
+type outcome struct {
+	end   int64
+	tries int
+	err   error
+}
+
+// Write appends the record; it returns the topic's end, the number of appends tried, and ErrRefused or ErrInDoubt.
+//
+// While the store does not answer, records are refused at once, without having been sent.
+func (w *Writer) Write(ctx context.Context, r feed.KeyedRecord) (end int64, tries int, err error) {
+	e := &entry{record: r, ctx: ctx, since: time.Now(), done: make(chan outcome, 1)}
+	if !w.admit(e) {
+		return 0, 0, fmt.Errorf("%w: the store does not answer", ErrRefused)
+	}
+	o := <-e.done
+	return o.end, o.tries, o.err
+}
+
+func (w *Writer) admit(e *entry) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent && w.busy {
+		return false
+	}
+	w.waiting = append(w.waiting, e)
+	if !w.busy {
+		w.busy = true
+		go w.run()
+	}
+	return true
+}
+
+// run appends until nothing waits.
+func (w *Writer) run() {
+	for batch := w.next(nil); len(batch) > 0; batch = w.next(batch) {
+		err := w.append(batch)
+		batch = w.settle(batch, err)
+	}
+}
+
+// next adds what waits to what is to be tried again.
+func (w *Writer) next(again []*entry) []*entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := min(len(w.waiting), batchMost-len(again))
+	batch := append(again, w.waiting[:n]...)
+	w.waiting = w.waiting[n:]
+	w.busy = len(batch) > 0
+	return batch
+}
+
+func (w *Writer) append(batch []*entry) error {
+	limit := writeTimeout
+	w.mu.Lock()
+	if w.silent {
+		limit = probeTimeout
+	}
+	w.mu.Unlock()
+	records := make([]feed.KeyedRecord, len(batch))
+	latest := time.Time{}
+	for i, e := range batch {
+		records[i] = e.record
+		e.tries++
+		if d, ok := e.ctx.Deadline(); ok && d.After(latest) {
+			latest = d
+		}
+	}
+	if left := time.Until(latest); !latest.IsZero() && left < limit {
+		limit = left
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	end, err := w.Topic.Append(ctx, feed.Batch{Records: records, At: -1})
+	if err != nil {
+		return fmt.Errorf("append: %w", err)
+	}
+	for _, e := range batch {
+		e.done <- outcome{end: end, tries: e.tries}
+	}
+	return nil
+}
+
+// settle answers those whose time is over, and returns those to be tried again after a pause.
+func (w *Writer) settle(batch []*entry, err error) []*entry {
+	silent := errors.Is(err, feed.ErrUncertain)
+	w.mu.Lock()
+	w.silent = silent
+	w.mu.Unlock()
+	if err == nil {
+		return nil
+	}
+	pause := refusedPause
+	if silent {
+		pause = silentPause
+	}
+	var again []*entry
+	for _, e := range batch {
+		e.doubt = e.doubt || silent
+		if e.over(pause) {
+			e.done <- outcome{tries: e.tries, err: e.final(err)}
+			continue
+		}
+		again = append(again, e)
+	}
+	if len(again) > 0 {
+		time.Sleep(pause)
+	}
+	return again
+}
+
+// over says whether there is no use in trying again after the pause.
+func (e *entry) over(pause time.Duration) bool {
+	if d, ok := e.ctx.Deadline(); e.ctx.Err() != nil || (ok && time.Until(d) < pause) {
+		return true
+	}
+	return !e.doubt && time.Since(e.since) > refuseAfter
+}
+
+func (e *entry) final(err error) error {
+	if e.doubt {
+		return fmt.Errorf("%w: %w", ErrInDoubt, err)
+	}
+	return fmt.Errorf("%w: %w", ErrRefused, err)
+}
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -135,14 +135,20 @@
 	return append(records, feed.KeyedRecord{Key: workersKey, Value: value})
 }
 
-// drop takes what is kept of a job out of the store; a failure leaves records that the next leader drops.
+// drop takes what is kept of a job out of the intake; a failure leaves records that the next leader drops.
 func (c *session) drop(id string) {
+	parts := c.keepsOf[id]
 	c.work.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-		defer cancel()
-		b := feed.Batch{At: -1, Records: []feed.KeyedRecord{{Key: jobKey + id}, {Key: cancelKey + id}}}
-		if _, err := c.Intake.Append(ctx, b); err != nil {
-			c.emit(event.StoreUnreachable, event.Subject{Job: id}, "old job not dropped: %v", err)
+		for part, topic := range c.Intake {
+			if parts&(1<<part) == 0 {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+			_, err := topic.Append(ctx, feed.Batch{At: -1, Records: []feed.KeyedRecord{{Key: jobKey + id}, {Key: cancelKey + id}}})
+			cancel()
+			if err != nil {
+				c.emit(event.StoreUnreachable, event.Subject{Job: id}, "old job not dropped: %v", err)
+			}
 		}
 	})
 }
--- a/pool/load.go
+++ b/pool/load.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"rackstep.dev/event"
@@ -85,26 +86,34 @@
 	if _, err := c.State.Append(ctx, fence); err != nil {
 		return fmt.Errorf("take over the state: %w", err)
 	}
-	state, err := c.State.Newest(ctx)
-	if err != nil {
-		return fmt.Errorf("read the state: %w", err)
-	}
 	asked := time.Now()
-	intake, err := c.Intake.Newest(ctx)
+	pages, err := readAll(ctx, append([]feed.Topic{c.State, c.Workers}, c.Intake...)...)
 	if err != nil {
-		return fmt.Errorf("read the intake: %w", err)
+		return fmt.Errorf("read what is kept: %w", err)
 	}
-	list, err := c.Workers.Newest(ctx)
-	if err != nil {
-		return fmt.Errorf("read the workers: %w", err)
+	state, list, intakes := pages[0], pages[1], pages[2:]
+	for i := range intakes {
+		c.fresh[i] = asked
+		c.intakeEnd[i] = intakes[i].Next
 	}
-	c.fresh = asked
-	c.take(state, intake, list)
+	c.take(state, intakes, list)
 	return nil
 }
 
+// readAll reads the topics, all at the same time.
+func readAll(ctx context.Context, topics ...feed.Topic) ([]feed.KeyedPage, error) {
+	pages := make([]feed.KeyedPage, len(topics))
+	errs := make([]error, len(topics))
+	var reads sync.WaitGroup
+	for i, t := range topics {
+		reads.Go(func() { pages[i], errs[i] = t.Newest(ctx) })
+	}
+	reads.Wait()
+	return pages, errors.Join(errs...)
+}
+
 // take fills the tables with what was read.
-func (c *session) take(state, intake, list feed.KeyedPage) {
+func (c *session) take(state feed.KeyedPage, intakes []feed.KeyedPage, list feed.KeyedPage) {
 	now := time.Now()
 	clear(c.jobs)
 	kept := make(map[string]job.Kept)
@@ -123,7 +132,7 @@
 		}
 	}
 	c.doubtUntil = now.Add(c.Bounds().Lease*102/100 + handover)
-	c.intakeEnd, c.serversEnd = intake.Next, list.Next
+	c.serversEnd = list.Next
 	slices.SortFunc(list.Records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, r := range list.Records {
 		c.listWorker(r.Key, r.Value)
@@ -138,8 +147,10 @@
 		c.unheard[k.Life] = w
 		c.workersKept[k.Life] = true
 	}
-	for _, r := range intake.Records {
-		c.readIntake(r, now)
+	for i, page := range intakes {
+		for _, r := range page.Records {
+			c.readIntake(i, r, now)
+		}
 	}
 	for id, j := range c.jobs {
 		if k, ok := kept[id]; ok {
@@ -148,8 +159,10 @@
 		}
 		c.restored[id] = true
 	}
-	for _, r := range intake.Records {
-		c.readCancel(r, now)
+	for i, page := range intakes {
+		for _, r := range page.Records {
+			c.readCancel(i, r, now)
+		}
 	}
 	for _, j := range c.jobs {
 		c.openJob(j, now)
@@ -157,18 +170,19 @@
 	c.emit(event.TablesFromPeer, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
 }
 
-// followIntake hands on what clients hand in.
-func (c *session) followIntake() {
-	from := c.intakeEnd
+// followIntake hands on what clients hand in through one partition.
+func (c *session) followIntake(part int) {
+	from := c.intakeEnd[part]
+	topic := c.Intake[part]
 	for c.ctx.Err() == nil {
 		asked := time.Now()
 		ctx, cancel := context.WithTimeout(c.ctx, intakeWait+storeTimeout)
-		page, err := c.Intake.Read(ctx, from, intakeWait)
+		page, err := topic.Read(ctx, from, intakeWait)
 		cancel()
 		var trimmed *feed.TrimmedError
 		if errors.As(err, &trimmed) {
 			ctx, cancel := context.WithTimeout(c.ctx, 3*storeTimeout)
-			page, err = c.Intake.Newest(ctx)
+			page, err = topic.Newest(ctx)
 			cancel()
 		}
 		if err != nil {
@@ -176,55 +190,73 @@
 			continue
 		}
 		from = page.Next
-		c.post(intakeRead{page: page, asked: asked})
+		c.post(intakeRead{part: part, page: page, asked: asked})
 	}
 }
 
-// intakeRead is a page of the intake.
+// intakeRead is a page of a partition of the intake.
 type intakeRead struct {
+	part  int
 	page  feed.KeyedPage
 	asked time.Time
 }
 
 func (m intakeRead) apply(c *session) {
 	now := time.Now()
-	c.fresh = m.asked
+	c.fresh[m.part] = m.asked
 	for _, r := range m.page.Records {
-		if j := c.readIntake(r, now); j != nil {
-			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s offset=%d", describe(j), r.Offset)
+		if j := c.readIntake(m.part, r, now); j != nil {
+			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s part=%d offset=%d", describe(j), m.part, r.Offset)
 			c.learnJob(j)
 			c.openJob(j, now)
 		}
-		c.readCancel(r, now)
+		c.readCancel(m.part, r, now)
 	}
 }
 
 // readIntake adds the job that a record hands in, and returns it if it is new.
-func (c *session) readIntake(r feed.KeyedRecord, now time.Time) *job.Job {
-	if !strings.HasPrefix(r.Key, jobKey) || len(r.Value) == 0 || c.jobs[r.Key[len(jobKey):]] != nil {
+func (c *session) readIntake(part int, r feed.KeyedRecord, now time.Time) *job.Job {
+	if !strings.HasPrefix(r.Key, jobKey) || len(r.Value) == 0 {
 		return nil
 	}
+	id := r.Key[len(jobKey):]
+	c.keepsOf[id] |= 1 << part
+	if c.jobs[id] != nil {
+		return nil // handed in again
+	}
 	spec := new(job.Spec)
 	if err := job.Decode(r.Value, spec); err != nil || spec.Check() != nil {
-		c.emit(event.RecordRefused, event.Subject{Job: r.Key[len(jobKey):]}, "offset=%d err=%v", r.Offset, err)
+		c.emit(event.RecordRefused, event.Subject{Job: id}, "offset=%d err=%v", r.Offset, err)
 		return nil
 	}
 	j := job.New(spec, now)
 	j.KeptVersion = j.Version // the intake itself keeps a new job
 	c.jobs[spec.ID] = j
+	if c.cancelled[id] {
+		c.cancel(j, now)
+	}
 	return j
 }
 
-// readCancel applies a record's wish to cancel.
-func (c *session) readCancel(r feed.KeyedRecord, now time.Time) {
+// readCancel applies a record's wish to cancel, which may come before its job through another partition.
+func (c *session) readCancel(part int, r feed.KeyedRecord, now time.Time) {
 	if !strings.HasPrefix(r.Key, cancelKey) || len(r.Value) == 0 {
 		return
 	}
-	j := c.jobs[r.Key[len(cancelKey):]]
-	if j == nil || !j.Cancel(now) {
+	id := r.Key[len(cancelKey):]
+	c.keepsOf[id] |= 1 << part
+	c.cancelled[id] = true
+	if j := c.jobs[id]; j != nil {
+		c.cancel(j, now)
+	}
+}
+
+// cancel ends the job and whatever runs of it.
+func (c *session) cancel(j *job.Job, now time.Time) {
+	if !j.Cancel(now) {
 		return
 	}
-	c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "cancel offset=%d", r.Offset)
+	c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "cancelled")
 	c.changed(j)
 	c.stopAll(j, "cancelled")
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -88,8 +88,9 @@
 // The exported fields are set before Run.
 type Scheduler struct {
 	Entry string
-	// Intake holds what clients handed in, State what became of it.
-	Intake, State feed.Topic
+	// Intake are the partitions that hold what clients handed in; State holds what became of it.
+	Intake []feed.Topic
+	State  feed.Topic
 	// Workers lists the live workers; Status takes what the operator reads.
 	Workers feed.Topic
 	// ParseWorker reads a record of Workers.
--- a/pool/session.go
+++ b/pool/session.go
@@ -56,9 +56,14 @@
 	committing   bool
 	workersKept  map[string]bool
 	workersDirty bool
-	fresh        time.Time // what was handed in before this time has been read
-	serversEnd   int64
-	intakeEnd    int64
+	// fresh is, by partition of the intake, the time before which all that was handed in has been read.
+	fresh      []time.Time
+	intakeEnd  []int64
+	serversEnd int64
+	// keepsOf has a bit for each partition of the intake that keeps something of a job; cancelled are the jobs that
+	// clients want cancelled.
+	keepsOf      map[string]uint64
+	cancelled    map[string]bool
 	waveRows     map[int64]*waveRow
 	gone         []string  // jobs whose state is to be dropped from the store
 	machinesAt   time.Time // when the machine interface was last asked
@@ -77,6 +82,8 @@
 		Scheduler: s, term: t, inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
 		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), over: make(map[string]bool),
 		dirty: make(map[string]*job.Job), later: make(map[string]*job.Job), restored: make(map[string]bool),
+		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
+		keepsOf: make(map[string]uint64), cancelled: make(map[string]bool),
 		unheard: make(map[string]*worker), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*moveStep), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
@@ -91,7 +98,9 @@
 	defer c.work.Wait()
 	defer cancel()
 	c.ctx = ctx
-	c.work.Go(c.followIntake)
+	for part := range c.Intake {
+		c.work.Go(func() { c.followIntake(part) })
+	}
 	c.work.Go(c.followWorkers)
 	for _, w := range c.workers {
 		c.startHolds(w)
@@ -182,12 +191,22 @@
 	}
 	j := c.jobs[m.id]
 	if j == nil {
-		m.reply <- Answer{Certain: time.Since(c.fresh) < freshFor}
+		m.reply <- Answer{Certain: c.isFresh()}
 		return
 	}
 	m.reply <- Answer{Known: true, State: j.Shown()}
 }
 
+// isFresh says whether a job that is not in the tables was surely not accepted some time ago.
+func (c *session) isFresh() bool {
+	for _, at := range c.fresh {
+		if time.Since(at) >= freshFor {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *session) pending(queue string) int {
 	n := 0
 	for _, j := range c.jobs {
@@ -209,6 +228,8 @@
 			delete(c.restored, id)
 			c.gone = append(c.gone, id)
 			c.drop(id)
+			delete(c.keepsOf, id)
+			delete(c.cancelled, id)
 		}
 	}
 }
