pool, lead, entry: keep runs before they are ordered, renew the lead more often, have peers write what the store refuses

Change: the run's worker and number are kept before its order leaves, and the next leader settles each by its worker's first report; a life displaces others only when it answers; a wave's instances count for no pool; renewals every 0.5 s, missed after 1.5 s; entries that the store turns away have a peer write.

--- a/entry/node.go
+++ b/entry/node.go
@@ -64,7 +64,7 @@
 	// readyMissed is how long the platform takes to notice that an entry is not ready: it asks each second, twice.
 	readyMissed = 2300 * time.Millisecond
 	// stopMargin is left of the grace for the process's own end.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 1200 * time.Millisecond
 )
 
 // Run serves until the context ends, then stops as planned; an error means that the entry could not be set up.
@@ -80,7 +80,7 @@
 	var g run.Group
 	end := make(chan struct{})
 	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
-	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings} {
+	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.watchLeader} {
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -156,8 +156,8 @@
 		Weight: min(1, s.Limits.Share*max(s.Limits.Cores, 1)), Serve: n.scheduler.Serve, Seen: n.followLeader,
 		May: func() bool { return n.ingress.Ready() },
 	}
-	n.scheduler.Confirmed, n.scheduler.Lost = n.elector.Confirmed, n.elector.Lost
-	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
+	n.scheduler.Confirmed, n.scheduler.Lost, n.scheduler.SawOutage = n.elector.Confirmed, n.elector.Lost, n.elector.SawOutage
+	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Forward: n.forward, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Wave: n.scheduler.SetWave, Config: func(c *platform.Config) {
 		n.ingress.SetConfig(c)
 		n.scheduler.SetCatalog(&c.Catalog)
--- a/intake/writer.go
+++ b/intake/writer.go
@@ -35,8 +35,8 @@
 	mu      sync.Mutex
 	waiting []*entry
 	busy    bool
-	// silent says that the latest append got no answer.
-	silent bool
+	// failing says that the latest append was not answered with success, silent that it was not answered.
+	failing, silent bool
 }
 
 // entry is one record on its way.
@@ -58,11 +58,11 @@
 
 // Write appends the record; it returns the topic's end, the number of appends tried, and ErrRefused or ErrInDoubt.
 //
-// While the store does not answer, records are refused at once, without having been sent.
+// While the store fails, records are refused at once, without having been sent, but for one that tries.
 func (w *Writer) Write(ctx context.Context, r feed.KeyedRecord) (end int64, tries int, err error) {
 	e := &entry{record: r, ctx: ctx, since: time.Now(), done: make(chan outcome, 1)}
 	if !w.admit(e) {
-		return 0, 0, fmt.Errorf("%w: the store does not answer", ErrRefused)
+		return 0, 0, fmt.Errorf("%w: the store fails", ErrRefused)
 	}
 	o := <-e.done
 	return o.end, o.tries, o.err
@@ -71,7 +71,7 @@
 func (w *Writer) admit(e *entry) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.silent && w.busy {
+	if w.failing && w.busy {
 		return false
 	}
 	w.waiting = append(w.waiting, e)
@@ -136,7 +136,7 @@
 func (w *Writer) settle(batch []*entry, err error) []*entry {
 	silent := errors.Is(err, feed.ErrUncertain)
 	w.mu.Lock()
-	w.silent = silent
+	w.silent, w.failing = silent, err != nil
 	w.mu.Unlock()
 	if err == nil {
 		return nil
--- a/job/kept.go
+++ b/job/kept.go
@@ -22,6 +22,16 @@
 	// Ended is when the job ended, 0 before.
 	Ended UnixMilli
 	Began bool
+	// Runs are the runs that were ordered, or are about to be.
+	Runs []OrderedRun
+}
+
+// OrderedRun names a run and the life of the worker that it was ordered from.
+type OrderedRun struct {
+	_       struct{} `cbor:",toarray"`
+	Ordinal int
+	Run     int64
+	Life    string
 }
 
 // FailedRun names a run that failed.
@@ -39,6 +49,9 @@
 		if t.Phase == Finished {
 			k.Done[i/8] |= 1 << (i % 8)
 		}
+		if t.Phase == Starting || t.Phase == Active {
+			k.Runs = append(k.Runs, OrderedRun{Ordinal: i, Run: t.Run, Life: t.Worker})
+		}
 		for _, r := range t.FailedRuns {
 			k.Failed = append(k.Failed, FailedRun{Ordinal: i, Run: r})
 		}
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -19,9 +19,9 @@
 // Times of the election.
 const (
 	// renewEvery is the pause between two renewals; each costs a write and wakes every entry once.
-	renewEvery = 700 * time.Millisecond
+	renewEvery = 500 * time.Millisecond
 	// missedAfter is how long candidates wait for a renewal: three of them.
-	missedAfter = 2100 * time.Millisecond
+	missedAfter = 1500 * time.Millisecond
 	// readWait is how long a read waits for a renewal.
 	readWait = time.Second
 	// callTimeout bounds a call beyond its wait.
@@ -30,8 +30,8 @@
 	retakePause = 4 * time.Second
 	// spread keeps candidates from asking all at once; the larger entries ask first.
 	spread = 250 * time.Millisecond
-	// confirmedFor is how long a renewal proves that nobody else has the lead.
-	confirmedFor = 2 * time.Second
+	// confirmedFor is how long a renewal proves that nobody else has the lead; it is under missedAfter.
+	confirmedFor = 1400 * time.Millisecond
 )
 
 // key is the one key of the topic.
@@ -78,6 +78,9 @@
 	latest    Record
 	end       int64
 	changed   time.Time // when latest changed, or the store began to answer
+	read      time.Time // when the store last answered
+	began     time.Time // when Run was called
+	outage    time.Time // when the store last answered after a long silence
 	wait      time.Duration
 	notBefore time.Time
 	lost      context.CancelFunc
@@ -123,6 +126,9 @@
 // Run follows the topic and leads whenever the lead is taken, until the context ends.
 func (e *Elector) Run(ctx context.Context) error {
 	e.drawWait()
+	e.mu.Lock()
+	e.began = time.Now()
+	e.mu.Unlock()
 	known := false
 	for ctx.Err() == nil {
 		var err error
@@ -193,6 +199,10 @@
 	var news *Record
 	e.mu.Lock()
 	e.end = max(e.end, page.Next)
+	if !e.read.IsZero() && time.Since(e.read) > longSilence {
+		e.outage = time.Now()
+	}
+	e.read = time.Now()
 	for _, r := range page.Records {
 		var rec Record
 		if r.Key != key || cbor.Unmarshal(r.Value, &rec) != nil || rec.Fence < e.latest.Fence {
@@ -217,6 +227,43 @@
 	}
 }
 
+// Observe takes in a record of a leader that another entry has read, when this one can't read the store.
+func (e *Elector) Observe(rec Record) {
+	e.mu.Lock()
+	news := rec.Fence > e.latest.Fence
+	if news {
+		e.latest = rec
+		if e.lost != nil {
+			e.notBefore = time.Now().Add(retakePause)
+			e.lost()
+		}
+	}
+	e.mu.Unlock()
+	if news && e.Seen != nil {
+		e.Seen(rec)
+	}
+}
+
+// Blind says whether the store has not answered this entry for the duration.
+func (e *Elector) Blind(d time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.read.IsZero() && time.Since(e.read) > d
+}
+
+// longSilence is how long the store must not have answered to count as an outage.
+const longSilence = 3 * time.Second
+
+// outageMemory is how long an outage is remembered; it is above every lease.
+const outageMemory = 30 * time.Second
+
+// SawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
+func (e *Elector) SawOutage() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.began) < outageMemory || time.Since(e.outage) < outageMemory
+}
+
 // silent restarts the wait for a renewal: while the store does not answer, nothing is known of the leader.
 func (e *Elector) silent() {
 	e.mu.Lock()
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -26,6 +26,7 @@
 	acks     map[*worker]int64
 	workers  []keptWorker
 	waves    map[int64]int
+	starts   []plannedStart
 }
 
 // commit begins to keep what has changed, one batch at a time; without changes ends are acknowledged at once.
@@ -64,6 +65,7 @@
 		for _, w := range c.workers {
 			done.acks[w] = w.processed
 		}
+		done.starts, c.planned = c.planned, nil
 	}
 	c.committing = true
 	sequence := c.sequence
@@ -114,6 +116,9 @@
 		c.workersKept[k.Life] = true
 		c.dirtyPool(k.Pool)
 	}
+	for _, p := range m.starts {
+		c.send(p)
+	}
 	for n, done := range m.waves {
 		c.waveKept(n, done)
 	}
--- a/pool/load.go
+++ b/pool/load.go
@@ -100,6 +100,19 @@
 	return nil
 }
 
+// restoreRuns puts the runs that an earlier leader ordered where they may be; their workers' first reports settle them.
+func (c *session) restoreRuns(j *job.Job, k job.Kept) {
+	for _, r := range k.Runs {
+		w := c.workers[r.Life]
+		if w == nil || r.Ordinal < 0 || r.Ordinal >= len(j.Tasks) || j.Tasks[r.Ordinal].Phase != job.Waiting {
+			continue // a life that is not kept has surely ended
+		}
+		t := &j.Tasks[r.Ordinal]
+		t.Phase, t.Run, t.Worker, t.Since = job.Starting, r.Run, r.Life, time.Now()
+		w.add(t, &run{number: r.Run, earlier: true, pace: fullPercent})
+	}
+}
+
 // readAll reads the topics, all at the same time.
 func readAll(ctx context.Context, topics ...feed.Topic) ([]feed.KeyedPage, error) {
 	pages := make([]feed.KeyedPage, len(topics))
@@ -131,6 +144,8 @@
 			c.restoreWave(r.Key[len(waveKey):], r.Value)
 		}
 	}
+	c.coarse = c.SawOutage()
+	c.aloneFrom = now.Add(handover)
 	c.doubtUntil = now.Add(c.Bounds().Lease*102/100 + handover)
 	c.serversEnd = list.Next
 	slices.SortFunc(list.Records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
@@ -155,6 +170,7 @@
 	for id, j := range c.jobs {
 		if k, ok := kept[id]; ok {
 			j.Restore(k, now)
+			c.restoreRuns(j, k)
 			delete(c.dirty, id)
 		}
 		c.restored[id] = true
@@ -232,6 +248,9 @@
 	j := job.New(spec, now)
 	j.KeptVersion = j.Version // the intake itself keeps a new job
 	c.jobs[spec.ID] = j
+	if now.Before(c.aloneFrom) {
+		c.restored[spec.ID] = true // the earlier leader may have read it too
+	}
 	if c.cancelled[id] {
 		c.cancel(j, now)
 	}
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -31,24 +31,48 @@
 	return c.term.Number<<runBits | c.starts
 }
 
-// start orders a run of the task.
+// start plans a run of the task. Its order leaves once the run is kept, so that the next leader knows where it may be.
 func (c *session) start(w *worker, t *job.Task, number int64, ticket string, now time.Time) {
-	r := &run{number: number, sentAt: now, pace: fullPercent}
+	r := &run{number: number, sentAt: now, pace: fullPercent, ticket: ticket}
 	t.Phase, t.Run, t.Worker, t.Since = job.Starting, number, w.Life, now
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
 	w.add(t, r)
+	t.Job.Version++
+	c.dirty[t.Job.Spec.ID] = t.Job
+	c.planned = append(c.planned, plannedStart{worker: w, task: t, run: r})
+}
+
+// plannedStart is a run that is to be ordered once it is kept.
+type plannedStart struct {
+	worker *worker
+	task   *job.Task
+	run    *run
+}
+
+// send orders a planned run, unless something has come between.
+func (c *session) send(p plannedStart) {
+	w, t, r := p.worker, p.task, p.run
+	if w.runs[t] != r || c.workers[w.Life] != w {
+		return
+	}
+	if t.Job.State.Ended() || !w.usable(time.Now()) {
+		w.drop(t)
+		c.requeue(t)
+		return
+	}
+	r.sent, r.sentAt = true, time.Now()
 	r.deadline = w.deadline(startValid)
 	o := work.Start{
-		Task: t.Name(), Run: number, Text: t.Job.Spec.Text, Deadline: r.deadline,
-		Fence: c.term.Fence, Saved: t.Saved, Ticket: ticket,
+		Task: t.Name(), Run: r.number, Text: t.Job.Spec.Text, Deadline: r.deadline,
+		Fence: c.term.Fence, Saved: t.Saved, Ticket: r.ticket,
 	}
-	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v free=%d config=%d", number, now.Sub(t.Job.Received).Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
+	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v free=%d config=%d", r.number, time.Since(t.Job.Received).Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
 	row := w.Worker
 	c.work.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 		defer cancel()
 		a, err := c.Calls.Start(ctx, &row, o)
-		c.post(startEnded{worker: w, task: t, run: number, answer: a, err: err})
+		c.post(startEnded{worker: w, task: t, run: r.number, answer: a, err: err})
 	})
 }
 
@@ -137,6 +161,11 @@
 // stopTask orders the end of a task's run; the worker's list tells when it has ended.
 func (c *session) stopTask(w *worker, t *job.Task, why string) {
 	r := w.runs[t]
+	if r != nil && !r.sent && !r.earlier {
+		w.drop(t) // its order has not left, and will not
+		c.requeue(t)
+		return
+	}
 	if r == nil || (r.stopSent && time.Since(r.sentAt) < stopAgain) {
 		return
 	}
--- a/pool/report.go
+++ b/pool/report.go
@@ -80,6 +80,7 @@
 		return
 	}
 	w.heard = true
+	c.endOtherLives(w)
 	c.dirtyPool(w.Pool)
 	if c.unheard[w.Life] != nil {
 		delete(c.unheard, w.Life)
@@ -132,7 +133,7 @@
 	}
 	t.Phase, t.Run, t.Worker, t.Since = job.Active, row.Run, w.Life, time.Now()
 	t.Job.Began = true
-	w.add(t, &run{number: row.Run, confirmed: clock, pace: fullPercent})
+	w.add(t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true})
 	c.emit(event.RunAdopted, event.Subject{Job: row.Task, Instance: w.Life}, "run=%d percent=%d", row.Run, row.Percent)
 	return true
 }
@@ -140,7 +141,7 @@
 // confirm notes that the worker has the run.
 func (c *session) confirm(w *worker, t *job.Task, r *run, clock work.Clock) {
 	r.confirmed = max(r.confirmed, clock)
-	r.unanswered = false
+	r.unanswered, r.earlier, r.sent = false, false, true
 	if t.Phase == job.Starting {
 		t.Phase = job.Active
 	}
@@ -152,6 +153,8 @@
 	switch {
 	case r.confirmed > 0 && rep.Clock > r.confirmed && len(rep.Ended) < endsPage:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
+	case r.earlier:
+		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d of an earlier leader is not there", r.number)
 	case r.unanswered && rep.Clock > r.deadline:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d never began: its deadline has passed", r.number)
 	case r.unanswered && r.stopped > 0 && rep.Clock > r.stopped+work.Clock(c.Bounds().Stop.Milliseconds()):
--- a/pool/session.go
+++ b/pool/session.go
@@ -40,13 +40,19 @@
 	over map[string]bool
 	// dirty are the jobs with changes that are not kept.
 	dirty map[string]*job.Job
+	// planned are the runs that are to be ordered once they are kept.
+	planned []plannedStart
 	// later are jobs with times that are not due yet.
 	later map[string]*job.Job
+	// coarse says that an earlier leader may have started what is not kept: its store had failed for long.
+	coarse bool
 	// restored are the jobs that an earlier leader may have started.
 	restored map[string]bool
 	// unheard are the lives that may still run what an earlier leader started, until doubtUntil.
 	unheard    map[string]*worker
 	doubtUntil time.Time
+	// aloneFrom is when the earlier leader has surely stopped giving orders.
+	aloneFrom time.Time
 
 	// reachesMost says that most listed workers have answered lately.
 	reachesMost atomic.Bool
--- a/pool/size.go
+++ b/pool/size.go
@@ -79,6 +79,9 @@
 	}
 	var instances []upkeep.Instance
 	for name, m := range c.machines {
+		if c.inWave(name) {
+			continue // it serves nobody until its upkeep is over
+		}
 		x := upkeep.Instance{Name: name, Pool: m.Pool, Fixed: m.State != MachineUp || c.fixed(name, now)}
 		if s := c.moves[name]; s != nil {
 			x.Pool = s.to
@@ -148,7 +151,7 @@
 	row.Keep = most*(1+spareShare) + spareInstances
 }
 
-// fixed says whether an instance is on its way, or is to have its upkeep soon.
+// fixed says whether an instance is on its way, or could lately not be moved.
 func (c *session) fixed(machine string, now time.Time) bool {
 	if s := c.moves[machine]; s != nil {
 		return true
@@ -156,6 +159,11 @@
 	if now.Before(c.unmovable[machine]) {
 		return true
 	}
+	return false
+}
+
+// inWave says whether an instance is being emptied for its upkeep, or away.
+func (c *session) inWave(machine string) bool {
 	for _, row := range c.waveRows {
 		if row.steps[machine] != nil {
 			return true
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -58,6 +58,9 @@
 	confirmed work.Clock
 	// deadline is the start's; a start that is carried out later does nothing.
 	deadline work.Clock
+	// sent says that the order has left; earlier that an earlier leader ordered the run, or meant to.
+	sent, earlier bool
+	ticket        string
 	// unanswered says that the start got no answer.
 	unanswered bool
 	// stopSent says that a stop is on its way or was answered; stopped is the worker's clock of that answer.
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -110,7 +110,6 @@
 		w = newWorker(row)
 		c.workers[life] = w
 		c.workersDirty = true
-		c.endOtherLives(w)
 		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s room=%d leaving=%t", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving)
 		return w
 	}
@@ -142,7 +141,8 @@
 	c.leave(w)
 }
 
-// endOtherLives ends the earlier lives of the new worker's instance: an instance has one life at a time.
+// endOtherLives ends the earlier lives of the instance of a worker that has just answered for the first time: an
+// instance has one life at a time. A list alone proves nothing, since it may name lives that have ended.
 func (c *session) endOtherLives(w *worker) {
 	for life, o := range c.workers {
 		if life != w.Life && o.Machine == w.Machine && o.Machine != "" {
