--- a/entry/node.go
+++ b/entry/node.go
@@ -51,6 +51,8 @@
 	MetricsAddress string
 
 	boot      string
+	store     *platform.Store
+	peers     peerTable
 	mesh      *peer.Mesh
 	scheduler *pool.Scheduler
 	elector   *lead.Elector
@@ -80,7 +82,7 @@
 	var g run.Group
 	end := make(chan struct{})
 	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
-	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.watchLeader} {
+	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings} {
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -133,13 +135,15 @@
 func (n *Node) assemble(peers net.Listener) {
 	s := n.Settings
 	store := platform.NewStore(s)
+	store.Relay = n.relay
+	n.store = store
 	workers := new(platform.Workers)
 	intakes := make([]feed.Topic, max(1, min(intakeParts, s.Store.Partitions)))
 	for i := range intakes {
 		intakes[i] = store.Own(intakeTopic, i)
 	}
 	n.mesh = &peer.Mesh{
-		Self: peer.Identity{Entry: s.Entry, DataCentre: s.DataCentre, Boot: n.boot}, Secret: []byte(linkSecret),
+		Self: peer.Identity{Entry: peers.Addr().String(), DataCentre: s.DataCentre, Boot: n.boot}, Secret: []byte(linkSecret),
 		Listener: peers, Events: n.Events, Serve: n.serveStream,
 	}
 	n.scheduler = &pool.Scheduler{
@@ -156,8 +160,9 @@
 		Weight: min(1, s.Limits.Share*max(s.Limits.Cores, 1)), Serve: n.scheduler.Serve, Seen: n.followLeader,
 		May: func() bool { return n.ingress.Ready() },
 	}
-	n.scheduler.Confirmed, n.scheduler.Lost, n.scheduler.SawOutage = n.elector.Confirmed, n.elector.Lost, n.elector.SawOutage
-	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Forward: n.forward, Events: n.Events}}
+	n.scheduler.Confirmed, n.scheduler.Lost = n.elector.Confirmed, n.elector.Lost
+	n.scheduler.SetLoose, n.scheduler.LooseKept = n.elector.SetLoose, n.elector.LooseKept
+	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Wave: n.scheduler.SetWave, Config: func(c *platform.Config) {
 		n.ingress.SetConfig(c)
 		n.scheduler.SetCatalog(&c.Catalog)
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"rackstep.dev/lead"
+	"rackstep.dev/peer"
+	"rackstep.dev/peer/peerpb"
+	"rackstep.dev/platform"
+)
+
+// Figures of the relays.
+const (
+	// peersMost bounds the peers to which an entry keeps links, besides the leader and the seeds.
+	peersMost = 4
+	// relayTries is how many peers are asked for one call.
+	relayTries = 2
+	// relayMargin is left of a call's time for the answer's way back, and relayPatience is for calls without a bound.
+	relayMargin   = 20 * time.Millisecond
+	relayPatience = time.Second
+)
+
+// peerTable holds the addresses for peers of other entries that have asked this one something.
+type peerTable struct {
+	mu        sync.Mutex
+	addresses []string
+}
+
+// heard notes a peer; it says whether that was news.
+func (p *peerTable) heard(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.addresses, address) {
+		return false
+	}
+	p.addresses = append(p.addresses, address)
+	if len(p.addresses) > peersMost {
+		p.addresses = slices.Delete(p.addresses, 0, 1)
+	}
+	return true
+}
+
+func (p *peerTable) all() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.addresses)
+}
+
+// followLeader keeps a link to the entry that schedules.
+func (n *Node) followLeader(lead.Record) { n.linkPeers() }
+
+// linkPeers keeps links to the leader, the seeds and those that were heard of.
+func (n *Node) linkPeers() {
+	var peers []peer.Address
+	for _, a := range n.peerAddresses() {
+		peers = append(peers, peer.Address{Entry: a, Address: a}) // links are named by address
+	}
+	n.mesh.SetPeers(context.Background(), peers)
+}
+
+// peerAddresses returns the addresses of the leader, the seeds and those that were heard of, without this entry's own.
+func (n *Node) peerAddresses() []string {
+	var out []string
+	add := func(address string) {
+		if address != "" && address != n.elector.Address && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	if r := n.elector.Latest(); !r.Released {
+		add(r.Address)
+	}
+	for _, s := range n.Settings.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			add(net.JoinHostPort(host, strconv.Itoa(n.Settings.Ports[0]))) // ports are alike on all machines
+		}
+	}
+	for _, a := range n.peers.all() {
+		add(a)
+	}
+	return out
+}
+
+// relay has a peer make a call to the store; the error is platform.ErrRelayUnsent or platform.ErrRelayLost.
+func (n *Node) relay(ctx context.Context, c platform.StoreCall) (platform.StoreReply, error) {
+	left := relayPatience
+	if d, ok := ctx.Deadline(); ok {
+		left = time.Until(d) - relayMargin
+	}
+	open := &peerpb.Open{Kind: &peerpb.Open_Store{Store: &peerpb.StoreCall{Method: c.Method, Uri: c.URI, Body: c.Body, RemainingMs: left.Milliseconds()}}}
+	up := n.mesh.Up()
+	tries := 0
+	last := platform.StoreReply{}
+	for _, address := range n.peerAddresses() {
+		if !slices.Contains(up, address) || tries == relayTries {
+			continue
+		}
+		tries++
+		var a peerpb.StoreAnswer
+		err := n.converse(ctx, address, open, &a)
+		switch {
+		case errors.Is(err, errBroken), err == nil && a.Status == 0 && !a.Unsent:
+			return last, platform.ErrRelayLost
+		case err == nil && a.Status != 0 && !platform.TurnsAway(int(a.Status)):
+			return platform.StoreReply{Status: int(a.Status), Body: a.Body}, nil
+		case err == nil && a.Status != 0:
+			last = platform.StoreReply{Status: int(a.Status), Body: a.Body}
+		}
+	}
+	if last.Status != 0 {
+		return last, nil
+	}
+	return last, platform.ErrRelayUnsent
+}
+
+// answerStore makes a call to the store for another entry.
+func (n *Node) answerStore(ctx context.Context, c *peerpb.StoreCall) *peerpb.StoreAnswer {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.RemainingMs)*time.Millisecond)
+	defer cancel()
+	reply, err := n.store.Direct(ctx, platform.StoreCall{Method: c.Method, URI: c.Uri, Body: c.Body})
+	if err != nil {
+		return &peerpb.StoreAnswer{Unsent: errors.Is(err, platform.ErrRelayUnsent)}
+	}
+	return &peerpb.StoreAnswer{Status: int32(reply.Status), Body: reply.Body}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -33,10 +33,8 @@
 type Intake struct {
 	Writer *Writer
 	// Ask asks the scheduling entry for a job, or for a queue when id is empty.
-	Ask func(ctx context.Context, id, queue string) (pool.Answer, error)
-	// Forward has another entry write a record that this one can't write; none when nil. Its errors are a Writer's.
-	Forward func(ctx context.Context, r feed.KeyedRecord) (end int64, err error)
-	Events  *event.Ring
+	Ask    func(ctx context.Context, id, queue string) (pool.Answer, error)
+	Events *event.Ring
 }
 
 // Submit writes the job; the error is ErrRefused, ErrInDoubt or a *job.SpecError.
@@ -51,7 +49,7 @@
 		return err
 	}
 	began := time.Now()
-	offset, tries, err := i.write(ctx, feed.KeyedRecord{Key: pool.JobKey(s.ID), Value: value})
+	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: pool.JobKey(s.ID), Value: value})
 	i.tell(s.ID, "submit queue="+s.Queue, offset, tries, time.Since(began), err)
 	return err
 }
@@ -65,7 +63,7 @@
 		return ErrUnknown
 	}
 	began := time.Now()
-	offset, tries, err := i.write(ctx, feed.KeyedRecord{Key: pool.CancelKey(id), Value: []byte{1}})
+	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: pool.CancelKey(id), Value: []byte{1}})
 	i.tell(id, "cancel", offset, tries, time.Since(began), err)
 	return err
 }
@@ -85,19 +83,6 @@
 	i.Events.Emit(n, event.Subject{Job: id}, text)
 }
 
-// write writes the record, or has another entry write it when the store surely did not take it from this one.
-func (i *Intake) write(ctx context.Context, r feed.KeyedRecord) (end int64, tries int, err error) {
-	end, tries, err = i.Writer.Write(ctx, r)
-	if !errors.Is(err, ErrRefused) || i.Forward == nil {
-		return end, tries, err
-	}
-	end, forwarded := i.Forward(ctx, r)
-	if errors.Is(forwarded, ErrRefused) {
-		return 0, tries, err
-	}
-	return end, tries + 1, forwarded
-}
-
 // State returns a job's state; the error is ErrUnknown or ErrUnclear.
 func (i *Intake) State(ctx context.Context, id string) (job.State, error) {
 	a, err := i.ask(ctx, id, "")
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -19,19 +19,21 @@
 // Times of the election.
 const (
 	// renewEvery is the pause between two renewals; each costs a write and wakes every entry once.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 350 * time.Millisecond
 	// missedAfter is how long candidates wait for a renewal: three of them.
-	missedAfter = 1500 * time.Millisecond
+	missedAfter = 1100 * time.Millisecond
 	// readWait is how long a read waits for a renewal.
 	readWait = time.Second
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 700 * time.Millisecond
+	// renewTimeout bounds a renewal: with the pause it stays under missedAfter, so that one lost answer ends no lead.
+	renewTimeout = 450 * time.Millisecond
 	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
 	retakePause = 4 * time.Second
 	// spread keeps candidates from asking all at once; the larger entries ask first.
-	spread = 250 * time.Millisecond
+	spread = 100 * time.Millisecond
 	// confirmedFor is how long a renewal proves that nobody else has the lead; it is under missedAfter.
-	confirmedFor = 1400 * time.Millisecond
+	confirmedFor = time.Second
 )
 
 // key is the one key of the topic.
@@ -52,11 +54,15 @@
 	Fence int64
 	// Released says that the leader has given up the lead.
 	Released bool
+	// Loose says that the leader may have ordered what it could not keep.
+	Loose bool
 }
 
 // Term is a lead that was taken.
 type Term struct {
 	Number, Fence int64
+	// Coarse says that the leader before may have ordered what is not kept; Clean that it gave the lead up itself.
+	Coarse, Clean bool
 }
 
 // Elector takes part in the election.
@@ -87,6 +93,9 @@
 	fence     int64
 	confirmed time.Time
 	resigned  bool
+	// loose is what is to be published, looseKept says that it was; hurry ends the pause before the next renewal.
+	loose, looseKept bool
+	hurry            chan struct{}
 }
 
 // Confirmed says whether a renewal has lately proved that this entry leads.
@@ -127,6 +136,7 @@
 func (e *Elector) Run(ctx context.Context) error {
 	e.drawWait()
 	e.mu.Lock()
+	e.hurry = make(chan struct{}, 1)
 	e.began = time.Now()
 	e.mu.Unlock()
 	known := false
@@ -227,41 +237,40 @@
 	}
 }
 
-// Observe takes in a record of a leader that another entry has read, when this one can't read the store.
-func (e *Elector) Observe(rec Record) {
-	e.mu.Lock()
-	news := rec.Fence > e.latest.Fence
-	if news {
-		e.latest = rec
-		if e.lost != nil {
-			e.notBefore = time.Now().Add(retakePause)
-			e.lost()
-		}
-	}
-	e.mu.Unlock()
-	if news && e.Seen != nil {
-		e.Seen(rec)
-	}
+// longSilence is how long the store must not have answered to count as an outage: under the time after which a leader
+// without the store orders what it can't keep.
+const longSilence = time.Second
+
+// outageMemory is how long an outage is remembered; it is above every lease.
+const outageMemory = 30 * time.Second
+
+// sawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
+func (e *Elector) sawOutage() bool {
+	return time.Since(e.began) < outageMemory || time.Since(e.outage) < outageMemory
 }
 
-// Blind says whether the store has not answered this entry for the duration.
-func (e *Elector) Blind(d time.Duration) bool {
+// SetLoose publishes whether the leader may order what it can't keep.
+func (e *Elector) SetLoose(loose bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.read.IsZero() && time.Since(e.read) > d
+	if e.loose == loose {
+		return
+	}
+	e.loose = loose
+	if !loose {
+		e.looseKept = false
+	}
+	select {
+	case e.hurry <- struct{}{}:
+	default:
+	}
 }
 
-// longSilence is how long the store must not have answered to count as an outage.
-const longSilence = 3 * time.Second
-
-// outageMemory is how long an outage is remembered; it is above every lease.
-const outageMemory = 30 * time.Second
-
-// SawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
-func (e *Elector) SawOutage() bool {
+// LooseKept says whether the next leader will know that this one may have ordered what it could not keep.
+func (e *Elector) LooseKept() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Since(e.began) < outageMemory || time.Since(e.outage) < outageMemory
+	return e.looseKept
 }
 
 // silent restarts the wait for a renewal: while the store does not answer, nothing is known of the leader.
@@ -311,6 +320,8 @@
 	}
 	serve, lost := context.WithCancel(ctx)
 	e.mu.Lock()
+	t := Term{Number: term, Fence: rec.Fence, Coarse: e.latest.Loose || e.sawOutage(), Clean: e.latest.Released || e.latest.Term == 0}
+	e.loose, e.looseKept = false, false
 	e.latest, e.end = rec, next
 	e.lost, e.fence = lost, rec.Fence
 	e.changed, e.confirmed = time.Now(), sent
@@ -319,7 +330,7 @@
 		e.Seen(rec)
 	}
 	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d", term, rec.Fence))
-	go e.lead(serve, rec)
+	go e.lead(serve, rec, t)
 }
 
 func (e *Elector) append(ctx context.Context, rec Record, at, sequence int64) (int64, error) {
@@ -334,43 +345,60 @@
 }
 
 // lead serves and renews until the term ends.
-func (e *Elector) lead(ctx context.Context, rec Record) {
+func (e *Elector) lead(ctx context.Context, rec Record, t Term) {
 	done := make(chan struct{})
 	go func() {
-		e.Serve(ctx, Term{Number: rec.Term, Fence: rec.Fence})
+		e.Serve(ctx, t)
 		close(done)
 	}()
 	sequence := int64(1)
 	for ctx.Err() == nil {
-		pause(ctx, renewEvery)
+		e.awaitRenewal(ctx)
 		if ctx.Err() == nil {
 			sequence = e.renew(ctx, rec, sequence)
 		}
 	}
-	<-done
 	e.mu.Lock()
-	e.lost()
-	e.lost = nil
 	released := e.resigned
 	e.confirmed = time.Time{}
 	e.mu.Unlock()
 	e.Events.Emit(event.LeadLost, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d resigned=%t", rec.Term, released))
 	if released {
-		e.release(rec, sequence)
+		e.release(rec, sequence) // at once: what still leaves here is refused once the next leader has begun
+	}
+	<-done
+	e.mu.Lock()
+	e.lost()
+	e.lost = nil
+	e.mu.Unlock()
+}
+
+// awaitRenewal waits until the next renewal is due, or something is to be published at once.
+func (e *Elector) awaitRenewal(ctx context.Context) {
+	t := time.NewTimer(renewEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.hurry:
+	case <-t.C:
 	}
 }
 
 // renew appends the record once more and returns the next sequence number.
 func (e *Elector) renew(ctx context.Context, rec Record, sequence int64) int64 {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sent := time.Now() // candidates may have read the record as early as this
+	e.mu.Lock()
+	rec.Loose = e.loose
+	e.mu.Unlock()
 	_, err := e.append(call, rec, -1, sequence)
 	var fenced *feed.FencedError
 	switch {
 	case err == nil:
 		e.mu.Lock()
 		e.confirmed = sent
+		e.looseKept = rec.Loose && e.loose
 		e.mu.Unlock()
 		return sequence + 1
 	case errors.As(err, &fenced):
@@ -381,6 +409,9 @@
 
 func (e *Elector) release(rec Record, sequence int64) {
 	rec.Released = true
+	e.mu.Lock()
+	rec.Loose = e.loose
+	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if _, err := e.append(ctx, rec, -1, sequence); err != nil {
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -67,14 +67,15 @@
 		}
 		done.starts, c.planned = c.planned, nil
 	}
-	c.committing = true
+	c.committing, c.inFlight = true, &done
+	c.commitSince = time.Now()
 	sequence := c.sequence
 	c.sequence++
-	c.work.Go(func() { c.append(records, sequence, done) })
+	c.work.Go(func() { c.append(records, sequence, &done) })
 }
 
 // append tries until the store has taken the batch; the same sequence number again is taken once.
-func (c *session) append(records []feed.KeyedRecord, sequence int64, done commitEnded) {
+func (c *session) append(records []feed.KeyedRecord, sequence int64, done *commitEnded) {
 	b := feed.Batch{Records: records, At: -1, Writer: feed.Writer{Name: writer, Epoch: c.term.Fence, Sequence: sequence + 1}}
 	failed := false
 	for c.ctx.Err() == nil {
@@ -85,7 +86,7 @@
 			if failed {
 				c.emit(event.StoreReachable, event.Subject{Entry: c.Entry}, "state kept again")
 			}
-			c.post(done)
+			c.post(commitAnswered{done})
 			return
 		}
 		var fenced *feed.FencedError
@@ -101,8 +102,11 @@
 	}
 }
 
-func (m commitEnded) apply(c *session) {
-	c.committing = false
+// commitAnswered says that the store has taken the batch.
+type commitAnswered struct{ *commitEnded }
+
+func (m commitAnswered) apply(c *session) {
+	c.committing, c.inFlight = false, nil
 	for j, v := range m.versions {
 		j.KeptVersion = max(j.KeptVersion, v)
 		if j.State.Ended() && v == j.Version {
--- a/pool/load.go
+++ b/pool/load.go
@@ -44,7 +44,7 @@
 	// workersEvery spaces the reads of the list of workers, which is written to all the time.
 	workersEvery = 150 * time.Millisecond
 	// handover is what an earlier leader may take to notice that it leads no longer, beyond its lease.
-	handover = 1500 * time.Millisecond
+	handover = 1100 * time.Millisecond
 )
 
 // keptWorker is what is kept of a life that may have been given work.
@@ -144,8 +144,11 @@
 			c.restoreWave(r.Key[len(waveKey):], r.Value)
 		}
 	}
-	c.coarse = c.SawOutage()
-	c.aloneFrom = now.Add(handover)
+	c.coarse = c.term.Coarse
+	c.aloneFrom = now
+	if !c.term.Clean {
+		c.aloneFrom = now.Add(handover)
+	}
 	c.doubtUntil = now.Add(c.Bounds().Lease*102/100 + handover)
 	c.serversEnd = list.Next
 	slices.SortFunc(list.Records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
--- /dev/null
+++ b/pool/loose.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"time"
+
+	"rackstep.dev/event"
+)
+
+// Times of going on without the store.
+const (
+	// looseAfter is how long a batch must be on its way before orders may leave without being kept, once the next
+	// leader will know that they may have.
+	looseAfter = 250 * time.Millisecond
+	// blindAfter is the same while nothing can be published either: by then another leader, if there were one, would
+	// have raised the workers' fencing tokens.
+	blindAfter = 1500 * time.Millisecond
+)
+
+// loosen lets orders leave that can't be kept, while the store does not take them.
+//
+// It needs proof that this entry is not the one cut off: most workers must have answered it since.
+func (c *session) loosen(now time.Time) {
+	if !c.committing || now.Sub(c.commitSince) < looseAfter {
+		if c.loose && !c.committing {
+			c.loose = false
+			c.SetLoose(false)
+		}
+		return
+	}
+	c.SetLoose(true)
+	since := c.commitSince
+	switch {
+	case c.LooseKept():
+	case now.Sub(c.commitSince) > blindAfter:
+		since = c.commitSince.Add(blindAfter)
+	default:
+		return
+	}
+	if !c.mostAnsweredSince(since) {
+		return
+	}
+	if !c.loose {
+		c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "orders leave before they are kept; batch on its way for %v", now.Sub(c.commitSince).Round(time.Millisecond))
+	}
+	c.loose = true
+	c.sendPlanned()
+}
+
+func (c *session) mostAnsweredSince(t time.Time) bool {
+	answered, all := 0, 0
+	for _, w := range c.workers {
+		if !w.listed {
+			continue
+		}
+		all++
+		if w.answered.After(t) {
+			answered++
+		}
+	}
+	return 2*answered > all
+}
+
+// sendPlanned orders what waits to be kept.
+func (c *session) sendPlanned() {
+	starts := c.planned
+	c.planned = nil
+	if c.inFlight != nil {
+		starts = append(c.inFlight.starts, starts...)
+		c.inFlight.starts = nil
+	}
+	for _, p := range starts {
+		c.send(p)
+	}
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -105,8 +105,9 @@
 	// Confirmed says whether the lead was lately confirmed by the store; Lost is told of a higher fencing token.
 	Confirmed func() bool
 	Lost      func(fence int64)
-	// SawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
-	SawOutage func() bool
+	// SetLoose publishes that this leader may order what it can't keep; LooseKept says whether the next will know.
+	SetLoose  func(loose bool)
+	LooseKept func() bool
 
 	catalog atomic.Pointer[job.Catalog]
 	bounds  atomic.Pointer[Bounds]
--- a/pool/session.go
+++ b/pool/session.go
@@ -57,9 +57,13 @@
 	// reachesMost says that most listed workers have answered lately.
 	reachesMost atomic.Bool
 
-	starts       int64
-	sequence     int64
-	committing   bool
+	starts     int64
+	sequence   int64
+	committing bool
+	// inFlight is the batch on its way, commitSince when it left.
+	inFlight     *commitEnded
+	commitSince  time.Time
+	loose        bool
 	workersKept  map[string]bool
 	workersDirty bool
 	// fresh is, by partition of the intake, the time before which all that was handed in has been read.
@@ -138,6 +142,7 @@
 	c.openDue(now)
 	c.watchLeases(now)
 	c.settleUnanswered(now)
+	c.loosen(now)
 	c.emptyLeaving(now)
 	c.runWaves(now)
 	c.sizePools(now)
--- a/pool/size.go
+++ b/pool/size.go
@@ -47,7 +47,7 @@
 
 // sizePools moves instances to where the work is.
 func (c *session) sizePools(now time.Time) {
-	if c.config == nil || len(c.machines) == 0 {
+	if c.config == nil || c.machinesRead.IsZero() || now.Before(c.aloneFrom) {
 		return
 	}
 	c.carryMoves(now)
@@ -71,7 +71,9 @@
 	whole := c.wholeInstance()
 	byMachine := make(map[string]*worker, len(c.workers))
 	for _, w := range c.workers {
-		byMachine[w.Machine] = w
+		if w.listed {
+			byMachine[w.Machine] = w
+		}
 		n := used[w.Pool]
 		n.MilliCPU += w.Room.MilliCPU - w.room.Free.MilliCPU
 		n.MemoryMB += w.Room.MemoryMB - w.room.Free.MemoryMB
@@ -87,11 +89,12 @@
 			x.Pool = s.to
 		}
 		w := byMachine[name]
-		if w != nil && !w.out && (w.Leaving || !w.listed || !w.silentSince.IsZero()) {
+		if w != nil && !w.out && (w.Leaving || !w.silentSince.IsZero()) {
 			continue // it is of no use to anybody
 		}
 		if w != nil {
 			x.Runs = len(w.runs)
+			x.Fixed = x.Fixed || !w.heard
 			x.Lasting = w.room.Serving + w.room.Filling
 		} else if p := c.config.Pools[x.Pool]; !p.Headroom {
 			x.Fixed = true // it has no life that is known yet
@@ -195,7 +198,7 @@
 	case s.asking || now.Before(s.notBefore):
 	case s.moved:
 		c.awaitMoved(machine, s, now)
-	case c.workers[s.life] != nil && len(c.workers[s.life].runs) > 0:
+	case c.workers[s.life] != nil && (len(c.workers[s.life].runs) > 0 || !c.workers[s.life].silentSince.IsZero()):
 		if now.Sub(s.since) > patience {
 			c.endMove(machine, s) // its work takes too long; another one may go
 		}
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -134,6 +134,9 @@
 }
 
 func (c *session) runWave(row *waveRow, now time.Time) {
+	if now.Before(c.aloneFrom) || c.machinesRead.Before(c.aloneFrom) {
+		return // what the earlier leader has begun is not known yet
+	}
 	away := c.countAway(row)
 	for _, m := range row.Machines {
 		if len(row.steps) >= 2*max(row.Most, 1) {
@@ -162,6 +165,11 @@
 // countAway counts the instances that are away for their upkeep, and ends the steps of those that are back.
 func (c *session) countAway(row *waveRow) int {
 	away := 0
+	for _, m := range row.Machines {
+		if row.steps[m] == nil && c.machines[m].State == MachineInUpkeep {
+			away++ // an earlier leader began it
+		}
+	}
 	for m, s := range row.steps {
 		switch {
 		case s.asking, s.doubt:
@@ -216,6 +224,9 @@
 	if w == nil {
 		return true
 	}
+	if !w.heard || !w.silentSince.IsZero() {
+		return false // nobody knows what runs there
+	}
 	s.life = w.Life
 	w.out = true
 	for t := range w.runs {
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -30,7 +30,7 @@
 	reachWithin = 2500 * time.Millisecond
 	// settledAfter is how long a life must be known before the machine interface may declare it ended: its answers
 	// may lag behind the list of workers.
-	settledAfter = 4 * time.Second
+	settledAfter = 2500 * time.Millisecond
 	// askMachinesEvery is the pause between two looks at the machine interface while workers are silent.
 	askMachinesEvery = 700 * time.Millisecond
 	// lookEvery is the pause between two looks at all instances.
