entry, pool: keep a stable set of peers, ask the one that last reached the store first, and believe a later run that a worker lists

Change: a peer replaces only one without a link; relays try the last good peer first; a listed run above the kept one is adopted and kept.

--- a/entry/ask.go
+++ b/entry/ask.go
@@ -50,7 +50,7 @@
 
 // serveStream answers another entry.
 func (n *Node) serveStream(ctx context.Context, from peer.Identity, open *peerpb.Open, s *peer.Stream) {
-	if n.peers.heard(from.Entry) {
+	if n.peers.heard(from.Entry, n.mesh.Up) {
 		n.linkPeers()
 	}
 	var answer proto.Message
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -22,7 +22,7 @@
 	// peersMost bounds the peers to which an entry keeps links, besides the leader and the seeds.
 	peersMost = 4
 	// relayTries is how many peers are asked for one call.
-	relayTries = 2
+	relayTries = 4
 	// relayMargin is left of a call's time for the answer's way back, and relayPatience is for calls without a bound.
 	relayMargin   = 20 * time.Millisecond
 	relayPatience = time.Second
@@ -32,20 +32,29 @@
 type peerTable struct {
 	mu        sync.Mutex
 	addresses []string
+	// good is the peer that last made a call to the store.
+	good string
 }
 
-// heard notes a peer; it says whether that was news.
-func (p *peerTable) heard(address string) bool {
+// heard notes a peer, in place of one without a link when there are enough; it says whether that was news.
+func (p *peerTable) heard(address string, up func() []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if slices.Contains(p.addresses, address) {
 		return false
 	}
-	p.addresses = append(p.addresses, address)
-	if len(p.addresses) > peersMost {
-		p.addresses = slices.Delete(p.addresses, 0, 1)
+	if len(p.addresses) < peersMost {
+		p.addresses = append(p.addresses, address)
+		return true
 	}
-	return true
+	linked := up()
+	for i, a := range p.addresses {
+		if !slices.Contains(linked, a) {
+			p.addresses[i] = address
+			return true
+		}
+	}
+	return false
 }
 
 func (p *peerTable) all() []string {
@@ -54,6 +63,18 @@
 	return slices.Clone(p.addresses)
 }
 
+func (p *peerTable) setGood(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.good = address
+}
+
+func (p *peerTable) lastGood() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.good
+}
+
 // followLeader keeps a link to the entry that schedules.
 func (n *Node) followLeader(lead.Record) { n.linkPeers() }
 
@@ -96,9 +117,13 @@
 	}
 	open := &peerpb.Open{Kind: &peerpb.Open_Store{Store: &peerpb.StoreCall{Method: c.Method, Uri: c.URI, Body: c.Body, RemainingMs: left.Milliseconds()}}}
 	up := n.mesh.Up()
+	addresses := n.peerAddresses()
+	if i := slices.Index(addresses, n.peers.lastGood()); i > 0 {
+		addresses[0], addresses[i] = addresses[i], addresses[0]
+	}
 	tries := 0
 	last := platform.StoreReply{}
-	for _, address := range n.peerAddresses() {
+	for _, address := range addresses {
 		if !slices.Contains(up, address) || tries == relayTries {
 			continue
 		}
@@ -109,6 +134,7 @@
 		case errors.Is(err, errBroken), err == nil && a.Status == 0 && !a.Unsent:
 			return last, platform.ErrRelayLost
 		case err == nil && a.Status != 0 && !platform.TurnsAway(int(a.Status)):
+			n.peers.setGood(address)
 			return platform.StoreReply{Status: int(a.Status), Body: a.Body}, nil
 		case err == nil && a.Status != 0:
 			last = platform.StoreReply{Status: int(a.Status), Body: a.Body}
--- a/pool/report.go
+++ b/pool/report.go
@@ -106,7 +106,8 @@
 	}
 	r := w.runs[t]
 	if r == nil || r.number != row.Run {
-		if r != nil || !c.adopt(w, t, row, clock) {
+		c.outdate(t, row.Run)
+		if w.runs[t] != nil || !c.adopt(w, t, row, clock) {
 			c.stopRun(w, row.Task, row.Run, "not the task's run")
 			return nil
 		}
@@ -126,6 +127,16 @@
 	return t
 }
 
+// outdate gives up what was kept of a task's run, when a worker lists a later one: the kept one has ended before that.
+func (c *session) outdate(t *job.Task, number int64) {
+	w := c.workers[t.Worker]
+	if w == nil || w.runs[t] == nil || !w.runs[t].earlier || number <= t.Run {
+		return
+	}
+	w.drop(t)
+	t.Phase, t.Worker = job.Waiting, ""
+}
+
 // adopt takes over a run that an earlier leader started.
 func (c *session) adopt(w *worker, t *job.Task, row work.Row, clock work.Clock) bool {
 	if t.Phase != job.Waiting || t.Job.State.Ended() {
@@ -133,6 +144,8 @@
 	}
 	t.Phase, t.Run, t.Worker, t.Since = job.Active, row.Run, w.Life, time.Now()
 	t.Job.Began = true
+	t.Job.Version++
+	c.dirty[t.Job.Spec.ID] = t.Job
 	w.add(t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true})
 	c.emit(event.RunAdopted, event.Subject{Job: row.Task, Instance: w.Life}, "run=%d percent=%d", row.Run, row.Percent)
 	return true
