pool: a silent life whose instance is gone or elsewhere has ended, and blocked work claims no instances

Cause: after all entries lost power, a life whose instance had been taken away held up its pool's earlier jobs for a whole lease, and their backlog held the pool's instances meanwhile. Change: lists of instances judge silent lives, also by absence (twice); work that may not start claims nothing; an unread list is logged.

--- a/pool/size.go
+++ b/pool/size.go
@@ -124,7 +124,11 @@
 
 // demand returns how many instances a pool's runs and waiting tasks fill.
 func (c *session) demand(p *poolRow, used, whole job.Need) float64 {
+	blocked := c.blocked(p.name)
 	for _, g := range p.open {
+		if blocked && c.restored[g.Job.Spec.ID] {
+			continue // its instances would stand idle
+		}
 		n := place.Charge(&g.Job.Spec.Steps[g.Step])
 		for _, t := range g.Tasks {
 			if t.Phase == job.Waiting {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -39,6 +39,8 @@
 	leftAt time.Time
 	// out says that it is to be emptied for its upkeep or a move.
 	out bool
+	// unnamed counts the lists of instances in a row that did not name its own.
+	unnamed int
 	// failures counts failed runs in a row.
 	failures int
 	cancel   context.CancelFunc
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -347,23 +347,44 @@
 
 func (m machinesRead) apply(c *session) {
 	c.machinesAsk = false
-	if m.err != nil {
-		return // asked again while it matters
+	if m.err != nil { // asked again with the next look
+		c.emit(event.PlatformUnreachable, event.Subject{Entry: c.Entry}, "list of instances: %v", m.err)
+		return
 	}
 	now := time.Now()
 	c.machinesRead = m.asked
+	named := make(map[string]bool, len(m.list))
 	for _, x := range m.list {
+		named[x.Name] = true
 		if now.Sub(c.ownWord[x.Name]) > ownWord {
 			c.machines[x.Name] = x
 		}
 	}
-	for _, w := range c.workers {
-		x, ok := c.machines[w.Machine]
-		if !ok || w.silentSince.IsZero() || now.Sub(w.since) < settledAfter || now.Sub(w.silentSince) < silentAfter {
-			continue
-		}
-		if x.Life != w.Life {
-			c.lose(w, "the machine interface knows its instance by another life")
+	for name := range c.machines {
+		if !named[name] {
+			delete(c.machines, name)
 		}
 	}
+	for _, w := range c.workers {
+		c.judge(w, now)
+	}
+}
+
+// judge ends a silent life when the machine interface knows its instance by another one, or not at all.
+func (c *session) judge(w *worker, now time.Time) {
+	if w.silentSince.IsZero() || now.Sub(w.since) < settledAfter || now.Sub(w.silentSince) < silentAfter || w.Machine == "" {
+		w.unnamed = 0
+		return
+	}
+	x, ok := c.machines[w.Machine]
+	switch {
+	case ok && (x.Life != w.Life || x.Pool != w.Pool):
+		c.lose(w, "the machine interface knows its instance by another life")
+	case ok:
+		w.unnamed = 0
+	case w.unnamed > 0: // pages are no snapshot: once may be a mistake
+		c.lose(w, "the machine interface knows its instance no longer")
+	default:
+		w.unnamed++
+	}
 }
