lead: take only failed calls for an outage, and remember one for five seconds

Cause: a read that waited a second for a renewal counted as an outage, so that every leader after a lost one held back all earlier jobs until every worker had answered. Change: an outage begins with a failed call; it is remembered for 5 s, since a leader that renewed after it has kept what it ordered.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -84,8 +84,8 @@
 	latest    Record
 	end       int64
 	changed   time.Time // when latest changed, or the store began to answer
-	read      time.Time // when the store last answered
 	began     time.Time // when Run was called
+	failing   time.Time // when the first call of those that have failed since was made; zero while they succeed
 	outage    time.Time // when the store last answered after a long silence
 	wait      time.Duration
 	notBefore time.Time
@@ -142,6 +142,7 @@
 	known := false
 	for ctx.Err() == nil {
 		var err error
+		asked := time.Now()
 		if !known {
 			err = e.begin(ctx)
 			known = err == nil
@@ -153,7 +154,7 @@
 			known = false
 		}
 		if err != nil {
-			e.silent()
+			e.silent(asked)
 			pause(ctx, 100*time.Millisecond)
 			continue
 		}
@@ -209,10 +210,10 @@
 	var news *Record
 	e.mu.Lock()
 	e.end = max(e.end, page.Next)
-	if !e.read.IsZero() && time.Since(e.read) > longSilence {
+	if !e.failing.IsZero() && time.Since(e.failing) > longSilence {
 		e.outage = time.Now()
 	}
-	e.read = time.Now()
+	e.failing = time.Time{}
 	for _, r := range page.Records {
 		var rec Record
 		if r.Key != key || cbor.Unmarshal(r.Value, &rec) != nil || rec.Fence < e.latest.Fence {
@@ -241,8 +242,9 @@
 // without the store orders what it can't keep.
 const longSilence = time.Second
 
-// outageMemory is how long an outage is remembered; it is above every lease.
-const outageMemory = 30 * time.Second
+// outageMemory is how long an outage is remembered: a leader that has renewed since has kept what it ordered meanwhile, or
+// says in its record that it has not.
+const outageMemory = 5 * time.Second
 
 // sawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
 func (e *Elector) sawOutage() bool {
@@ -274,10 +276,13 @@
 }
 
 // silent restarts the wait for a renewal: while the store does not answer, nothing is known of the leader.
-func (e *Elector) silent() {
+func (e *Elector) silent(since time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.changed = time.Now()
+	if e.failing.IsZero() {
+		e.failing = since
+	}
 }
 
 // vacant says whether this entry should try to take the lead.
