--- a/place/tasks.go
+++ b/place/tasks.go
@@ -17,8 +17,6 @@
 	Free   job.Need
 	// Serving and Filling count its lasting tasks that serve users and those that fill beside them.
 	Serving, Filling int
-	// Tickets are the steps for which the worker has a valid ticket; nil when the pool's queues need none.
-	Tickets map[string]string
 }
 
 // Group is the waiting tasks of one step of one time of a job.
@@ -38,6 +36,8 @@
 	Tasks []*job.Task
 	// OnWorker counts the step's tasks on each worker's life; it is filled only where the step limits them.
 	OnWorker map[string]int
+	// Tickets are, by life, for the only workers that may run the step; any worker may when it is nil.
+	Tickets map[string]string
 	// Racks counts the step's tasks in each rack, for lasting steps, so that they are spread.
 	Racks map[string]int
 }
@@ -46,6 +46,8 @@
 type Choice struct {
 	Task *job.Task
 	Room *Room
+	// Ticket lets the worker run the step, where one is needed.
+	Ticket string
 }
 
 // Order sorts groups by what comes first.
@@ -92,7 +94,7 @@
 			break
 		}
 		step := &g.Job.Spec.Steps[g.Step]
-		plain := step.Label == "" && step.PerWorker == 0
+		plain := step.Label == "" && step.PerWorker == 0 && g.Tickets == nil
 		if plain && slices.ContainsFunc(full, func(n job.Need) bool { return atLeast(charge(step), n) }) {
 			continue
 		}
@@ -110,7 +112,7 @@
 				break
 			}
 			take(g, r)
-			out = append(out, Choice{Task: t, Room: r})
+			out = append(out, Choice{Task: t, Room: r, Ticket: g.Tickets[r.Worker.Life]})
 		}
 		if step.Gang && len(out)-before < len(g.Tasks) {
 			for _, c := range out[before:] {
@@ -204,6 +206,9 @@
 	if step.Label != "" && !slices.Contains(r.Worker.Labels, step.Label) {
 		return false
 	}
+	if g.Tickets != nil && g.Tickets[r.Worker.Life] == "" {
+		return false
+	}
 	if step.PerWorker > 0 && g.OnWorker[r.Worker.Life] >= step.PerWorker {
 		return false
 	}
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -2,7 +2,72 @@
 
 package pool
 
-import "time"
+import (
+	"context"
+	"time"
 
-// paceFills limits filling tasks so that the serving tasks beside them stay under their targets.
-func (c *session) paceFills(now time.Time) {}
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/upkeep"
+	"rackstep.dev/work"
+)
+
+// pacedWait is how long a hold waits on a worker where filling tasks run beside serving ones: their figures are of the
+// last half second.
+const pacedWait = 500 * time.Millisecond
+
+// paceFills limits the filling tasks of a worker so that the serving tasks beside them stay under their targets.
+func (c *session) paceFills(w *worker, now time.Time) {
+	mixed := w.room.Filling > 0 && w.room.Serving > 0
+	w.mixed.Store(mixed)
+	if w.room.Filling == 0 {
+		return
+	}
+	worst := 0.0
+	for t := range w.runs {
+		if s := t.Spec(); s.Lasting && !s.Fills && s.TailTarget > 0 && t.AtWork {
+			worst = max(worst, t.Gauge/float64(s.TailTarget))
+		}
+	}
+	for t, r := range w.runs {
+		if !t.Spec().Fills || t.Phase != job.Active || t.Stopping {
+			continue
+		}
+		if p := upkeep.Pace(r.pace, worst); p != r.pace {
+			r.pace = p
+			c.pace(w, t, r, worst)
+		}
+	}
+}
+
+// pace orders another share for a run; an order without an answer is given again with the next change.
+func (c *session) pace(w *worker, t *job.Task, r *run, worst float64) {
+	o := work.Pace{Task: t.Name(), Run: r.number, Percent: r.pace, Fence: c.term.Fence}
+	c.emit(event.RunPaced, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d percent=%d tail=%.2f of its target", o.Run, o.Percent, worst)
+	row := w.Worker
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+		defer cancel()
+		a, err := c.Calls.Pace(ctx, &row, o)
+		c.post(paceEnded{worker: w, task: t, run: o.Run, answer: a, err: err})
+	})
+}
+
+// paceEnded is the answer to a pace, or the lack of one.
+type paceEnded struct {
+	worker *worker
+	task   *job.Task
+	run    int64
+	answer work.Answer
+	err    error
+}
+
+func (m paceEnded) apply(c *session) {
+	r := m.worker.runs[m.task]
+	switch {
+	case m.err != nil && r != nil && r.number == m.run:
+		r.pace = upkeep.PaceUnknown // the next report gives the order again
+	case m.err == nil && m.answer.Refusal == work.Fenced:
+		c.Lost(c.term.Fence)
+	}
+}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -186,6 +186,10 @@
 			p.dirty = true
 			continue
 		}
+		if !c.withTickets(g, now) {
+			p.dirty = true
+			continue
+		}
 		c.countGroup(g, step)
 		c.rank(g, now)
 		groups = append(groups, g)
@@ -249,7 +253,7 @@
 	} else {
 		number = c.nextRun()
 	}
-	c.start(w, t, number, x.Room.Tickets[stepName(t)], now)
+	c.start(w, t, number, x.Ticket, now)
 }
 
 // gangRun returns the number that the members of the gang started now share, and gives them the same saved progress.
--- a/pool/report.go
+++ b/pool/report.go
@@ -76,6 +76,7 @@
 			c.notListed(w, t, r, rep)
 		}
 	}
+	c.paceFills(w, now)
 	if w.heard {
 		return
 	}
--- a/pool/session.go
+++ b/pool/session.go
@@ -81,6 +81,7 @@
 	machinesAsk  bool
 	machines     map[string]Machine
 	tickets      map[string]*stepTickets
+	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
 	lessons      map[string]*lesson
 	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
@@ -146,7 +147,6 @@
 	c.emptyLeaving(now)
 	c.runWaves(now)
 	c.sizePools(now)
-	c.paceFills(now)
 	c.forget(now)
 }
 
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -48,6 +48,8 @@
 	// acked is the newest end that is kept; the hold loop waits for signal after it has seen ends.
 	acked  atomic.Int64
 	signal chan struct{}
+	// mixed says that filling tasks run beside serving ones, whose figures must be read often.
+	mixed atomic.Bool
 
 	mu    sync.Mutex
 	lease work.Lease
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -178,8 +178,11 @@
 		if c.mayExtend() {
 			o.Deadline = w.deadline(c.Bounds().Lease)
 		}
-		if first {
+		switch {
+		case first:
 			o.Wait = 0
+		case w.mixed.Load():
+			o.Wait = pacedWait
 		}
 		call, cancel := context.WithTimeout(ctx, o.Wait+holdTimeout)
 		rep, err := c.Calls.Hold(call, row, o)
