entry, internal/platformtest: prove the whole path on a stand-in of the platform, on fake time

Found by them and mended: unknown jobs were answered 503 half of the time, since the latest look at the intake was older than the 2 s that certainty needs (reads now wait 0.7 s).

--- a/cmd/rackstepd/onplatform.go
+++ b/cmd/rackstepd/onplatform.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
@@ -50,11 +52,13 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	out := &event.Writer{Out: os.Stdout}
 	defer out.Flush()
 	logger := log.With(log.NewLogfmtLogger(out), "time", log.DefaultTimestampUTC, "entry", s.Entry)
 	n := &entry.Node{
-		Settings: s, SettingsPath: os.Getenv(platform.SettingsVariable), Events: &event.Ring{Entry: s.Entry, Logger: logger, Size: eventsKept},
+		Settings: s, SettingsPath: os.Getenv(platform.SettingsVariable), Reload: hangups, Events: &event.Ring{Entry: s.Entry, Logger: logger, Size: eventsKept},
 		MetricsAddress: net.JoinHostPort(s.IP, c.String("metrics")),
 	}
 	return n.Run(ctx)
--- a/entry/node.go
+++ b/entry/node.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
@@ -45,10 +46,15 @@
 	Settings *platform.Settings
 	// SettingsPath is the file that Settings came from; it is read again when it changes.
 	SettingsPath string
-	Events       *event.Ring
+	// Reload asks for that at once; never when nil.
+	Reload <-chan os.Signal
+	Events *event.Ring
 	// Metrics answers at MetricsAddress; neither is needed.
 	Metrics        http.Handler
 	MetricsAddress string
+	// Listen and Dial replace the network's; for tests on fake time.
+	Listen func(address string) (net.Listener, error)
+	Dial   platform.Dialer
 
 	boot      string
 	store     *platform.Store
@@ -106,6 +112,9 @@
 
 func (n *Node) listen() (nodeListeners, error) {
 	var l nodeListeners
+	if n.Listen == nil {
+		n.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	for _, x := range [...]struct {
 		into    *net.Listener
 		address string
@@ -113,7 +122,7 @@
 		{&l.clients, n.Settings.Listen.Clients}, {&l.ready, n.Settings.Listen.Ready},
 		{&l.peers, net.JoinHostPort(n.Settings.IP, strconv.Itoa(n.Settings.Ports[0]))},
 	} {
-		ln, err := net.Listen("tcp", x.address)
+		ln, err := n.Listen(x.address)
 		if err != nil {
 			return l, fmt.Errorf("listen: %w; free the address or set another", err)
 		}
@@ -122,7 +131,7 @@
 	if n.Metrics == nil {
 		return l, nil
 	}
-	ln, err := net.Listen("tcp", n.MetricsAddress)
+	ln, err := n.Listen(n.MetricsAddress)
 	if err != nil {
 		n.Events.Emit(event.EntryStarted, event.Subject{Entry: n.Settings.Entry}, "no metrics: "+err.Error())
 		return l, nil
@@ -134,26 +143,26 @@
 // assemble puts the parts together.
 func (n *Node) assemble(peers net.Listener) {
 	s := n.Settings
-	store := platform.NewStore(s)
+	store := platform.NewStore(s, n.Dial)
 	store.Relay = n.relay
 	n.store = store
-	workers := new(platform.Workers)
+	workers := &platform.Workers{Dial: n.Dial}
 	intakes := make([]feed.Topic, max(1, min(intakeParts, s.Store.Partitions)))
 	for i := range intakes {
 		intakes[i] = store.Own(intakeTopic, i)
 	}
 	n.mesh = &peer.Mesh{
 		Self: peer.Identity{Entry: peers.Addr().String(), DataCentre: s.DataCentre, Boot: n.boot}, Secret: []byte(linkSecret),
-		Listener: peers, Events: n.Events, Serve: n.serveStream,
+		Listener: peers, Dial: n.Dial, Events: n.Events, Serve: n.serveStream,
 	}
 	n.scheduler = &pool.Scheduler{
 		Entry: s.Entry, Intake: intakes, State: store.Own(stateTopic, 0), Workers: store.Workers(),
-		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s).Calls(),
+		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s, n.Dial).Calls(),
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
 	}
 	n.scheduler.SetBounds(boundsOf(s))
 	if _, err := netip.ParseAddrPort(s.Advice); err == nil {
-		n.scheduler.Advise = platform.NewAdvice(s).Ask
+		n.scheduler.Advise = platform.NewAdvice(s, n.Dial).Ask
 	}
 	n.elector = &lead.Elector{
 		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.Own(leadTopic, 0), Events: n.Events,
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"rackstep.dev/event"
@@ -18,11 +16,8 @@
 // reloadEvery is the pause between two looks at the settings file, which may change without a signal.
 const reloadEvery = 2 * time.Second
 
-// watchSettings reads the settings again on SIGHUP and when the file has changed, until the context ends.
+// watchSettings reads the settings again when it is asked to and when the file has changed, until the context ends.
 func (n *Node) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	look := time.NewTicker(reloadEvery)
 	defer look.Stop()
 	changed := n.settingsTime()
@@ -30,7 +25,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hup:
+		case <-n.Reload:
 		case <-look.C:
 			if n.settingsTime().Equal(changed) {
 				continue
--- /dev/null
+++ b/internal/platformtest/store.go
@@ -0,0 +1,234 @@
+// SPDX-License-Identifier: MIT
+
+package platformtest
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// record is one record of a keyed topic.
+type record struct {
+	key   string
+	value []byte
+}
+
+// topic is one partition.
+type topic struct {
+	records []record
+	epochs  map[string]int64
+	next    map[string]int64
+	answers map[string][]int64
+	grown   chan struct{}
+}
+
+// Store is the stand-in's log service.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	// First is the first offset that reads may ask for, for all topics: what is before it is gone.
+	first int64
+}
+
+func (s *Store) topic(name string) *topic {
+	if s.topics == nil {
+		s.topics = make(map[string]*topic)
+	}
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{epochs: make(map[string]int64), next: make(map[string]int64), answers: make(map[string][]int64), grown: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Put appends a record as the platform's own services do.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic(name + "/0").add(record{key, value})
+}
+
+func (t *topic) add(r ...record) {
+	t.records = append(t.records, r...)
+	close(t.grown)
+	t.grown = make(chan struct{})
+}
+
+// Newest returns the newest value of a key, nil when there is none.
+func (s *Store) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := s.topic(name + "/0").records
+	for i := len(records) - 1; i >= 0; i-- {
+		if records[i].key == key {
+			return records[i].value
+		}
+	}
+	return nil
+}
+
+// Forget drops the history of all topics; the newest record of each key stays.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		s.first = max(s.first, int64(len(t.records)))
+	}
+}
+
+// ServeHTTP answers one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	name := q.Get("Topic") + "/" + q.Get("part")
+	switch r.URL.Path {
+	case "/log-append":
+		s.append(w, r, name)
+	case "/log-read":
+		s.read(w, r, name)
+	case "/log-newest":
+		s.newest(w, r, name)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	b, _ := json.Marshal(body) // bodies of this package can be encoded
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request, name string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	producer := q.Get("Producer")
+	epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
+	sequence, _ := strconv.ParseInt(q.Get("Seq"), 10, 64)
+	if producer != "" {
+		switch {
+		case epoch < t.epochs[producer]:
+			reply(w, http.StatusConflict, map[string]any{"Reason": "fenced"})
+			return
+		case epoch == t.epochs[producer] && sequence < t.next[producer]:
+			reply(w, http.StatusOK, map[string]any{"End": t.answers[producer][sequence]})
+			return
+		case epoch == t.epochs[producer] && sequence > t.next[producer]:
+			reply(w, http.StatusConflict, map[string]any{"Reason": "seq", "Seq": t.next[producer]})
+			return
+		}
+	}
+	if at := q.Get("CurrentRev"); at != "" && at != strconv.Itoa(len(t.records)) {
+		reply(w, http.StatusPreconditionFailed, map[string]any{"End": len(t.records)})
+		return
+	}
+	t.add(split(body)...)
+	if producer != "" {
+		if epoch > t.epochs[producer] {
+			t.answers[producer] = make([]int64, sequence)
+		}
+		t.epochs[producer], t.next[producer] = epoch, sequence+1
+		t.answers[producer] = append(t.answers[producer], int64(len(t.records)))
+	}
+	reply(w, http.StatusOK, map[string]any{"Offset": len(t.records), "End": len(t.records)})
+}
+
+func split(b []byte) []record {
+	var out []record
+	for len(b) >= 4 {
+		n := int(binary.BigEndian.Uint32(b))
+		k := int(b[4])
+		out = append(out, record{key: string(b[5 : 5+k]), value: slices.Clone(b[5+k : 4+n])})
+		b = b[4+n:]
+	}
+	return out
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request, name string) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseInt(q.Get("From"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("WaitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		t := s.topic(name)
+		first, end, grown := min(s.first, int64(len(t.records))), int64(len(t.records)), t.grown
+		var b []byte
+		if from >= first && from < end {
+			b = join(t.records[from:])
+		}
+		s.mu.Unlock()
+		if from < first {
+			reply(w, http.StatusGone, map[string]any{"First": first})
+			return
+		}
+		if b == nil && wait > 0 {
+			select {
+			case <-grown:
+				continue
+			case <-timer.C:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		head := binary.BigEndian.AppendUint64(nil, uint64(end))
+		head = binary.BigEndian.AppendUint64(head, uint64(first))
+		_, _ = w.Write(append(head, b...))
+		return
+	}
+}
+
+func join(records []record) []byte {
+	var b []byte
+	for _, r := range records {
+		b = binary.BigEndian.AppendUint32(b, uint32(1+len(r.key)+len(r.value)))
+		b = append(b, byte(len(r.key)))
+		b = append(b, r.key...)
+		b = append(b, r.value...)
+	}
+	return b
+}
+
+// newestPage is how many keys one page of the newest records names; it is small, so that tests see several.
+const newestPage = 20
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	latest := make(map[string]int)
+	for i, x := range t.records {
+		latest[x.key] = i
+	}
+	var keys []string
+	for k, i := range latest {
+		if len(t.records[i].value) > 0 && k > r.URL.Query().Get("DependsOn") {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	more := len(keys) > newestPage
+	if more {
+		keys = keys[:newestPage]
+	}
+	items := []map[string]any{}
+	for _, k := range keys {
+		i := latest[k]
+		items = append(items, map[string]any{"TlsKey": k, "Value": base64.StdEncoding.EncodeToString(t.records[i].value), "Offset": i})
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "End": len(t.records)})
+}
--- a/pool/load.go
+++ b/pool/load.go
@@ -40,7 +40,7 @@
 const (
 	storeTimeout = time.Second
 	storePause   = 200 * time.Millisecond
-	intakeWait   = 1500 * time.Millisecond
+	intakeWait   = 700 * time.Millisecond
 	// workersEvery spaces the reads of the list of workers, which is written to all the time.
 	workersEvery = 150 * time.Millisecond
 	// handover is what an earlier leader may take to notice that it leads no longer, beyond its lease.
