--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -114,7 +114,9 @@
 
 func randomTrouble(c *quicktest.C, r *rand.Rand) {
 	d := deploy(c, 3, 4, func(p *platformtest.Platform) {
-		p.Takes = func(task string) time.Duration { return 300*time.Millisecond + time.Duration(task[15])*30*time.Millisecond }
+		p.Takes = func(task string) time.Duration {
+			return 300*time.Millisecond + time.Duration(task[15])*30*time.Millisecond
+		}
 	})
 	w := &workload{d: d}
 	for range fuzzSteps {
--- /dev/null
+++ b/place/tasks_test.go
@@ -0,0 +1,154 @@
+// SPDX-License-Identifier: MIT
+
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+func roomOf(life, rack string, milliCPU, free int) *Room {
+	w := &work.Worker{Life: life, Labels: []string{"a", rack}, Rack: rack, Room: job.Need{MilliCPU: milliCPU, MemoryMB: 10000}}
+	return &Room{Worker: w, Free: job.Need{MilliCPU: free, MemoryMB: 10000}}
+}
+
+func groupOf(id string, s job.Step) *Group {
+	j := job.New(&job.Spec{ID: id, Steps: []job.Step{s}}, time.Time{})
+	g := &Group{Job: j, Lasting: s.Lasting, OnWorker: map[string]int{}, Racks: map[string]int{}, Slack: time.Second, Density: 1}
+	for i := range j.Tasks {
+		g.Tasks = append(g.Tasks, &j.Tasks[i])
+	}
+	return g
+}
+
+// placed returns which life each task got.
+func placed(groups []*Group, rooms []*Room) map[string]string {
+	out := make(map[string]string)
+	for _, x := range Tasks(groups, rooms) {
+		out[x.Task.Name()] = x.Room.Worker.Life
+	}
+	return out
+}
+
+func cpu(n int) job.Need { return job.Need{MilliCPU: n} }
+
+func TestChoices(t *testing.T) {
+	two := func() []*Room { return []*Room{roomOf("w1", "r1", 4000, 4000), roomOf("w2", "r2", 4000, 2000)} }
+	for _, test := range [...]struct {
+		name  string
+		step  job.Step
+		rooms []*Room
+		want  string
+	}{
+		{"the fullest room with space comes first", job.Step{Count: 2, Need: cpu(1000)}, two(), "map[j.0.0.0:w2 j.0.0.1:w2]"},
+		{"near its data goes before that", job.Step{Count: 1, Need: cpu(1000), Rack: "r1"}, two(), "map[j.0.0.0:w1]"},
+		{"a label that nobody has", job.Step{Count: 1, Need: cpu(1000), Label: "z"}, two(), "map[]"},
+		{"at most one on each worker", job.Step{Count: 3, Need: cpu(100), PerWorker: 1}, two(), "map[j.0.0.0:w2 j.0.0.1:w1]"},
+		{"what fills takes no processor", job.Step{Count: 1, Need: cpu(9000), Fills: true, Lasting: true}, two()[1:], "map[j.0.0.0:w2]"},
+		{"a gang that fits goes together", job.Step{Count: 6, Need: cpu(1000), Gang: true}, two(), "map[j.0.0.0:w2 j.0.0.1:w2 j.0.0.2:w1 j.0.0.3:w1 j.0.0.4:w1 j.0.0.5:w1]"},
+		{"a gang that does not fit stays", job.Step{Count: 7, Need: cpu(1000), Gang: true}, two(), "map[]"},
+		{"lasting tasks keep together", job.Step{Count: 2, Need: cpu(100), Lasting: true}, two(), "map[j.0.0.0:w2 j.0.0.1:w2]"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			quicktest.Assert(t, fmt.Sprint(placed([]*Group{groupOf("j", test.step)}, test.rooms)), quicktest.Equals, test.want)
+		})
+	}
+}
+
+func TestALargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	c := quicktest.New(t)
+	large, small := groupOf("l", job.Step{Count: 1, Need: cpu(3000)}), groupOf("s", job.Step{Count: 9, Need: cpu(1000)})
+	got := placed([]*Group{large, small}, []*Room{roomOf("w1", "r1", 4000, 2000), roomOf("w2", "r1", 4000, 1000)})
+	c.Assert(fmt.Sprint(got), quicktest.Equals, "map[s.0.0.0:w2]", quicktest.Commentf("the emptiest room is kept for the large task"))
+}
+
+func TestTicketsDecideWhoMayRunAStep(t *testing.T) {
+	c := quicktest.New(t)
+	g := groupOf("j", job.Step{Count: 1, Need: cpu(1000)})
+	g.Tickets = map[string]string{"w1": "ticket"}
+	got := Tasks([]*Group{g}, []*Room{roomOf("w1", "r1", 4000, 4000), roomOf("w2", "r1", 4000, 2000)})
+	c.Assert(got, quicktest.HasLen, 1)
+	c.Assert(got[0].Ticket, quicktest.Equals, "ticket")
+}
+
+func TestOrder(t *testing.T) {
+	c := quicktest.New(t)
+	at := func(id string, change func(g *Group)) *Group {
+		g := groupOf(id, job.Step{Count: 1})
+		change(g)
+		return g
+	}
+	groups := []*Group{
+		at("late", func(g *Group) { g.Slack = -1 }),
+		at("later", func(g *Group) { g.Slack = -1; g.Since = time.Unix(9, 0) }),
+		at("dense", func(g *Group) { g.Density = 5 }),
+		at("thin", func(g *Group) { g.Density = 2 }),
+		at("minor", func(g *Group) { g.Priority = 1; g.Density = 99 }),
+		at("lasting", func(g *Group) { g.Lasting = true; g.Priority = 3 }),
+	}
+	Order(groups)
+	var ids []string
+	for _, g := range groups {
+		ids = append(ids, g.Job.Spec.ID)
+	}
+	c.Assert(ids, quicktest.DeepEquals, []string{"lasting", "dense", "thin", "late", "later", "minor"})
+}
+
+// TestNoRoomIsEverOverfilled places random steps on random rooms.
+func TestNoRoomIsEverOverfilled(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var groups []*Group
+		for i := range rapid.IntRange(1, 8).Draw(r, "groups") {
+			groups = append(groups, groupOf(fmt.Sprint(i), job.Step{
+				Count: rapid.IntRange(1, 9).Draw(r, "count"), Need: cpu(rapid.IntRange(0, 3000).Draw(r, "cpu")),
+				Gang: rapid.Bool().Draw(r, "gang"), PerWorker: rapid.IntRange(0, 2).Draw(r, "most"), Lasting: rapid.Bool().Draw(r, "lasting"),
+			}))
+		}
+		var rooms []*Room
+		for i := range rapid.IntRange(0, 5).Draw(r, "rooms") {
+			rooms = append(rooms, roomOf(fmt.Sprint("w", i), "r", 4000, rapid.IntRange(0, 4000).Draw(r, "free")))
+		}
+		Order(groups)
+		count := make(map[string]int)
+		for _, x := range Tasks(groups, rooms) {
+			count[fmt.Sprint(x.Task.Job.Spec.ID, x.Room.Worker.Life)]++
+			if most := x.Task.Spec().PerWorker; most > 0 && count[fmt.Sprint(x.Task.Job.Spec.ID, x.Room.Worker.Life)] > most {
+				r.Fatal("more tasks of a step on a worker than it allows")
+			}
+		}
+		for _, room := range rooms {
+			if room.Free.MilliCPU < 0 || room.Free.MemoryMB < 0 {
+				r.Fatalf("room overfilled: %+v", room.Free)
+			}
+		}
+	})
+}
+
+// benchTasks places a backlog on a pool; run with -bench to see the cost of one decision.
+func benchTasks(b *testing.B, workers, jobs int) {
+	var groups []*Group
+	for i := range jobs {
+		groups = append(groups, groupOf(fmt.Sprintf("%016x", i), job.Step{Count: 8, Need: job.Need{MilliCPU: 500 + i%7*300, MemoryMB: 900}}))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		rooms := make([]*Room, workers)
+		for i := range rooms {
+			rooms[i] = roomOf(fmt.Sprint("w", i), "r", 16000, 16000)
+			rooms[i].Free.MemoryMB = 32000
+		}
+		Order(groups)
+		Tasks(groups, rooms)
+	}
+}
+
+func BenchmarkTasksToday(b *testing.B)    { benchTasks(b, 12, 100) }
+func BenchmarkTasksGrown(b *testing.B)    { benchTasks(b, 85, 400) }
+func BenchmarkTasksTwoYears(b *testing.B) { benchTasks(b, 780, 1000) }
