--- a/entry/ask.go
+++ b/entry/ask.go
@@ -19,7 +19,31 @@
 var errBroken = errors.New("the peer did not answer")
 
 // converse sends one message to a peer and receives one; errBroken means that the peer may have acted.
+//
+// It returns when the context ends, also while a write to a peer that has fallen silent still hangs.
 func (n *Node) converse(ctx context.Context, address string, open *peerpb.Open, answer proto.Message) error {
+	type result struct {
+		answer proto.Message
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		a := answer.ProtoReflect().New().Interface()
+		err := n.talk(ctx, address, open, a)
+		done <- result{a, err}
+	}()
+	select {
+	case r := <-done:
+		if r.err == nil {
+			proto.Merge(answer, r.answer)
+		}
+		return r.err
+	case <-ctx.Done():
+		return fmt.Errorf("peer %s: %w: %w", address, errBroken, ctx.Err())
+	}
+}
+
+func (n *Node) talk(ctx context.Context, address string, open *peerpb.Open, answer proto.Message) error {
 	s, err := n.mesh.Open(ctx, address, open)
 	if err != nil {
 		return fmt.Errorf("peer %s: %w", address, err)
--- a/entry/node.go
+++ b/entry/node.go
@@ -170,6 +170,7 @@
 		May: func() bool { return n.ingress.Ready() },
 	}
 	n.scheduler.Confirmed, n.scheduler.Lost = n.elector.Confirmed, n.elector.Lost
+	n.scheduler.ConfirmedAt = n.elector.ConfirmedAt
 	n.scheduler.SetLoose, n.scheduler.LooseKept = n.elector.SetLoose, n.elector.LooseKept
 	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Wave: n.scheduler.SetWave, Config: func(c *platform.Config) {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -23,6 +24,8 @@
 	peersMost = 4
 	// relayTries is how many peers are asked for one call.
 	relayTries = 4
+	// badFor is how long a peer that gave no answer is asked only after all others.
+	badFor = 3 * time.Second
 	// relayMargin is left of a call's time for the answer's way back, and relayPatience is for calls without a bound.
 	relayMargin   = 20 * time.Millisecond
 	relayPatience = time.Second
@@ -32,8 +35,9 @@
 type peerTable struct {
 	mu        sync.Mutex
 	addresses []string
-	// good is the peer that last made a call to the store.
+	// good is the peer that last made a call to the store; bad are those that gave no answer, and until when they rest.
 	good string
+	bad  map[string]time.Time
 }
 
 // heard notes a peer, in place of one without a link when there are enough; it says whether that was news.
@@ -69,10 +73,34 @@
 	p.good = address
 }
 
-func (p *peerTable) lastGood() string {
+// setBad lets a peer that gave no answer rest.
+func (p *peerTable) setBad(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.good
+	if p.bad == nil {
+		p.bad = make(map[string]time.Time)
+	}
+	p.bad[address] = time.Now().Add(badFor)
+	if p.good == address {
+		p.good = ""
+	}
+}
+
+// order sorts peers by what can be expected of them: the last good one first, those that rest last.
+func (p *peerTable) order(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	rank := func(a string) int {
+		switch {
+		case a == p.good:
+			return 0
+		case now.Before(p.bad[a]):
+			return 2
+		}
+		return 1
+	}
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
 // followLeader keeps a link to the entry that schedules.
@@ -118,9 +146,7 @@
 	open := &peerpb.Open{Kind: &peerpb.Open_Store{Store: &peerpb.StoreCall{Method: c.Method, Uri: c.URI, Body: c.Body, RemainingMs: left.Milliseconds()}}}
 	up := n.mesh.Up()
 	addresses := n.peerAddresses()
-	if i := slices.Index(addresses, n.peers.lastGood()); i > 0 {
-		addresses[0], addresses[i] = addresses[i], addresses[0]
-	}
+	n.peers.order(addresses)
 	tries := 0
 	last := platform.StoreReply{}
 	for _, address := range addresses {
@@ -132,6 +158,7 @@
 		err := n.converse(ctx, address, open, &a)
 		switch {
 		case errors.Is(err, errBroken), err == nil && a.Status == 0 && !a.Unsent:
+			n.peers.setBad(address)
 			return last, platform.ErrRelayLost
 		case err == nil && a.Status != 0 && !platform.TurnsAway(int(a.Status)):
 			n.peers.setGood(address)
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -105,6 +105,13 @@
 	return time.Since(e.confirmed) < confirmedFor
 }
 
+// ConfirmedAt returns when the newest renewal that succeeded was sent; the zero time before any.
+func (e *Elector) ConfirmedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.confirmed
+}
+
 // Latest returns the newest record that was read.
 func (e *Elector) Latest() Record {
 	e.mu.Lock()
--- a/pool/learn.go
+++ b/pool/learn.go
@@ -59,6 +59,8 @@
 func (c *session) learnJob(j *job.Job) {
 	l := c.learned(j.Spec.Queue)
 	w := c.jobWork(j, j.Spec.Queue)
+	p := c.pool(c.queue(j).Pool)
+	p.handed = append(p.handed, handed{at: time.Now(), work: w})
 	if l.work == 0 {
 		l.work = w
 	}
--- a/pool/load.go
+++ b/pool/load.go
@@ -43,6 +43,9 @@
 	intakeWait   = 700 * time.Millisecond
 	// workersEvery spaces the reads of the list of workers, which is written to all the time.
 	workersEvery = 150 * time.Millisecond
+	// hearFirst is how long a new leader lets the workers tell what they run before it starts what the earlier one may
+	// have started; those that can be reached answer in some milliseconds.
+	hearFirst = 600 * time.Millisecond
 	// handover is what an earlier leader may take to notice that it leads no longer, beyond its lease.
 	handover = 1100 * time.Millisecond
 )
@@ -147,7 +150,7 @@
 	c.coarse = c.term.Coarse
 	c.aloneFrom = now
 	if !c.term.Clean {
-		c.aloneFrom = now.Add(handover)
+		c.aloneFrom, c.hearUntil = now.Add(handover), now.Add(hearFirst)
 	}
 	c.doubtUntil = now.Add(c.Bounds().Lease*102/100 + handover)
 	c.serversEnd = list.Next
--- a/pool/loose.go
+++ b/pool/loose.go
@@ -13,9 +13,9 @@
 	// looseAfter is how long a batch must be on its way before orders may leave without being kept, once the next
 	// leader will know that they may have.
 	looseAfter = 250 * time.Millisecond
-	// blindAfter is the same while nothing can be published either: by then another leader, if there were one, would
-	// have raised the workers' fencing tokens.
-	blindAfter = 1500 * time.Millisecond
+	// blindAfter is how long nothing must have been published for orders to leave while that goes on: by then another
+	// leader, if there were one, would have raised the workers' fencing tokens.
+	blindAfter = 2200 * time.Millisecond
 )
 
 // loosen lets orders leave that can't be kept, while the store does not take them.
@@ -31,10 +31,10 @@
 	}
 	c.SetLoose(true)
 	since := c.commitSince
-	switch {
+	switch confirmed := c.ConfirmedAt(); {
 	case c.LooseKept():
-	case now.Sub(c.commitSince) > blindAfter:
-		since = c.commitSince.Add(blindAfter)
+	case now.Sub(confirmed) > blindAfter:
+		since = confirmed.Add(blindAfter)
 	default:
 		return
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -103,8 +103,10 @@
 	PutWave func(ctx context.Context, wave int64, done bool) error
 	Events  *event.Ring
 	// Confirmed says whether the lead was lately confirmed by the store; Lost is told of a higher fencing token.
-	Confirmed func() bool
-	Lost      func(fence int64)
+	// ConfirmedAt returns when the newest renewal that succeeded was sent.
+	Confirmed   func() bool
+	ConfirmedAt func() time.Time
+	Lost        func(fence int64)
 	// SetLoose publishes that this leader may order what it can't keep; LooseKept says whether the next will know.
 	SetLoose  func(loose bool)
 	LooseKept func() bool
--- a/pool/session.go
+++ b/pool/session.go
@@ -51,6 +51,8 @@
 	// unheard are the lives that may still run what an earlier leader started, until doubtUntil.
 	unheard    map[string]*worker
 	doubtUntil time.Time
+	// hearUntil is until when earlier jobs wait for the workers' first reports.
+	hearUntil time.Time
 	// aloneFrom is when the earlier leader has surely stopped giving orders.
 	aloneFrom time.Time
 
--- a/pool/size.go
+++ b/pool/size.go
@@ -22,6 +22,8 @@
 	spareShare = 0.08
 	// spareInstances is the least that a pool keeps idle for what comes next.
 	spareInstances = 1
+	// rateOver is the time over which the work handed in is summed up: a pool must grow before its backlog has.
+	rateOver = 700 * time.Millisecond
 	// moveAgain is the pause before an instance that could not be moved is tried again.
 	moveAgain = 600 * time.Millisecond
 	// moveLost is how long an instance may take to appear in its new pool, beyond the time of the move.
@@ -67,7 +69,7 @@
 	for i := range pools {
 		rows[pools[i].Name] = &pools[i]
 	}
-	used := make(map[string]job.Need)
+	used, lasting := make(map[string]job.Need), make(map[string]job.Need)
 	whole := c.wholeInstance()
 	byMachine := make(map[string]*worker, len(c.workers))
 	for _, w := range c.workers {
@@ -78,6 +80,13 @@
 		n.MilliCPU += w.Room.MilliCPU - w.room.Free.MilliCPU
 		n.MemoryMB += w.Room.MemoryMB - w.room.Free.MemoryMB
 		used[w.Pool] = n
+		for t := range w.runs {
+			if t.Spec().Lasting {
+				l := lasting[w.Pool]
+				l.MilliCPU += place.Charge(t.Spec()).MilliCPU
+				lasting[w.Pool] = l
+			}
+		}
 	}
 	var instances []upkeep.Instance
 	for name, m := range c.machines {
@@ -106,7 +115,7 @@
 	}
 	for name, row := range rows {
 		if !row.Headroom {
-			c.wants(row, c.demand(c.pool(name), used[name], whole), now)
+			c.wants(row, c.demand(c.pool(name), used[name], lasting[name], whole, now), now)
 		}
 	}
 	return pools, instances
@@ -123,7 +132,9 @@
 }
 
 // demand returns how many instances a pool's runs and waiting tasks fill.
-func (c *session) demand(p *poolRow, used, whole job.Need) float64 {
+//
+// What its tasks will fill soon follows from the work handed in lately, long before there is a backlog of it.
+func (c *session) demand(p *poolRow, used, lasting, whole job.Need, now time.Time) float64 {
 	blocked := c.blocked(p.name)
 	for _, g := range p.open {
 		if blocked && c.restored[g.Job.Spec.ID] {
@@ -140,9 +151,28 @@
 	if whole.MilliCPU == 0 || whole.MemoryMB == 0 {
 		return 0
 	}
+	used.MilliCPU = max(used.MilliCPU, lasting.MilliCPU+int(p.rate(now)*1000))
 	return max(float64(used.MilliCPU)/float64(whole.MilliCPU), float64(used.MemoryMB)/float64(whole.MemoryMB))
 }
 
+// handed is work that was handed in at one time, in core-seconds.
+type handed struct {
+	at   time.Time
+	work float64
+}
+
+// rate returns the core-seconds handed in to the pool in a second, of late.
+func (p *poolRow) rate(now time.Time) float64 {
+	for len(p.handed) > 0 && now.Sub(p.handed[0].at) > rateOver {
+		p.handed = p.handed[1:]
+	}
+	sum := 0.0
+	for _, h := range p.handed {
+		sum += h.work
+	}
+	return sum / rateOver.Seconds()
+}
+
 // wants sets what the pool wants now, and what it keeps because it lately needed it.
 func (c *session) wants(row *upkeep.Pool, instances float64, now time.Time) {
 	p := c.pool(row.Name)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -170,4 +170,6 @@
 	dirty bool
 	// needs are what it lately needed, oldest first.
 	needs []need
+	// handed is the work handed in of late, oldest first.
+	handed []handed
 }
