--- a/cmd/rackstepd/onplatform.go
+++ b/cmd/rackstepd/onplatform.go
@@ -59,6 +59,7 @@
 	logger := log.With(log.NewLogfmtLogger(out), "time", log.DefaultTimestampUTC, "entry", s.Entry)
 	n := &entry.Node{
 		Settings: s, SettingsPath: os.Getenv(platform.SettingsVariable), Reload: hangups, Events: &event.Ring{Entry: s.Entry, Logger: logger, Size: eventsKept},
+		LogDropped:     out.Dropped,
 		MetricsAddress: net.JoinHostPort(s.IP, c.String("metrics")),
 	}
 	return n.Run(ctx)
--- a/entry/node.go
+++ b/entry/node.go
@@ -49,9 +49,10 @@
 	// Reload asks for that at once; never when nil.
 	Reload <-chan os.Signal
 	Events *event.Ring
-	// Metrics answers at MetricsAddress; neither is needed.
-	Metrics        http.Handler
+	// MetricsAddress is where counters and histograms are served as text; nowhere when empty.
 	MetricsAddress string
+	// LogDropped returns how many log lines were dropped; none when nil.
+	LogDropped func() int64
 	// Listen and Dial replace the network's; for tests on fake time.
 	Listen func(address string) (net.Listener, error)
 	Dial   platform.Dialer
@@ -59,6 +60,7 @@
 	boot      string
 	store     *platform.Store
 	peers     peerTable
+	metrics   metrics
 	mesh      *peer.Mesh
 	scheduler *pool.Scheduler
 	elector   *lead.Elector
@@ -82,13 +84,16 @@
 	if err != nil {
 		return err
 	}
+	if listeners.metrics != nil {
+		n.metrics = newMetrics()
+	}
 	n.assemble(listeners.peers)
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g run.Group
 	end := make(chan struct{})
 	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
-	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings} {
+	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.countDropped} {
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -96,7 +101,8 @@
 	addServer(&g, n.clients, listeners.clients, end)
 	addServer(&g, newHTTPServer(http.HandlerFunc(n.ready)), listeners.ready, end)
 	if listeners.metrics != nil {
-		addServer(&g, newHTTPServer(n.Metrics), listeners.metrics, end)
+		addServer(&g, newHTTPServer(n.metrics.handler), listeners.metrics, end)
+		defer func() { _ = n.metrics.closer.Close() }() // what is lost are the last figures
 	}
 	n.Events.Emit(event.EntryStarted, event.Subject{Entry: n.Settings.Entry}, "data centre "+n.Settings.DataCentre)
 	err = g.Run()
@@ -128,7 +134,7 @@
 		}
 		*x.into = ln
 	}
-	if n.Metrics == nil {
+	if n.MetricsAddress == "" {
 		return l, nil
 	}
 	ln, err := n.Listen(n.MetricsAddress)
@@ -161,6 +167,9 @@
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
 	}
 	n.scheduler.SetBounds(boundsOf(s))
+	if n.metrics.scope != nil {
+		n.scheduler.Metrics = n.metrics.scope
+	}
 	if _, err := netip.ParseAddrPort(s.Advice); err == nil {
 		n.scheduler.Advise = platform.NewAdvice(s, n.Dial).Ask
 	}
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -36,6 +36,24 @@
 	}
 }
 
+// countDropped keeps the number of dropped log lines among the metrics, until the context ends.
+func (n *Node) countDropped(ctx context.Context) error {
+	if n.LogDropped == nil || n.metrics.scope == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			n.metrics.scope.Gauge("log_dropped").Update(float64(n.LogDropped()))
+		}
+	}
+}
+
 // settingsTime returns when the file was last written, and the zero time if that can't be told.
 func (n *Node) settingsTime() time.Time {
 	info, err := os.Stat(n.SettingsPath)
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -107,9 +107,11 @@
 
 func (m commitAnswered) apply(c *session) {
 	c.committing, c.inFlight = false, nil
+	c.counts.batch.RecordDuration(time.Since(c.commitSince))
 	for j, v := range m.versions {
 		j.KeptVersion = max(j.KeptVersion, v)
 		if j.State.Ended() && v == j.Version {
+			c.counts.jobs.RecordDuration(time.Since(j.Received))
 			c.emit(event.JobEnded, event.Subject{Job: j.Spec.ID}, "state=%v after=%v", j.State, time.Since(j.Received).Round(time.Millisecond))
 		}
 	}
--- a/pool/loose.go
+++ b/pool/loose.go
@@ -70,6 +70,7 @@
 		starts = append(c.inFlight.starts, starts...)
 		c.inFlight.starts = nil
 	}
+	c.counts.looseStarts.Inc(int64(len(starts)))
 	for _, p := range starts {
 		c.send(p)
 	}
--- /dev/null
+++ b/pool/metrics.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics are the scheduler's counters and histograms; they live as long as the process.
+type metrics struct {
+	scope                    tally.Scope
+	jobs, firstStarts, batch tally.Histogram
+	ordered, lost, moves     tally.Counter
+	upkeeps, looseStarts     tally.Counter
+}
+
+// buckets are the histograms' bounds: from some milliseconds to what no client waits for.
+var buckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
+
+func newMetrics(scope tally.Scope) *metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &metrics{
+		scope: scope,
+		jobs:  scope.Histogram("job_duration", buckets), firstStarts: scope.Histogram("job_first_start", buckets),
+		batch: scope.Histogram("state_batch", buckets), ordered: scope.Counter("runs_ordered"), lost: scope.Counter("workers_lost"),
+		moves: scope.Counter("instances_moved"), upkeeps: scope.Counter("upkeeps_begun"), looseStarts: scope.Counter("runs_ordered_unkept"),
+	}
+}
+
+// ended counts a run's end by its way.
+func (m *metrics) ended(how string) {
+	m.scope.Tagged(map[string]string{"how": how}).Counter("runs_ended").Inc(1)
+}
+
+// wasted counts core-seconds of work that ended without being done or saved, by the way it ended.
+func (m *metrics) wasted(cause string, coreSeconds float64) {
+	m.scope.Tagged(map[string]string{"cause": cause}).Counter("core_milliseconds_wasted").Inc(int64(coreSeconds * 1000))
+}
+
+// refused counts a refused order by its reason.
+func (m *metrics) refused(why string) {
+	m.scope.Tagged(map[string]string{"why": why}).Counter("orders_refused").Inc(1)
+}
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -67,6 +67,10 @@
 		Fence: c.term.Fence, Saved: t.Saved, Ticket: r.ticket,
 	}
 	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v free=%d config=%d", r.number, time.Since(t.Job.Received).Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
+	c.counts.ordered.Inc(1)
+	if !t.Job.Began {
+		c.counts.firstStarts.RecordDuration(time.Since(t.Job.Received))
+	}
 	row := w.Worker
 	c.work.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
@@ -97,7 +101,7 @@
 	now := time.Now()
 	switch {
 	case errors.Is(m.err, work.ErrNotSent):
-		c.refused(w, t, m.err.Error())
+		c.refused(w, t, "not sent")
 		w.rest(now)
 	case m.err != nil:
 		r.unanswered = r.confirmed == 0
@@ -120,6 +124,7 @@
 
 // refused lets the task start elsewhere.
 func (c *session) refused(w *worker, t *job.Task, why string) {
+	c.counts.refused(why)
 	c.emit(event.RunRefused, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d why=%q", t.Run, why)
 	w.drop(t)
 	if t.Spec().Gang {
--- a/pool/report.go
+++ b/pool/report.go
@@ -199,6 +199,10 @@
 	if e.Saved != "" {
 		t.Saved = e.Saved
 	}
+	c.counts.ended(e.How.String())
+	if current && e.How != work.Succeeded && !t.Spec().Lasting && t.Saved == "" {
+		c.counts.wasted(e.How.String(), now.Sub(t.Since).Seconds()*float64(t.Spec().Need.MilliCPU)/1000)
+	}
 	switch e.How {
 	case work.Succeeded:
 		w.failures = 0
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
@@ -102,6 +104,8 @@
 	// PutWave writes a wave's state for the operator.
 	PutWave func(ctx context.Context, wave int64, done bool) error
 	Events  *event.Ring
+	// Metrics receives counters and histograms; none when nil.
+	Metrics tally.Scope
 	// Confirmed says whether the lead was lately confirmed by the store; Lost is told of a higher fencing token.
 	// ConfirmedAt returns when the newest renewal that succeeded was sent.
 	Confirmed   func() bool
@@ -116,6 +120,7 @@
 	mu      sync.Mutex
 	waves   map[int64]Wave
 	current *session
+	counts  *metrics
 }
 
 // SetBounds puts bounds in force; it is called before Serve, and whenever they change.
@@ -181,6 +186,9 @@
 
 // Serve schedules until the context ends; it is called once a term.
 func (s *Scheduler) Serve(ctx context.Context, t lead.Term) {
+	if s.counts == nil {
+		s.counts = newMetrics(s.Metrics)
+	}
 	c := newSession(s, t)
 	defer close(c.ended)
 	if err := c.load(ctx); err != nil {
--- a/pool/size.go
+++ b/pool/size.go
@@ -291,6 +291,7 @@
 		if w := c.workers[s.life]; w != nil {
 			c.lose(w, "its instance was moved")
 		}
+		c.counts.moves.Inc(1)
 		c.emit(event.MachineMoved, event.Subject{Instance: m.machine}, "from=%s to=%s", from, s.to)
 	case errors.Is(m.err, ErrFenced):
 		c.Lost(c.term.Fence)
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -290,6 +290,7 @@
 		if w := c.workers[m.step.life]; w != nil {
 			c.lose(w, "its upkeep has begun")
 		}
+		c.counts.upkeeps.Inc(1)
 		c.emit(event.UpkeepBegun, event.Subject{Instance: m.machine}, "wave=%d done=%d of %d", m.row.Number, len(m.row.begun), len(m.row.Machines))
 		return
 	case errors.Is(m.err, ErrBusy):
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -303,6 +303,7 @@
 // lose takes a life that has ended out of the tables.
 func (c *session) lose(w *worker, why string) {
 	c.emit(event.WorkerLost, event.Subject{Instance: w.Life}, "%s runs=%d", why, len(w.runs))
+	c.counts.lost.Inc(1)
 	c.giveUpRuns(w)
 	if w.cancel != nil {
 		w.cancel()
