lead: let reads end when the lead becomes vacant

Cause: a candidate looked for a vacant lead only when its read, which waits a second, came back, so that a lost leader was followed 0.6 s too late on average and a restarted one took a second to take its own lead back.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -24,6 +24,8 @@
 	missedAfter = 1100 * time.Millisecond
 	// readWait is how long a read waits for a renewal.
 	readWait = time.Second
+	// readLeast is the shortest such wait.
+	readLeast = 30 * time.Millisecond
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 700 * time.Millisecond
 	// renewTimeout bounds a renewal: with the pause it stays under missedAfter, so that one lost answer ends no lead.
@@ -198,10 +200,7 @@
 }
 
 func (e *Elector) follow(ctx context.Context) error {
-	wait := readWait
-	if e.Latest().Term == 0 || e.Latest().Released {
-		wait = e.wait
-	}
+	wait := e.untilVacant()
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	page, err := e.Topic.Read(ctx, e.end, wait)
@@ -300,14 +299,28 @@
 	if e.lost != nil || e.resigned || now.Before(e.notBefore) || (e.May != nil && !e.May()) {
 		return false
 	}
-	quiet := now.Sub(e.changed)
+	return now.Sub(e.changed) >= e.patience()
+}
+
+// patience is how long after the latest news the lead counts as vacant.
+func (e *Elector) patience() time.Duration {
 	switch {
 	case e.latest.Term == 0 || e.latest.Released:
-		return quiet >= e.wait
+		return e.wait
 	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot:
-		return true // an earlier life of this very process
+		return 0 // an earlier life of this very process
+	}
+	return missedAfter + e.wait
+}
+
+// untilVacant returns how long a read may wait, so that it ends when the lead becomes vacant.
+func (e *Elector) untilVacant() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lost != nil || e.resigned {
+		return readWait
 	}
-	return quiet >= missedAfter+e.wait
+	return min(max(e.patience()-time.Since(e.changed), readLeast), readWait)
 }
 
 // fenceBits are the low bits of a fence, drawn at random so that two candidates of one term never share it.
