pool, lead, place: a task that is done stays done, a backlog is ranked less often, and small entries leave the lead to larger ones

Change: a finished task is never requeued; ranks are good for 150 ms and placement takes a fifth of the processor at most; entries under 0.4 cores wait in proportion and do not take their own lead back at once.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -32,8 +32,9 @@
 	renewTimeout = 450 * time.Millisecond
 	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
 	retakePause = 4 * time.Second
-	// spread keeps candidates from asking all at once; the larger entries ask first.
-	spread = 100 * time.Millisecond
+	// spread keeps candidates from asking all at once; small entries leave the larger ones sizeDelay, in proportion.
+	spread    = 80 * time.Millisecond
+	sizeDelay = 300 * time.Millisecond
 	// confirmedFor is how long a renewal proves that nobody else has the lead; it is under missedAfter.
 	confirmedFor = time.Second
 )
@@ -72,7 +73,7 @@
 	// Entry, Address and Boot are published when this entry leads.
 	Entry, Address, Boot string
 	Topic                feed.Topic
-	// Weight from 0 to 1 prefers larger entries.
+	// Weight is 1 or more for an entry that is large enough to schedule well, less for smaller ones, which come later.
 	Weight float64
 	Events *event.Ring
 	// Serve leads until its context ends; it is called for each term that was taken.
@@ -184,7 +185,7 @@
 }
 
 func (e *Elector) drawWait() {
-	first := time.Duration((1 - e.Weight) * float64(spread))
+	first := time.Duration((1 - min(e.Weight, 1)) * float64(sizeDelay))
 	e.wait = first + rand.N(spread)
 }
 
@@ -307,7 +308,7 @@
 	switch {
 	case e.latest.Term == 0 || e.latest.Released:
 		return e.wait
-	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot:
+	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot && e.Weight >= 1:
 		return 0 // an earlier life of this very process
 	}
 	return missedAfter + e.wait
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -125,7 +125,7 @@
 	var done sync.WaitGroup
 	for i := range n {
 		name := fmt.Sprint("e", i)
-		e := &Elector{Entry: name, Address: name, Boot: "1", Topic: g.topic.of(name), Weight: 0.4, Events: &event.Ring{}}
+		e := &Elector{Entry: name, Address: name, Boot: "1", Topic: g.topic.of(name), Weight: 1, Events: &event.Ring{}}
 		e.Serve = func(ctx context.Context, term Term) {
 			g.mu.Lock()
 			g.leading[name] = term
@@ -199,7 +199,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		c.Assert(old.Confirmed(), quicktest.IsFalse, quicktest.Commentf("both are confirmed"))
-		c.Assert(time.Since(began) < missedAfter+2*spread+renewEvery, quicktest.IsTrue, quicktest.Commentf("after %v", time.Since(began)))
+		c.Assert(time.Since(began) < missedAfter+spread+renewEvery, quicktest.IsTrue, quicktest.Commentf("after %v", time.Since(began)))
 		c.Assert(g.terms[1].Clean, quicktest.IsFalse)
 		g.topic.setFails(old.Entry, false)
 		time.Sleep(2 * time.Second)
@@ -256,7 +256,7 @@
 		run := func(boot string) (*Elector, func()) {
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
-			e := &Elector{Entry: "e", Boot: boot, Topic: tp.of("e"), Events: &event.Ring{}, Serve: func(ctx context.Context, _ Term) { <-ctx.Done() }}
+			e := &Elector{Entry: "e", Boot: boot, Weight: 1, Topic: tp.of("e"), Events: &event.Ring{}, Serve: func(ctx context.Context, _ Term) { <-ctx.Done() }}
 			go func() { defer close(done); _ = e.Run(ctx) }()
 			return e, func() { cancel(); <-done }
 		}
--- a/place/tasks.go
+++ b/place/tasks.go
@@ -30,6 +30,8 @@
 	Slack time.Duration
 	// Density is what the job earns for each core-second that it still needs.
 	Density float64
+	// Ranked is when Slack and Density were worked out.
+	Ranked time.Time
 	// Since is when the job was handed in.
 	Since time.Time
 	// Tasks wait for a worker.
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -83,6 +83,9 @@
 	g.Density = earns(c.jobWork(j, q.Name)/max(c.learned(q.Name).work, minWork)) / max(work, minWork)
 }
 
+// rankFor is how long a group's rank is good for.
+const rankFor = 150 * time.Millisecond
+
 // minWork bounds what a job is taken to need, in core-seconds, so that nothing is divided by nothing.
 const minWork = 0.01
 
@@ -99,8 +102,11 @@
 	}
 }
 
-// requeue makes a task wait for another run.
+// requeue makes a task wait for another run; one that is done by another run stays done.
 func (c *session) requeue(t *job.Task) {
+	if t.Phase == job.Finished {
+		return
+	}
 	now := time.Now()
 	t.Phase, t.Worker, t.Stopping = job.Waiting, "", false
 	if t.Spec().Lasting && (t.AtWork || t.Gone.IsZero()) {
@@ -120,13 +126,20 @@
 		return
 	}
 	for _, p := range c.pools {
-		if p.dirty {
-			p.dirty = false
-			c.placePool(p, now)
+		if !p.dirty || now.Before(p.next) {
+			continue
 		}
+		p.dirty = false
+		c.placePool(p, now)
+		ended := time.Now()
+		p.next = ended.Add(placeRest * ended.Sub(now))
+		now = ended
 	}
 }
 
+// placeRest bounds placement to a fifth of the processor: a large backlog is looked at less often.
+const placeRest = 4
+
 func (c *session) placePool(p *poolRow, now time.Time) {
 	if len(p.open) == 0 {
 		return
@@ -191,7 +204,10 @@
 			continue
 		}
 		c.countGroup(g, step)
-		c.rank(g, now)
+		if now.Sub(g.Ranked) > rankFor {
+			g.Ranked = now
+			c.rank(g, now)
+		}
 		groups = append(groups, g)
 	}
 	return groups
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -168,6 +168,8 @@
 	open map[groupKey]*place.Group
 	// dirty says that something changed that may let tasks start.
 	dirty bool
+	// next is when it is looked at again at the earliest.
+	next time.Time
 	// needs are what it lately needed, oldest first.
 	needs []need
 	// handed is the work handed in of late, oldest first.
