--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -34,8 +34,8 @@
 	dispatcher := newDispatcher(o)
 	entryMetrics := newMetrics()
 	server := newServer(s, entry, book, mesh, dispatcher, ring, entryMetrics, clock, o)
-	platformClient := newPlatform(s, client)
-	controller := newController(s, entry, entryLogs, platformClient, mesh, server, book, ring, clock, entryMeters)
+	providerClient := newPlatform(s, client)
+	controller := newController(s, entry, entryLogs, providerClient, mesh, server, book, ring, clock, entryMeters)
 	adminServer := newAdmin(s, controller, entryMetrics)
 	entryEntry := &Entry{
 		settings:  s,
