lead, event, internal/standin: the largest entries lead, and the platform's names stay in its adapter and stand-in

Change: the leader's record carries the largest weight so far, and smaller entries wait in proportion; two events renamed; the stand-in moved to internal/standin/platformtest with the names of its calls.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -12,13 +12,11 @@
 
 	"github.com/frankban/quicktest"
 
-	"rackstep.dev/internal/platformtest"
+	"rackstep.dev/internal/standin/platformtest"
 )
 
 // calls are the platform's calls, each of which the matrix harms in every way.
-var calls = [...]string{
-	"/log-append", "/log-read", "/log-newest", "/run-start", "/run-stop", "/hold", "/pace", "/machines", "/machine-move", "/machine-upkeep",
-}
+var calls = platformtest.Calls()
 
 var harms = [...]struct {
 	name  string
--- a/entry/node.go
+++ b/entry/node.go
@@ -37,10 +37,6 @@
 // entries would wait for each other when the store is slow.
 const intakeParts = 4
 
-// enoughCores is the processor share with which an entry schedules well: the leader of 350 workers used 0.14 of a core on
-// average on a calm day, and several times that for seconds.
-const enoughCores = 0.4
-
 // linkSecret is what entries prove to each other on the users' platform, whose settings give no secret: it keeps
 // strangers' mistakes out, not attackers, who can't reach the entries' ports there.
 const linkSecret = "rackstep entries of one deployment"
@@ -179,7 +175,7 @@
 	}
 	n.elector = &lead.Elector{
 		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.Own(leadTopic, 0), Events: n.Events,
-		Weight: s.Limits.Share * max(s.Limits.Cores, 1) / enoughCores, Serve: n.scheduler.Serve, Seen: n.followLeader,
+		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.scheduler.Serve, Seen: n.followLeader,
 		May: func() bool { return n.ingress.Ready() },
 	}
 	n.scheduler.Confirmed, n.scheduler.Lost = n.elector.Confirmed, n.elector.Lost
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -23,7 +23,7 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/internal/memnet"
-	"rackstep.dev/internal/platformtest"
+	"rackstep.dev/internal/standin/platformtest"
 	"rackstep.dev/platform"
 )
 
@@ -319,7 +319,7 @@
 		d := deploy(c, 2, 3, nil)
 		n := 0
 		d.platform.SetFaults(func(_, path string) platformtest.Fault {
-			if path != "/run-start" {
+			if path != platformtest.CallStart {
 				return platformtest.None
 			}
 			n++
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -150,7 +150,7 @@
 	{RunUnanswered, "run-unanswered", "A worker gave no answer to an order; what it lists decides.", nothing},
 	{RunEnded, "run-ended", "A worker has listed the end of a run.", nothing},
 	{RunAdopted, "run-adopted", "A run of an earlier leader goes on under this one.", nothing},
-	{RunStopped, "run-stopped", "A worker was told to stop a run; the text says why.", nothing},
+	{RunStopped, "stop-ordered", "A worker was told to stop a run; the text says why.", nothing},
 	{RunMissing, "run-missing", "A worker no longer lists a run and tells no end; its task starts again.", nothing},
 	{RunPaced, "run-paced", "A filling run is to work at another share, for the serving tasks beside it.", nothing},
 	{WorkerSeen, "worker-seen", "A worker is listed, or has changed what it says of itself.", nothing},
@@ -159,7 +159,7 @@
 	{UpkeepBegun, "upkeep-begun", "A worker's instance was taken down for its upkeep.", nothing},
 	{UpkeepRefused, "upkeep-refused", "The machine interface refused an upkeep or a move, or gave no answer.", nothing},
 	{WaveChanged, "wave-changed", "A wave of upkeep was read, or its state was written.", nothing},
-	{MachineMoved, "machine-moved", "An instance was moved to another pool.", nothing},
+	{MachineMoved, "instance-moved", "An instance was moved to another pool.", nothing},
 }
 
 // Name returns the event's name, or its number for one that is not in the catalogue.
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -32,9 +32,11 @@
 	renewTimeout = 450 * time.Millisecond
 	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
 	retakePause = 4 * time.Second
-	// spread keeps candidates from asking all at once; small entries leave the larger ones sizeDelay, in proportion.
-	spread    = 80 * time.Millisecond
-	sizeDelay = 300 * time.Millisecond
+	// spread keeps candidates from asking all at once. Entries smaller than the largest that ever led leave those like it
+	// sizeDelay, in proportion; before the first term, when there is time, the largest of all get firstDelay.
+	spread     = 80 * time.Millisecond
+	sizeDelay  = 300 * time.Millisecond
+	firstDelay = time.Second
 	// confirmedFor is how long a renewal proves that nobody else has the lead; it is under missedAfter.
 	confirmedFor = time.Second
 )
@@ -59,6 +61,8 @@
 	Released bool
 	// Loose says that the leader may have ordered what it could not keep.
 	Loose bool
+	// Weight is the largest of the leaders' so far.
+	Weight float64
 }
 
 // Term is a lead that was taken.
@@ -73,7 +77,7 @@
 	// Entry, Address and Boot are published when this entry leads.
 	Entry, Address, Boot string
 	Topic                feed.Topic
-	// Weight is 1 or more for an entry that is large enough to schedule well, less for smaller ones, which come later.
+	// Weight is the entry's processor share in cores: the larger ones lead.
 	Weight float64
 	Events *event.Ring
 	// Serve leads until its context ends; it is called for each term that was taken.
@@ -184,9 +188,17 @@
 	}
 }
 
-func (e *Elector) drawWait() {
-	first := time.Duration((1 - min(e.Weight, 1)) * float64(sizeDelay))
-	e.wait = first + rand.N(spread)
+func (e *Elector) drawWait() { e.wait = rand.N(spread) }
+
+// leave is how long this entry leaves the lead to larger ones.
+func (e *Elector) leave() time.Duration {
+	if e.latest.Term == 0 {
+		return time.Duration((1 - min(e.Weight, 1)) * float64(firstDelay))
+	}
+	if e.Weight >= e.latest.Weight {
+		return 0
+	}
+	return time.Duration((1 - e.Weight/e.latest.Weight) * float64(sizeDelay))
 }
 
 func (e *Elector) begin(ctx context.Context) error {
@@ -307,11 +319,11 @@
 func (e *Elector) patience() time.Duration {
 	switch {
 	case e.latest.Term == 0 || e.latest.Released:
-		return e.wait
-	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot && e.Weight >= 1:
+		return e.leave() + e.wait
+	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot && e.leave() == 0:
 		return 0 // an earlier life of this very process
 	}
-	return missedAfter + e.wait
+	return missedAfter + e.leave() + e.wait
 }
 
 // untilVacant returns how long a read may wait, so that it ends when the lead becomes vacant.
@@ -330,10 +342,10 @@
 // take appends the next term under the condition that nobody else has.
 func (e *Elector) take(ctx context.Context) {
 	e.mu.Lock()
-	term := e.latest.Term + 1
+	term, weight := e.latest.Term+1, e.latest.Weight
 	end := e.end
 	e.mu.Unlock()
-	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Term: term, Fence: term<<fenceBits | rand.Int64N(1<<fenceBits)}
+	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Weight: max(e.Weight, weight), Term: term, Fence: term<<fenceBits | rand.Int64N(1<<fenceBits)}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	sent := time.Now()
 	next, err := e.append(call, rec, end, 0)
