--- a/pool/session_test.go
+++ b/pool/session_test.go
@@ -30,6 +30,10 @@
 		ParseWorker: func(life string, _ []byte) (work.Worker, error) {
 			return work.Worker{Life: life, Machine: "m-" + life, Pool: "p", Room: job.Need{MilliCPU: 4000, MemoryMB: 4000}}, nil
 		},
+		Machines: Machines{
+			List: func(context.Context) ([]Machine, error) { return nil, ErrBusy },
+			Move: func(context.Context, string, string, int64) error { return ErrBusy },
+		},
 		Calls: work.Calls{
 			Start: func(context.Context, *work.Worker, work.Start) (work.Answer, error) {
 				return work.Answer{}, work.ErrNoAnswer
