--- a/internal/standin/platformtest/platform.go
+++ b/internal/standin/platformtest/platform.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-// Addresses of the stand-in.
+// Addresses of the stand-in, unless it is moved by Platform.At.
 const (
 	StoreAddress    = "10.200.0.1:80"
 	MachinesAddress = "10.200.0.2:80"
@@ -50,6 +50,8 @@
 type Platform struct {
 	// Listen opens an address of the network.
 	Listen func(address string) (net.Listener, error)
+	// At returns the address to use in place of one of the stand-in's own; the same one when nil.
+	At func(address string) string
 	// Lease is the longest lease; 10 s when 0.
 	Lease time.Duration
 	// Off names the pool whose instances are off; they have no workers.
@@ -81,10 +83,13 @@
 	if p.Takes == nil {
 		p.Takes = func(string) time.Duration { return time.Second }
 	}
-	if err := p.serve(StoreAddress, &p.Store); err != nil {
+	if p.At == nil {
+		p.At = func(address string) string { return address }
+	}
+	if err := p.serve(p.At(StoreAddress), &p.Store); err != nil {
 		return err
 	}
-	if err := p.serve(MachinesAddress, http.HandlerFunc(p.machines)); err != nil {
+	if err := p.serve(p.At(MachinesAddress), http.HandlerFunc(p.machines)); err != nil {
 		return err
 	}
 	p.work.Go(p.beat)
@@ -212,7 +217,7 @@
 	p.mu.Lock()
 	p.lives++
 	w := &Worker{
-		Life: fmt.Sprintf("i-%04d", p.lives), Machine: machine, Pool: pool, Address: fmt.Sprintf("10.100.%d.%d:80", p.lives/250, p.lives%250+1),
+		Life: fmt.Sprintf("i-%04d", p.lives), Machine: machine, Pool: pool, Address: p.At(fmt.Sprintf("10.100.%d.%d:80", p.lives/250, p.lives%250+1)),
 		MilliCPU: milliCPU, MemoryMB: memoryMB, platform: p, began: time.Now(), ended: make(chan struct{}), stopped: make(map[string]int64),
 	}
 	p.workers[machine] = w
