lead, pool, intake: split a large file, tell of what can't be read, end a lead that is out of step, test the writer

Change: record.go and outage.go; a log line for what can't be decoded; the lead ends; tests on fake time.

--- /dev/null
+++ b/intake/writer_test.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+
+//go:build !race
+
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/feed"
+)
+
+// storeOf returns a writer on a store whose appends take the time and end as the function says.
+func storeOf(takes time.Duration, ends func(n int) error) (*Writer, *[]int) {
+	var sizes []int
+	w := &Writer{Topic: feed.Topic{Append: func(ctx context.Context, b feed.Batch) (int64, error) {
+		sizes = append(sizes, len(b.Records))
+		select {
+		case <-time.After(takes):
+			return int64(len(sizes)), ends(len(sizes))
+		case <-ctx.Done():
+			return 0, feed.ErrUncertain
+		}
+	}}}
+	return w, &sizes
+}
+
+func write(w *Writer, key string) (tries int, took time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, tries, err = w.Write(ctx, feed.KeyedRecord{Key: key, Value: []byte{1}})
+	return tries, time.Since(began), err
+}
+
+func always(err error) func(int) error { return func(int) error { return err } }
+
+func TestWhatComesMeanwhileLeavesTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, sizes := storeOf(100*time.Millisecond, always(nil))
+		var all sync.WaitGroup
+		for i := range 10 {
+			all.Go(func() {
+				_, _, err := write(w, fmt.Sprint(i))
+				c.Check(err, quicktest.IsNil)
+			})
+		}
+		all.Wait()
+		c.Assert(len(*sizes) <= 3, quicktest.IsTrue, quicktest.Commentf("%v", *sizes))
+	})
+}
+
+func TestARefusingStoreRefusesWithinItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, _ := storeOf(5*time.Millisecond, always(feed.ErrUnavailable))
+		tries, took, err := write(w, "a")
+		c.Assert(errors.Is(err, ErrRefused), quicktest.IsTrue)
+		c.Assert(tries > 1, quicktest.IsTrue)
+		c.Assert(took < 2*refuseAfter, quicktest.IsTrue)
+	})
+}
+
+func TestAnAppendWithoutAnAnswerIsNeverCalledRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, _ := storeOf(5*time.Millisecond, func(n int) error {
+			if n == 1 {
+				return feed.ErrUncertain
+			}
+			return feed.ErrUnavailable
+		})
+		_, _, err := write(w, "a")
+		c.Assert(errors.Is(err, ErrInDoubt), quicktest.IsTrue)
+	})
+}
+
+func TestWhileTheStoreIsSilentOthersAreRefusedUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, sizes := storeOf(time.Hour, always(nil))
+		go func() { _, _, _ = write(w, "first") }() // it ends in doubt, which is not what is checked here
+		time.Sleep(2500 * time.Millisecond)
+		sent := len(*sizes)
+		tries, took, err := write(w, "second")
+		c.Assert(errors.Is(err, ErrRefused), quicktest.IsTrue)
+		c.Assert(tries, quicktest.Equals, 0)
+		c.Assert(took < 10*time.Millisecond, quicktest.IsTrue)
+		c.Assert(len(*sizes), quicktest.Equals, sent)
+		time.Sleep(10 * time.Second)
+	})
+}
+
+func TestAfterAFailureTheNextTries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, _ := storeOf(5*time.Millisecond, func(n int) error {
+			if n < 8 {
+				return feed.ErrUnavailable
+			}
+			return nil
+		})
+		_, _, err := write(w, "a")
+		c.Assert(errors.Is(err, ErrRefused), quicktest.IsTrue)
+		time.Sleep(time.Second)
+		_, _, err = write(w, "b")
+		c.Assert(err, quicktest.IsNil)
+	})
+}
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -47,31 +47,6 @@
 // writer names the leader to the store.
 const writer = "leader"
 
-// Record is what the topic says of the leader.
-type Record struct {
-	_ struct{} `cbor:",toarray"`
-	// Entry and Address name the leader and its address for peers.
-	Entry, Address string
-	// Boot tells two lives of the entry apart.
-	Boot string
-	Term int64
-	// Fence is the term's fencing token.
-	Fence int64
-	// Released says that the leader has given up the lead.
-	Released bool
-	// Loose says that the leader may have ordered what it could not keep.
-	Loose bool
-	// Weight is the largest of the leaders' so far.
-	Weight float64
-}
-
-// Term is a lead that was taken.
-type Term struct {
-	Number, Fence int64
-	// Coarse says that the leader before may have ordered what is not kept; Clean that it gave the lead up itself.
-	Coarse, Clean bool
-}
-
 // Elector takes part in the election.
 type Elector struct {
 	// Entry, Address and Boot are published when this entry leads.
@@ -257,43 +232,6 @@
 	}
 }
 
-// longSilence is how long the store must not have answered to count as an outage: under the time after which a leader
-// without the store orders what it can't keep.
-const longSilence = time.Second
-
-// outageMemory is how long an outage is remembered: a leader that has renewed since has kept what it ordered meanwhile, or
-// says in its record that it has not.
-const outageMemory = 5 * time.Second
-
-// sawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
-func (e *Elector) sawOutage() bool {
-	return time.Since(e.began) < outageMemory || time.Since(e.outage) < outageMemory
-}
-
-// SetLoose publishes whether the leader may order what it can't keep.
-func (e *Elector) SetLoose(loose bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.loose == loose {
-		return
-	}
-	e.loose = loose
-	if !loose {
-		e.looseKept = false
-	}
-	select {
-	case e.hurry <- struct{}{}:
-	default:
-	}
-}
-
-// LooseKept says whether the next leader will know that this one may have ordered what it could not keep.
-func (e *Elector) LooseKept() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.looseKept
-}
-
 // silent restarts the wait for a renewal: while the store does not answer, nothing is known of the leader.
 func (e *Elector) silent(since time.Time) {
 	e.mu.Lock()
--- /dev/null
+++ b/lead/outage.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+
+package lead
+
+import "time"
+
+// longSilence is how long the store must not have answered to count as an outage: under the time after which a leader
+// without the store orders what it can't keep.
+const longSilence = time.Second
+
+// outageMemory is how long an outage is remembered: a leader that has renewed since has kept what it ordered meanwhile, or
+// says in its record that it has not.
+const outageMemory = 5 * time.Second
+
+// sawOutage says whether the store lately did not answer this entry for long, or the entry has only begun.
+func (e *Elector) sawOutage() bool {
+	return time.Since(e.began) < outageMemory || time.Since(e.outage) < outageMemory
+}
+
+// SetLoose publishes whether the leader may order what it can't keep.
+func (e *Elector) SetLoose(loose bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loose == loose {
+		return
+	}
+	e.loose = loose
+	if !loose {
+		e.looseKept = false
+	}
+	select {
+	case e.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// LooseKept says whether the next leader will know that this one may have ordered what it could not keep.
+func (e *Elector) LooseKept() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.looseKept
+}
--- /dev/null
+++ b/lead/record.go
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: MIT
+
+package lead
+
+// Record is what the topic says of the leader.
+type Record struct {
+	_ struct{} `cbor:",toarray"`
+	// Entry and Address name the leader and its address for peers.
+	Entry, Address string
+	// Boot tells two lives of the entry apart.
+	Boot string
+	Term int64
+	// Fence is the term's fencing token.
+	Fence int64
+	// Released says that the leader has given up the lead.
+	Released bool
+	// Loose says that the leader may have ordered what it could not keep.
+	Loose bool
+	// Weight is the largest of the leaders' so far.
+	Weight float64
+}
+
+// Term is a lead that was taken.
+type Term struct {
+	Number, Fence int64
+	// Coarse says that the leader before may have ordered what is not kept; Clean that it gave the lead up itself.
+	Coarse, Clean bool
+}
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -90,7 +90,9 @@
 			return
 		}
 		var fenced *feed.FencedError
-		if errors.As(err, &fenced) {
+		var outOfStep *feed.SequenceError
+		if errors.As(err, &fenced) || errors.As(err, &outOfStep) {
+			c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "state not kept, the lead ends: %v", err)
 			c.Lost(c.term.Fence)
 			return
 		}
--- a/pool/load.go
+++ b/pool/load.go
@@ -138,11 +138,11 @@
 		switch {
 		case strings.HasPrefix(r.Key, stateKey):
 			var k job.Kept
-			if job.Decode(r.Value, &k) == nil {
+			if c.read(r, &k) {
 				kept[r.Key[len(stateKey):]] = k
 			}
 		case r.Key == workersKey:
-			_ = job.Decode(r.Value, &earlier)
+			c.read(r, &earlier)
 		case strings.HasPrefix(r.Key, waveKey):
 			c.restoreWave(r.Key[len(waveKey):], r.Value)
 		}
@@ -192,6 +192,15 @@
 	c.emit(event.TablesFromPeer, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
 }
 
+// read decodes what was kept; a record of another version is told of and left out.
+func (c *session) read(r feed.KeyedRecord, into any) bool {
+	err := job.Decode(r.Value, into)
+	if err != nil {
+		c.emit(event.RecordRefused, event.Subject{Job: r.Key}, "kept at offset %d: %v", r.Offset, err)
+	}
+	return err == nil
+}
+
 // followIntake hands on what clients hand in through one partition.
 func (c *session) followIntake(part int) {
 	from := c.intakeEnd[part]
