--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -63,6 +63,7 @@
 	JobAnswered          Number = 813
 	JobRead              Number = 814
 	JobEnded             Number = 815
+	TablesRead           Number = 816
 	RunOrdered           Number = 820
 	RunRefused           Number = 821
 	RunUnanswered        Number = 822
@@ -142,9 +143,10 @@
 	{JobTaken, "job-taken", "A client's job was written to the store and accepted.", nothing},
 	{JobRefused, "job-refused", "A client's job was refused and will not run; the text says why.", "If there are many, see docs/OPERATIONS.md."},
 	{JobInDoubt, "job-in-doubt", "The store gave no answer to a job or a cancel; the client was told that the outcome is unknown.", "See docs/OPERATIONS.md."},
-	{JobAnswered, "job-answered", "A question about a job could not be answered; the text says why.", nothing},
+	{JobAnswered, "job-unanswered", "A question about a job could not be answered; the text says why.", nothing},
 	{JobRead, "job-read", "The scheduling entry has read a job or a cancel from the store.", nothing},
 	{JobEnded, "job-ended", "A job has reached its final state.", nothing},
+	{TablesRead, "tables-read", "A new leader has read the jobs and what was kept of them from the store.", nothing},
 	{RunOrdered, "run-ordered", "A worker was told to start a run of a task; the text says on what grounds.", nothing},
 	{RunRefused, "run-refused", "A worker refused an order; the text says why.", nothing},
 	{RunUnanswered, "run-unanswered", "A worker gave no answer to an order; what it lists decides.", nothing},
--- a/pool/load.go
+++ b/pool/load.go
@@ -189,7 +189,7 @@
 	for _, j := range c.jobs {
 		c.openJob(j, now)
 	}
-	c.emit(event.TablesFromPeer, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
+	c.emit(event.TablesRead, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
 }
 
 // read decodes what was kept; a record of another version is told of and left out.
