internal/trial, cmd/rackstep, platform: a trial on the stand-in of the users' platform, and probes that end

Cause: rackstep try knew only the product's own interface; the trial's test found that the probe of a way to the store that fails outlived its entry.

--- a/cmd/rackstep/try.go
+++ b/cmd/rackstep/try.go
@@ -19,6 +19,7 @@
 		Usage: "run a whole site in this process and print what became of every request",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "sizes", Usage: "`SIZE` of the site: small, muscat or norrskalv", Value: "small"},
+			&cli.BoolFlag{Name: "platform", Usage: "run entries on a stand-in of the users' platform: jobs, and a leader that is cut off"},
 			&cli.StringFlag{Name: "fault", Usage: "throw the fault `NAME` while the plan runs; 'list' lists them"},
 		},
 		Action: try,
@@ -26,6 +27,12 @@
 }
 
 func try(ctx context.Context, c *cli.Command) error {
+	if c.Bool("platform") {
+		if err := trial.OnPlatform(ctx, os.Stdout); err != nil {
+			return cli.Exit(err, exitFailed)
+		}
+		return nil
+	}
 	spec, err := trial.Sizes(c.String("sizes"))
 	if err != nil {
 		return cli.Exit(err, exitUsage)
--- a/entry/node.go
+++ b/entry/node.go
@@ -106,6 +106,7 @@
 	}
 	n.Events.Emit(event.EntryStarted, event.Subject{Entry: n.Settings.Entry}, "data centre "+n.Settings.DataCentre)
 	err = g.Run()
+	n.store.Close()
 	n.Events.Emit(event.EntryStopped, event.Subject{Entry: n.Settings.Entry}, "")
 	if errors.Is(err, errStopped) {
 		return nil
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -106,6 +106,9 @@
 // followLeader keeps a link to the entry that schedules.
 func (n *Node) followLeader(lead.Record) { n.linkPeers() }
 
+// Leads says whether this entry scheduled when it last proved it to the store.
+func (n *Node) Leads() bool { return n.elector != nil && n.elector.Confirmed() }
+
 // linkPeers keeps links to the leader, the seeds and those that were heard of.
 func (n *Node) linkPeers() {
 	var peers []peer.Address
