--- a/pool/size.go
+++ b/pool/size.go
@@ -15,8 +15,8 @@
 
 // Figures of the pools' sizes; the rounds that chose them are in docs/design/pools.md.
 const (
-	// keepFor is how long a pool keeps what it lately needed. Of 0.5, 0.8, 1.2 and 2 s the shortest was best on both sites:
-	// what one pool keeps idle is missing in another.
+	// keepFor is how long a pool keeps what it lately needed. Of 0.5, 0.8, 1.2 and 2 s the shortest was best on one
+	// site and level with 0.8 s on the other: what one pool keeps idle is missing in another.
 	keepFor = 500 * time.Millisecond
 	// spareShare is what a pool keeps beyond its need, since tasks do not pack without gaps.
 	spareShare = 0.08
