pool: count an upkeep that an earlier leader began and did not keep

An instance whose upkeep the earlier leader had begun without keeping that is in upkeep by the machine interface's list alone. Change: such a step begins in doubt, so that it is counted and asked for again, and an instance that the list names as in upkeep counts whatever its step says.

--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -165,24 +165,25 @@
 // countAway counts the instances that are away for their upkeep, and ends the steps of those that are back.
 func (c *session) countAway(row *waveRow) int {
 	away := 0
-	for _, m := range row.Machines {
-		if row.steps[m] == nil && c.machines[m].State == MachineInUpkeep {
-			away++ // an earlier leader began it
-		}
-	}
 	for m, s := range row.steps {
 		switch {
-		case s.asking, s.doubt:
-			away++
 		case s.away && c.back(m, s):
 			delete(row.steps, m)
-		case s.away:
+		case s.counts():
 			away++
 		}
 	}
+	for _, m := range row.Machines {
+		if s := row.steps[m]; (s == nil || !s.counts()) && c.machines[m].State == MachineInUpkeep {
+			away++ // an earlier leader began it
+		}
+	}
 	return away
 }
 
+// counts says whether the instance is away, or may be.
+func (s *upkeepStep) counts() bool { return s.asking || s.doubt || s.away }
+
 // back says whether the upkeep is over: its time has passed, and a new life or the machine interface says so.
 func (c *session) back(machine string, s *upkeepStep) bool {
 	over := s.begun.Add(c.Bounds().Upkeep + upkeepMargin)
@@ -196,9 +197,10 @@
 	return ok && c.machinesRead.After(over) && x.State != MachineInUpkeep
 }
 
-// takeOut begins to empty an instance.
+// takeOut begins to empty an instance. One whose upkeep was begun by an earlier leader that did not keep it is asked
+// for again: that call may be answered as if it were the first.
 func (c *session) takeOut(row *waveRow, machine string, now time.Time) {
-	s := &upkeepStep{since: now}
+	s := &upkeepStep{since: now, doubt: c.machines[machine].State == MachineInUpkeep}
 	if w := c.workerOf(machine); w != nil {
 		w.out = true
 		s.life = w.Life
--- /dev/null
+++ b/pool/upkeep_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestAnUpkeepThatAnEarlierLeaderBeganCounts: the earlier leader began two upkeeps and was lost before it kept that, so
+// that only the machine interface knows. Whatever that answers to a second call, no third one may begin beside them.
+func TestAnUpkeepThatAnEarlierLeaderBeganCounts(t *testing.T) {
+	for _, answer := range []error{nil, ErrBusy, context.DeadlineExceeded} {
+		t.Run(fmt.Sprint(answer), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b := newBench(c, nil)
+				var asked []string
+				b.Machines.Upkeep = func(_ context.Context, machine string, _, _ int64) error {
+					asked = append(asked, machine)
+					return answer
+				}
+				b.PutWave = func(context.Context, int64, bool) error { return nil }
+				wave := Wave{Number: 1, Most: 2, Within: time.Minute}
+				for i := range 8 {
+					m := fmt.Sprintf("m%d", i)
+					wave.Machines = append(wave.Machines, m)
+					b.machines[m] = Machine{Name: m, Pool: "p", State: MachineUp}
+				}
+				for _, m := range []string{"m3", "m6"} {
+					b.machines[m] = Machine{Name: m, Pool: "p", State: MachineInUpkeep}
+				}
+				b.machinesRead = time.Now()
+				waveRead{wave: wave}.apply(b.session)
+				for range 10 {
+					b.runWaves(time.Now())
+					synctest.Wait()
+					for _, m := range b.inbox.take() {
+						m.apply(b.session)
+					}
+					time.Sleep(tickEvery)
+				}
+				for _, m := range asked {
+					c.Assert(m == "m3" || m == "m6", quicktest.IsTrue, quicktest.Commentf("%s beside two others", m))
+				}
+			})
+		})
+	}
+}
