upkeep, pool: pace a wave by its time, idle instances first

Cause: a wave had twice as many instances emptied as may be away from its first second on, 16 to 20 of 48, whatever load there was and although it had 26 s. Change: upkeep.Next takes out at once what its pool can spare, and other instances only as many at a time as the wave's time asks for (three quarters of it, 2 s to empty one). How long a wave has been known is kept with it, so that a new leader goes on at the right pace.

--- a/pool/load.go
+++ b/pool/load.go
@@ -144,7 +144,7 @@
 		case r.Key == workersKey:
 			c.read(r, &earlier)
 		case strings.HasPrefix(r.Key, waveKey):
-			c.restoreWave(r.Key[len(waveKey):], r.Value)
+			c.restoreWave(r)
 		}
 	}
 	c.coarse = c.term.Coarse
--- a/pool/session.go
+++ b/pool/session.go
@@ -85,6 +85,7 @@
 	tickets      map[string]*stepTickets
 	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
+	surplus      map[string]int // how many instances each pool could spare with the last look at its size
 	lessons      map[string]*lesson
 	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
 	unmovable, ownWord map[string]time.Time
--- a/pool/size.go
+++ b/pool/size.go
@@ -54,6 +54,7 @@
 	}
 	c.carryMoves(now)
 	pools, instances := c.sizes(now)
+	c.surplus = upkeep.Surplus(pools)
 	for _, m := range upkeep.Moves(pools, instances) {
 		c.beginMove(m, now)
 	}
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/upkeep"
 )
 
 // Times of a wave.
@@ -27,8 +29,9 @@
 // waveRow is a row of the table of waves.
 type waveRow struct {
 	Wave
-	// since is when this leader learned of the wave.
-	since time.Time
+	// since is when this leader learned of the wave, earlier how long earlier leaders had known of it by what was kept.
+	since   time.Time
+	earlier time.Duration
 	// begun are the instances whose upkeep has begun, kept so that none is emptied twice.
 	begun map[string]bool
 	// steps are the instances being emptied or away.
@@ -74,20 +77,31 @@
 	return row
 }
 
+// keptWave is what is kept of a wave.
+type keptWave struct {
+	Begun []string `cbor:"1,keyasint,omitempty"`
+	// Known is how long the wave had been known.
+	Known time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // restoreWave reads what an earlier leader kept of a wave.
-func (c *session) restoreWave(name string, value []byte) {
-	n, err := strconv.ParseInt(name, 10, 64)
-	var begun []string
-	if err != nil || job.Decode(value, &begun) != nil {
+func (c *session) restoreWave(r feed.KeyedRecord) {
+	var kept keptWave
+	n, err := strconv.ParseInt(r.Key[len(waveKey):], 10, 64)
+	if err != nil || !c.read(r, &kept) {
 		return
 	}
 	row := c.wave(n)
-	for _, m := range begun {
+	row.earlier = kept.Known
+	for _, m := range kept.Begun {
 		row.begun[m] = true
 	}
-	row.keptCount = len(begun)
+	row.keptCount = len(kept.Begun)
 }
 
+// known returns how long the wave has been known.
+func (w *waveRow) known(now time.Time) time.Duration { return w.earlier + now.Sub(w.since) }
+
 func (c *session) wavesDirty() bool {
 	for _, row := range c.waveRows {
 		if len(row.begun) > row.keptCount {
@@ -103,17 +117,13 @@
 		if len(row.begun) <= row.keptCount {
 			continue
 		}
-		begun := make([]string, 0, len(row.begun))
-		for m := range row.begun {
-			begun = append(begun, m)
-		}
-		slices.Sort(begun)
-		value, err := job.Encode(begun)
+		kept := keptWave{Begun: slices.Sorted(maps.Keys(row.begun)), Known: row.known(time.Now())}
+		value, err := job.Encode(kept)
 		if err != nil {
 			continue
 		}
 		records = append(records, feed.KeyedRecord{Key: waveKey + strconv.FormatInt(n, 10), Value: value})
-		done.waves[n] = len(begun)
+		done.waves[n] = len(kept.Begun)
 	}
 	return records
 }
@@ -138,13 +148,8 @@
 		return // what the earlier leader has begun is not known yet
 	}
 	away := c.countAway(row)
-	for _, m := range row.Machines {
-		if len(row.steps) >= 2*max(row.Most, 1) {
-			break // as many are emptied as are away, so that none waits to begin
-		}
-		if !row.begun[m] && row.steps[m] == nil && c.moves[m] == nil {
-			c.takeOut(row, m, now)
-		}
+	for _, x := range c.nextOfWave(row, now) {
+		c.takeOut(row, x.Name, now)
 	}
 	for m, s := range row.steps {
 		if s.away || s.asking || now.Before(s.notBefore) {
@@ -162,6 +167,30 @@
 	}
 }
 
+// nextOfWave returns the instances of the wave to be emptied now.
+func (c *session) nextOfWave(row *waveRow, now time.Time) []upkeep.Candidate {
+	w := upkeep.Wave{Most: row.Most, Out: len(row.steps), Left: len(row.steps), Within: row.Within, Since: row.known(now), Each: c.Bounds().Upkeep}
+	var waiting []upkeep.Candidate
+	for _, m := range row.Machines {
+		if row.begun[m] || row.steps[m] != nil {
+			continue
+		}
+		w.Left++
+		if c.moves[m] != nil {
+			continue
+		}
+		x := upkeep.Candidate{Name: m, Pool: c.machines[m].Pool}
+		if k := c.workerOf(m); k != nil {
+			x.Runs, x.Lasting = len(k.runs), k.room.Serving+k.room.Filling
+		}
+		waiting = append(waiting, x)
+	}
+	if len(waiting) == 0 {
+		return nil
+	}
+	return upkeep.Next(w, waiting, c.surplus)
+}
+
 // countAway counts the instances that are away for their upkeep, and ends the steps of those that are back.
 func (c *session) countAway(row *waveRow) int {
 	away := 0
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -136,3 +136,23 @@
 		m.move(i, m.pools[m.headroom])
 	}
 }
+
+// Surplus returns how many instances each pool could spare: what it has beyond its wants, and of a headroom what the
+// other pools do not lack.
+func Surplus(pools []Pool) map[string]int {
+	surplus := make(map[string]int, len(pools))
+	lack := 0
+	for i := range pools {
+		if p := &pools[i]; !p.Headroom {
+			over := p.Have - int(math.Ceil(p.Want))
+			surplus[p.Name] = max(over, 0)
+			lack += max(-over, 0)
+		}
+	}
+	for i := range pools {
+		if p := &pools[i]; p.Headroom {
+			surplus[p.Name] = max(p.Have-lack, 0)
+		}
+	}
+	return surplus
+}
--- /dev/null
+++ b/upkeep/wave.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+
+package upkeep
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// emptyFor is how long an instance takes to be emptied, on the average.
+	emptyFor = 2 * time.Second
+	// useOf is the part of a wave's time in which it is to be done; the rest is for calls that fail.
+	useOf = 0.75
+)
+
+// Wave is what is known of a wave of upkeep.
+type Wave struct {
+	// Most may be away at once.
+	Most int
+	// Left counts the instances whose upkeep is not over, Out those of them that are being emptied or away.
+	Left, Out int
+	// Within is the time that the wave has, Since what has passed of it, Each what one upkeep takes.
+	Within, Since, Each time.Duration
+}
+
+// Candidate is an instance whose upkeep can begin.
+type Candidate struct {
+	Name, Pool string
+	// Runs counts its runs, Lasting those that last.
+	Runs, Lasting int
+}
+
+// width returns how many instances must be out at a time for the wave to be done in time.
+func (w Wave) width() int {
+	left := time.Duration(useOf*float64(w.Within)) - w.Since
+	most := 2 * max(w.Most, 1) // as many are emptied as are away, so that none waits to begin
+	if left <= 0 {
+		return most
+	}
+	need := math.Ceil(float64(w.Left) * float64(w.Each+emptyFor) / float64(left))
+	return max(1, min(int(need), most))
+}
+
+// Next returns the instances to be taken out now: those that nobody needs at once, as many as may be away; others no
+// faster than the wave's time asks for, what is easily emptied first. Surplus is how many instances each pool can spare.
+func Next(w Wave, all []Candidate, surplus map[string]int) []Candidate {
+	all = slices.Clone(all)
+	slices.SortStableFunc(all, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Lasting, b.Lasting), cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.Name, b.Name))
+	})
+	spare := make(map[string]int, len(surplus))
+	for p, n := range surplus {
+		spare[p] = n
+	}
+	width := w.width()
+	var out []Candidate
+	var busy []Candidate
+	for _, x := range all {
+		idle := x.Runs == 0 && spare[x.Pool] > 0
+		if !idle || w.Out+len(out) >= max(w.Most, 1) {
+			busy = append(busy, x)
+			continue
+		}
+		spare[x.Pool]--
+		out = append(out, x)
+	}
+	for _, x := range busy {
+		if w.Out+len(out) >= width {
+			break
+		}
+		out = append(out, x)
+	}
+	return out
+}
