upkeep, pool: size pools for the time that a move arrives, and get the next turn of load ready

Change: need is worked out for the time at which a move begun now arrives; rushes are told from chance by the spread of the jobs; upkeep.Turns learns onsets, their gap and what a turn brings, and idle instances go ahead to the pool whose turn is next; nothing is parked within 2 s, nor from pools whose load is not known yet. docs/design/pools.md has the ways weighed.

--- /dev/null
+++ b/pool/demand_test.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	every := func(pause time.Duration, n int, work float64) (jobs []handed) {
+		for i := range n {
+			jobs = append(jobs, handed{at: now.Add(-time.Duration(n-1-i) * pause), work: work})
+		}
+		return jobs
+	}
+	for _, test := range [...]struct {
+		name     string
+		jobs     []handed
+		from, to float64
+	}{
+		{"nothing", nil, 0, 0},
+		{"one large job is no rush", every(0, 1, 5), 5, 5},
+		{"two at once may be chance", every(0, 2, 5), 10, 12},
+		{"many small ones in a moment are a rush", every(10*time.Millisecond, 20, 0.5), 25, 40},
+		{"what goes on is taken as it is", every(50*time.Millisecond, 20, 0.5), 9, 12},
+		{"what is long ago counts no more", []handed{{at: now.Add(-2 * time.Second), work: 100}}, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := poolRow{handed: test.jobs}
+			got := p.rate(now)
+			quicktest.Assert(t, got >= test.from && got <= test.to, quicktest.IsTrue, quicktest.Commentf("rate %.1f", got))
+		})
+	}
+}
+
+// TestDemand: what runs and waits is worked off while an instance is on its way, as far as those that are there reach.
+func TestDemand(t *testing.T) {
+	const ahead = 1.65
+	for _, test := range [...]struct {
+		name     string
+		load     load
+		jobs     float64 // instance-seconds handed in just now
+		from, to float64
+	}{
+		{"nothing runs", load{able: 3 * ahead}, 0, 0, 0},
+		{"what lasts is needed", load{lasting: 2, able: 2 * ahead}, 0, 2, 2},
+		{"a short backlog goes by itself", load{running: 4, waitingWork: 4, able: 4 * ahead}, 0, 0, 0},
+		{"a long one does not", load{running: 4, waitingWork: 20, able: 4 * ahead}, 0, 15, 16},
+		{"instances on their way count in part", load{running: 4, waitingWork: 20, able: 4*ahead + 4*ahead/2}, 0, 12, 13},
+		{"what lasts works nothing off", load{lasting: 4, running: 4, waitingWork: 20, able: 4 * ahead}, 0, 25, 27},
+		{"what comes in is needed for good", load{able: 10 * ahead}, 6, 6, 6},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := newBench(c, nil)
+			b.SetBounds(Bounds{Move: 1500 * time.Millisecond})
+			now := time.Now()
+			p := b.pool("p")
+			p.load = test.load
+			if test.jobs > 0 {
+				p.handed = []handed{{at: now, work: test.jobs}}
+			}
+			got := b.demand(p, now)
+			c.Assert(got >= test.from-1e-9 && got <= test.to+1e-9, quicktest.IsTrue, quicktest.Commentf("demand %.2f", got))
+		})
+	}
+}
+
+func TestAnInstanceOnItsWayIsAbleForThePartThatIsLeft(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(c, nil)
+	b.SetBounds(Bounds{Move: 1500 * time.Millisecond})
+	now := time.Now()
+	c.Assert(b.able("there", now), quicktest.Equals, 1.65)
+	b.moves["emptied"] = &moveStep{since: now}
+	c.Assert(b.able("emptied", now), quicktest.Equals, 0.0)
+	b.moves["moved"] = &moveStep{moved: true, since: now.Add(-time.Second)}
+	c.Assert(b.able("moved", now), quicktest.Equals, 1.0)
+}
--- a/pool/learn.go
+++ b/pool/learn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rackstep.dev/job"
+	"rackstep.dev/place"
 )
 
 // Figures of what is learned of a queue.
@@ -43,6 +44,8 @@
 		return
 	}
 	l := c.learned(t.Job.Spec.Queue)
+	p := c.pool(c.queue(t.Job).Pool)
+	p.ran = p.meanRun() + learnRate*(took-p.meanRun())
 	x := math.Log(took)
 	rate := max(learnRate, 1/float64(l.runs+1))
 	l.runs++
@@ -60,7 +63,7 @@
 	l := c.learned(j.Spec.Queue)
 	w := c.jobWork(j, j.Spec.Queue)
 	p := c.pool(c.queue(j).Pool)
-	p.handed = append(p.handed, handed{at: time.Now(), work: w})
+	p.handed = append(p.handed, handed{at: time.Now(), work: c.jobLoad(j)})
 	if l.work == 0 {
 		l.work = w
 	}
@@ -111,3 +114,15 @@
 	}
 	return work
 }
+
+// jobLoad returns the work of a whole job that does not last, in instance-seconds, as far as it is known.
+func (c *session) jobLoad(j *job.Job) float64 {
+	sum := 0.0
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		if !s.Lasting {
+			sum += float64(s.Count) * c.runTime(s, j.Spec.Queue).Seconds() * share(place.Charge(s), c.whole)
+		}
+	}
+	return sum
+}
--- a/pool/session.go
+++ b/pool/session.go
@@ -13,6 +13,7 @@
 	"rackstep.dev/job"
 	"rackstep.dev/lead"
 	"rackstep.dev/place"
+	"rackstep.dev/upkeep"
 )
 
 // Times of a session.
@@ -86,6 +87,9 @@
 	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
 	surplus      map[string]int // how many instances each pool could spare with the last look at its size
+	turns        upkeep.Turns
+	whole        job.Need // the mean room of an instance
+	began        time.Time
 	lessons      map[string]*lesson
 	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
 	unmovable, ownWord map[string]time.Time
@@ -93,7 +97,7 @@
 
 func newSession(s *Scheduler, t lead.Term) *session {
 	return &session{
-		Scheduler: s, term: t, inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
+		Scheduler: s, term: t, began: time.Now(), inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
 		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), over: make(map[string]bool),
 		dirty: make(map[string]*job.Job), later: make(map[string]*job.Job), restored: make(map[string]bool),
 		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
--- a/pool/size.go
+++ b/pool/size.go
@@ -8,22 +8,11 @@
 	"time"
 
 	"rackstep.dev/event"
-	"rackstep.dev/job"
-	"rackstep.dev/place"
 	"rackstep.dev/upkeep"
 )
 
-// Figures of the pools' sizes; the rounds that chose them are in docs/design/pools.md.
+// Times of moves.
 const (
-	// keepFor is how long a pool keeps what it lately needed. Of 0.5, 0.8, 1.2 and 2 s the shortest was best on one
-	// site and level with 0.8 s on the other: what one pool keeps idle is missing in another.
-	keepFor = 500 * time.Millisecond
-	// spareShare is what a pool keeps beyond its need, since tasks do not pack without gaps.
-	spareShare = 0.08
-	// spareInstances is the least that a pool keeps idle for what comes next.
-	spareInstances = 1
-	// rateOver is the time over which the work handed in is summed up: a pool must grow before its backlog has.
-	rateOver = 700 * time.Millisecond
 	// moveAgain is the pause before an instance that could not be moved is tried again.
 	moveAgain = 600 * time.Millisecond
 	// moveLost is how long an instance may take to appear in its new pool, beyond the time of the move.
@@ -41,12 +30,6 @@
 	notBefore     time.Time
 }
 
-// need is a pool's need at one time, in thousandths of an instance.
-type need struct {
-	at        time.Time
-	instances float64
-}
-
 // sizePools moves instances to where the work is.
 func (c *session) sizePools(now time.Time) {
 	if c.config == nil || c.machinesRead.IsZero() || now.Before(c.aloneFrom) {
@@ -70,24 +53,12 @@
 	for i := range pools {
 		rows[pools[i].Name] = &pools[i]
 	}
-	used, lasting := make(map[string]job.Need), make(map[string]job.Need)
-	whole := c.wholeInstance()
+	c.countLoads()
 	byMachine := make(map[string]*worker, len(c.workers))
 	for _, w := range c.workers {
 		if w.listed {
 			byMachine[w.Machine] = w
 		}
-		n := used[w.Pool]
-		n.MilliCPU += w.Room.MilliCPU - w.room.Free.MilliCPU
-		n.MemoryMB += w.Room.MemoryMB - w.room.Free.MemoryMB
-		used[w.Pool] = n
-		for t := range w.runs {
-			if t.Spec().Lasting {
-				l := lasting[w.Pool]
-				l.MilliCPU += place.Charge(t.Spec()).MilliCPU
-				lasting[w.Pool] = l
-			}
-		}
 	}
 	var instances []upkeep.Instance
 	for name, m := range c.machines {
@@ -112,83 +83,18 @@
 		instances = append(instances, x)
 		if row := rows[x.Pool]; row != nil {
 			row.Have++
+			c.pool(x.Pool).load.able += c.able(name, now)
 		}
 	}
-	for name, row := range rows {
+	for _, row := range rows {
 		if !row.Headroom {
-			c.wants(row, c.demand(c.pool(name), used[name], lasting[name], whole, now), now)
+			c.wants(row, now)
 		}
 	}
+	c.expect(rows, now)
 	return pools, instances
 }
 
-// wholeInstance returns the room of a typical instance.
-func (c *session) wholeInstance() job.Need {
-	for _, w := range c.workers {
-		if w.Room.MilliCPU > 0 {
-			return w.Room
-		}
-	}
-	return job.Need{}
-}
-
-// demand returns how many instances a pool's runs and waiting tasks fill.
-//
-// What its tasks will fill soon follows from the work handed in lately, long before there is a backlog of it.
-func (c *session) demand(p *poolRow, used, lasting, whole job.Need, now time.Time) float64 {
-	blocked := c.blocked(p.name)
-	for _, g := range p.open {
-		if blocked && c.restored[g.Job.Spec.ID] {
-			continue // its instances would stand idle
-		}
-		n := place.Charge(&g.Job.Spec.Steps[g.Step])
-		for _, t := range g.Tasks {
-			if t.Phase == job.Waiting {
-				used.MilliCPU += n.MilliCPU
-				used.MemoryMB += n.MemoryMB
-			}
-		}
-	}
-	if whole.MilliCPU == 0 || whole.MemoryMB == 0 {
-		return 0
-	}
-	used.MilliCPU = max(used.MilliCPU, lasting.MilliCPU+int(p.rate(now)*1000))
-	return max(float64(used.MilliCPU)/float64(whole.MilliCPU), float64(used.MemoryMB)/float64(whole.MemoryMB))
-}
-
-// handed is work that was handed in at one time, in core-seconds.
-type handed struct {
-	at   time.Time
-	work float64
-}
-
-// rate returns the core-seconds handed in to the pool in a second, of late.
-func (p *poolRow) rate(now time.Time) float64 {
-	for len(p.handed) > 0 && now.Sub(p.handed[0].at) > rateOver {
-		p.handed = p.handed[1:]
-	}
-	sum := 0.0
-	for _, h := range p.handed {
-		sum += h.work
-	}
-	return sum / rateOver.Seconds()
-}
-
-// wants sets what the pool wants now, and what it keeps because it lately needed it.
-func (c *session) wants(row *upkeep.Pool, instances float64, now time.Time) {
-	p := c.pool(row.Name)
-	p.needs = append(p.needs, need{at: now, instances: instances})
-	for len(p.needs) > 0 && now.Sub(p.needs[0].at) > keepFor {
-		p.needs = p.needs[1:]
-	}
-	most := 0.0
-	for _, n := range p.needs {
-		most = max(most, n.instances)
-	}
-	row.Want = instances*(1+spareShare) + spareInstances
-	row.Keep = most*(1+spareShare) + spareInstances
-}
-
 // fixed says whether an instance is on its way, or could lately not be moved.
 func (c *session) fixed(machine string, now time.Time) bool {
 	if s := c.moves[machine]; s != nil {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -170,6 +170,9 @@
 	dirty bool
 	// next is when it is looked at again at the earliest.
 	next time.Time
+	// load is what its workers do and what waits, ran the mean time of a run in seconds.
+	load load
+	ran  float64
 	// needs are what it lately needed, oldest first.
 	needs []need
 	// handed is the work handed in of late, oldest first.
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -15,6 +15,9 @@
 	Headroom bool
 	// Want is how many instances its tasks need now, Keep how many it is not to fall under.
 	Want, Keep float64
+	// Idle is how many it has needed over a longer time: what it has beyond that is parked. Soon is how many it will want
+	// before long.
+	Idle, Soon float64
 	// Have counts those that serve it or are on their way to it.
 	Have int
 }
@@ -50,6 +53,7 @@
 			break
 		}
 	}
+	m.prepare()
 	m.park()
 	return m.moves
 }
@@ -114,6 +118,25 @@
 // spares says whether a pool has an instance more than it keeps.
 func spares(p *Pool) bool { return float64(p.Have-1) >= math.Ceil(p.Keep) }
 
+// idles says whether a pool has had an instance more than it needed for long, and will have.
+func idles(p *Pool) bool { return float64(p.Have-1) >= math.Ceil(max(p.Keep, p.Idle, p.Soon)) }
+
+// prepare moves idle instances to the pools that will want them soon.
+func (m *mover) prepare() {
+	for _, n := range m.names {
+		for p := m.pools[n]; float64(p.Have) < math.Ceil(p.Soon); {
+			i := slices.IndexFunc(m.free, func(x Instance) bool {
+				from := m.pools[x.Pool]
+				return x.Runs == 0 && from != p && (from.Headroom || (spares(from) && float64(from.Have-1) >= from.Soon))
+			})
+			if i < 0 {
+				return
+			}
+			m.move(i, p)
+		}
+	}
+}
+
 func (m *mover) move(i int, to *Pool) {
 	x := m.free[i]
 	m.moves = append(m.moves, Move{Instance: x.Name, From: x.Pool, To: to.Name})
@@ -129,7 +152,7 @@
 	}
 	for i := 0; i < len(m.free); {
 		from := m.pools[m.free[i].Pool]
-		if from.Headroom || m.free[i].Runs > 0 || !spares(from) {
+		if from.Headroom || m.free[i].Runs > 0 || !idles(from) {
 			i++
 			continue
 		}
--- /dev/null
+++ b/upkeep/turns.go
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: MIT
+
+package upkeep
+
+import (
+	"math"
+	"time"
+)
+
+// Figures of how turns are told from noise.
+const (
+	// onsetLeast is the load, in instances, from which a pool may be at its turn; onsetPart the part of what its turns
+	// usually bring.
+	onsetLeast = 1.5
+	onsetPart  = 0.25
+	// calmFor is how long a pool must be under half of that before its turn is over.
+	calmFor = time.Second
+	// gapRate is the weight of a new gap between two turns; a gap of more than gapMost times the mean begins anew.
+	gapRate = 0.5
+	gapMost = 3
+	// lateMost is how long beyond its time a turn is still expected, as a part of the gap.
+	lateMost = 0.3
+	// smoothOver is the time over which load is smoothed: single large jobs are no turn.
+	smoothOver = 500 * time.Millisecond
+)
+
+// Turn is what is known of a pool's turns of load.
+type Turn struct {
+	// Began is when its latest turn began; zero when it had none.
+	Began time.Time
+	// Need is the most that its latest turn brought, in instances, smoothed over smoothOver.
+	Need float64
+	// load is its smoothed load, seen when it was last looked at.
+	load float64
+	seen time.Time
+	// Loaded says that the turn goes on; calm since when it has been nearly without load.
+	Loaded bool
+	calm   time.Time
+	// Missed says that its turn did not come when it was expected.
+	Missed bool
+}
+
+// Turns learns how load goes round the pools: one after the other is at its turn, for about as long each time. The zero
+// value knows nothing.
+type Turns struct {
+	Pools map[string]*Turn
+	// Gap is the time between the onsets of two turns, 0 while unknown.
+	Gap time.Duration
+	// Last is the pool whose turn began last.
+	Last string
+	// Round says that some pool had a second turn, so that pools without one have none.
+	Round bool
+}
+
+// Expected is a turn that is to come.
+type Expected struct {
+	Pool string
+	At   time.Time
+	Need float64
+}
+
+// See takes note of a pool's load beyond what lasts, in instances.
+func (t *Turns) See(pool string, load float64, now time.Time) {
+	if t.Pools == nil {
+		t.Pools = make(map[string]*Turn)
+	}
+	p := t.Pools[pool]
+	if p == nil {
+		p = new(Turn)
+		t.Pools[pool] = p
+	}
+	if !p.seen.IsZero() {
+		part := 1 - math.Exp(-now.Sub(p.seen).Seconds()/smoothOver.Seconds())
+		p.load += part * (load - p.load)
+	}
+	p.seen = now
+	load = p.load
+	from := max(onsetLeast, onsetPart*t.need(p))
+	switch {
+	case load >= from && !p.Loaded:
+		t.begin(pool, p, now)
+		p.Need = load
+	case load < from/2 && p.Loaded:
+		if p.calm.IsZero() {
+			p.calm = now
+		}
+		if now.Sub(p.calm) >= calmFor {
+			p.Loaded = false
+		}
+	default:
+		p.calm = time.Time{}
+	}
+	if p.Loaded {
+		p.Need = max(p.Need, load)
+	}
+}
+
+func (t *Turns) begin(pool string, p *Turn, now time.Time) {
+	if last := t.Pools[t.Last]; last != nil {
+		gap := now.Sub(last.Began)
+		switch {
+		case t.Gap == 0 || gap > gapMost*t.Gap:
+			t.Gap = gap
+		default:
+			t.Gap += time.Duration(gapRate * float64(gap-t.Gap))
+		}
+	}
+	if e := t.due(); len(e) == 1 && e[0] != pool {
+		t.Pools[e[0]].Missed = true
+	}
+	t.Round = t.Round || !p.Began.IsZero()
+	p.Began, p.Loaded, p.calm, p.Missed = now, true, time.Time{}, false
+	t.Last = pool
+}
+
+// need returns what a turn of the pool brings: what its latest one did, else the mean of the others.
+func (t *Turns) need(p *Turn) float64 {
+	if p.Need > 0 {
+		return p.Need
+	}
+	sum, n := 0.0, 0
+	for _, o := range t.Pools {
+		if o.Need > 0 {
+			sum += o.Need
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// due returns the pools whose turn may be next: those that had none yet, else the one whose turn is longest ago.
+func (t *Turns) due() []string {
+	var fresh []string
+	oldest := ""
+	for name, p := range t.Pools {
+		switch {
+		case p.Loaded || p.Missed || name == t.Last:
+		case p.Began.IsZero():
+			fresh = append(fresh, name)
+		case oldest == "" || p.Began.Before(t.Pools[oldest].Began):
+			oldest = name
+		}
+	}
+	switch {
+	case len(fresh) > 0 && !t.Round:
+		return fresh
+	case oldest != "":
+		return []string{oldest}
+	}
+	return nil
+}
+
+// Next returns the turns to be expected within the time given; each of several that are equally likely gets its part.
+func (t *Turns) Next(within time.Duration, now time.Time) []Expected {
+	last := t.Pools[t.Last]
+	if last == nil || t.Gap == 0 {
+		return nil
+	}
+	at := last.Began.Add(t.Gap)
+	if now.Before(at.Add(-within)) || now.After(at.Add(time.Duration(lateMost*float64(t.Gap)))) {
+		return nil
+	}
+	due := t.due()
+	out := make([]Expected, 0, len(due))
+	for _, name := range due {
+		out = append(out, Expected{Pool: name, At: at, Need: t.need(t.Pools[name]) / float64(len(due))})
+	}
+	return out
+}
+
+// Fresh says whether a pool may still come to its first turn: its load is not known yet.
+func (t *Turns) Fresh(pool string) bool {
+	p := t.Pools[pool]
+	return !t.Round && (p == nil || p.Began.IsZero())
+}
--- /dev/null
+++ b/upkeep/turns_test.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// round plays load that goes round the pools, and returns what was expected shortly before each turn.
+func round(t *Turns, now time.Time, pools []string, turns int, each time.Duration) (expected []string) {
+	const tick = 100 * time.Millisecond
+	for i := range turns {
+		for at := time.Duration(0); at < each; at += tick {
+			for k, p := range pools {
+				load := 0.0
+				if k == i%len(pools) {
+					load = 12
+				}
+				if k == (i+len(pools)-1)%len(pools) && i > 0 && at < time.Second {
+					load = 4 // the end of the turn before
+				}
+				t.See(p, load, now)
+			}
+			now = now.Add(tick)
+		}
+		e := ""
+		for _, x := range t.Next(2*time.Second, now) {
+			e += fmt.Sprintf("%s:%.0f", x.Pool, x.Need)
+		}
+		expected = append(expected, e)
+	}
+	return expected
+}
+
+var start = time.Unix(1000, 0)
+
+func TestTurnsAreExpectedInTheirOrder(t *testing.T) {
+	got := round(new(Turns), start, []string{"a", "b", "c"}, 8, 4*time.Second)
+	// After the first turn nothing is known of gaps; after the second only c is left; then the order repeats.
+	quicktest.Assert(t, got, quicktest.DeepEquals, []string{"", "c:12", "a:12", "b:12", "c:12", "a:12", "b:12", "c:12"})
+}
+
+func TestAPoolWithoutTurnsIsExpectedInTheFirstRoundOnly(t *testing.T) {
+	c := quicktest.New(t)
+	turns := new(Turns)
+	turns.See("idle", 0, start)
+	c.Assert(turns.Fresh("idle"), quicktest.IsTrue)
+	got := round(turns, start, []string{"a", "b"}, 6, 4*time.Second)
+	c.Assert(got[1], quicktest.Equals, "idle:12")
+	c.Assert(got[2:], quicktest.DeepEquals, []string{"b:12", "a:12", "b:12", "a:12"})
+	c.Assert(turns.Fresh("idle"), quicktest.IsFalse)
+}
+
+func TestAPoolThatMissesItsTurnIsNotExpectedAgain(t *testing.T) {
+	c := quicktest.New(t)
+	turns := new(Turns)
+	round(turns, start, []string{"a", "b", "c"}, 6, 4*time.Second)
+	got := round(turns, start.Add(24*time.Second), []string{"a", "b"}, 6, 4*time.Second) // c has no load any more
+	c.Assert(got[2:], quicktest.DeepEquals, []string{"b:12", "a:12", "b:12", "a:12"})
+}
+
+func TestNothingIsExpectedOnceLoadHasStopped(t *testing.T) {
+	turns := new(Turns)
+	round(turns, start, []string{"a", "b", "c"}, 6, 4*time.Second)
+	quicktest.Assert(t, turns.Next(2*time.Second, start.Add(time.Minute)), quicktest.HasLen, 0)
+}
