pool: keep what a leader learns for the next one

Change: lessons of queues, mean runs of pools and the turns are kept in one record, at most every 2 s and with a batch that leaves anyway; times in it are spans, since clocks differ.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -44,6 +44,7 @@
 	var records []feed.KeyedRecord
 	records = c.keepWorkers(&done, records)
 	records = c.keepWaves(&done, records)
+	records = c.keepLessons(time.Now(), records)
 	for _, id := range c.gone {
 		records = append(records, feed.KeyedRecord{Key: stateKey + id})
 	}
--- a/pool/load.go
+++ b/pool/load.go
@@ -25,6 +25,7 @@
 	stateKey   = "s/"
 	waveKey    = "wave/"
 	workersKey = "workers"
+	lessonsKey = "lessons"
 )
 
 // JobKey and CancelKey return the intake's keys of a job.
@@ -145,6 +146,8 @@
 			c.read(r, &earlier)
 		case strings.HasPrefix(r.Key, waveKey):
 			c.restoreWave(r)
+		case r.Key == lessonsKey:
+			c.restoreLessons(r, now)
 		}
 	}
 	c.coarse = c.term.Coarse
--- a/pool/session.go
+++ b/pool/session.go
@@ -91,6 +91,7 @@
 	whole        job.Need // the mean room of an instance
 	began        time.Time
 	lessons      map[string]*lesson
+	lessonsAt    time.Time // when what is learned was last kept
 	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
 	unmovable, ownWord map[string]time.Time
 }
