pool: move and maintain nothing while the store fails

Cause: what an instance comes back as after a move or an upkeep is known from the store alone. Change: while a batch has been on its way for 0.25 s, no move begins, those not yet asked for are dropped, and a wave waits until three fifths of its time have passed.

--- a/pool/loose.go
+++ b/pool/loose.go
@@ -48,6 +48,12 @@
 	c.sendPlanned()
 }
 
+// storeFails says whether the store has taken nothing for a while. What an instance comes back as after a move or an upkeep
+// is only known from the store, so none of either begins meanwhile.
+func (c *session) storeFails(now time.Time) bool {
+	return c.loose || (c.committing && now.Sub(c.commitSince) >= looseAfter)
+}
+
 func (c *session) mostAnsweredSince(t time.Time) bool {
 	answered, all := 0, 0
 	for _, w := range c.workers {
--- a/pool/size.go
+++ b/pool/size.go
@@ -35,6 +35,10 @@
 	if c.config == nil || c.machinesRead.IsZero() || now.Before(c.aloneFrom) {
 		return
 	}
+	if c.storeFails(now) {
+		c.dropMoves()
+		return
+	}
 	c.carryMoves(now)
 	pools, instances := c.sizes(now)
 	c.surplus = upkeep.Surplus(pools)
@@ -134,6 +138,15 @@
 	}
 }
 
+// dropMoves leaves the instances where they are for which no move was asked.
+func (c *session) dropMoves() {
+	for machine, s := range c.moves {
+		if !s.asking && !s.moved && s.notBefore.IsZero() {
+			c.endMove(machine, s)
+		}
+	}
+}
+
 func (c *session) carryMove(machine string, s *moveStep, now time.Time) {
 	switch {
 	case s.asking || now.Before(s.notBefore):
--- /dev/null
+++ b/pool/size_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/job"
+)
+
+// TestNothingMovesOrIsMaintainedWhileTheStoreFails: what an instance comes back as would not be known.
+func TestNothingMovesOrIsMaintainedWhileTheStoreFails(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		t.Run(fmt.Sprint(fails), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b := newBench(c, nil, "w1")
+				b.config.Pools = map[string]job.Pool{"p": {}, "spare": {Headroom: true}}
+				b.machines["m-w1"] = Machine{Name: "m-w1", Pool: "p", Life: "w1"}
+				var moved, maintained int
+				wave := Wave{Number: 1, Most: 1, Within: time.Minute}
+				for i := range 4 {
+					m := fmt.Sprintf("off%d", i)
+					b.machines[m] = Machine{Name: m, Pool: "spare"}
+					wave.Machines = append(wave.Machines[:0], m)
+				}
+				b.Machines.Move = func(context.Context, string, string, int64) error { moved++; return nil }
+				b.Machines.Upkeep = func(context.Context, string, int64, int64) error { maintained++; return nil }
+				b.PutWave = func(context.Context, int64, bool) error { return nil }
+				b.machinesRead = time.Now()
+				waveRead{wave: wave}.apply(b.session)
+				b.pool("p").handed = []handed{{at: time.Now(), work: 3}}
+				b.committing, b.commitSince = fails, time.Now().Add(-time.Second)
+				for range 2 {
+					b.runWaves(time.Now())
+					b.sizePools(time.Now())
+					synctest.Wait()
+				}
+				c.Assert(moved > 0, quicktest.Equals, !fails)
+				c.Assert(maintained > 0, quicktest.Equals, !fails)
+			})
+		})
+	}
+}
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -24,6 +24,8 @@
 	upkeepMargin = 200 * time.Millisecond
 	// patience is how long an instance is left to finish short work before the work is stopped for its upkeep.
 	patience = 2500 * time.Millisecond
+	// waitsFor is the part of a wave's time in which it waits: for a store that fails, and for places for what lasts.
+	waitsFor = 0.6
 )
 
 // waveRow is a row of the table of waves.
@@ -148,14 +150,17 @@
 		return // what the earlier leader has begun is not known yet
 	}
 	away := c.countAway(row)
-	for _, x := range c.nextOfWave(row, now) {
-		c.takeOut(row, x.Name, now)
+	fails := c.storeFails(now) && row.known(now) < time.Duration(waitsFor*float64(row.Within))
+	if !fails {
+		for _, x := range c.nextOfWave(row, now) {
+			c.takeOut(row, x.Name, now)
+		}
 	}
 	for m, s := range row.steps {
 		if s.away || s.asking || now.Before(s.notBefore) {
 			continue
 		}
-		if !c.emptied(m, s, now) {
+		if !c.emptied(m, s, now) || (fails && !s.doubt) {
 			continue
 		}
 		if s.doubt || away < max(row.Most, 1) { // one in doubt is counted as away already
