pool, upkeep, place: get instances for steps that may not use any with room

Change: steps with a label or a limit a worker that have waited for 0.25 s ask for instances, of their label; a lasting task leaves for an upkeep once another worker can take it, or three fifths of the wave's time have passed, and until then its pool asks for an instance. The machine interface's labels are read. Figures: TestAStepThatNeedsSeveralWorkersAsksForInstances, TestWhatLastsWaitsForAPlaceBeforeAnUpkeep, TestLabelsThatAreLackedComeFirst.

--- a/place/tasks.go
+++ b/place/tasks.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -34,6 +35,8 @@
 	Ranked time.Time
 	// Since is when the job was handed in.
 	Since time.Time
+	// Opened is when the tasks began to wait for a worker.
+	Opened time.Time
 	// Tasks wait for a worker.
 	Tasks []*job.Task
 	// OnWorker counts the step's tasks on each worker's life; it is filled only where the step limits them.
@@ -217,6 +220,40 @@
 	return true
 }
 
+// Fits returns how many of the step's tasks the room can take now.
+func (g *Group) Fits(r *Room) int {
+	step := &g.Job.Spec.Steps[g.Step]
+	if !allowed(g, step, r) {
+		return 0
+	}
+	n := fit(charge(step), r.Free)
+	if step.PerWorker > 0 {
+		n = min(n, step.PerWorker-g.OnWorker[r.Worker.Life])
+	}
+	return max(n, 0)
+}
+
+// Instances returns how many empty instances, of the room given, that many of the step's tasks need.
+func (g *Group) Instances(tasks int, whole job.Need) int {
+	step := &g.Job.Spec.Steps[g.Step]
+	each := max(fit(charge(step), whole), 1)
+	if step.PerWorker > 0 {
+		each = min(each, step.PerWorker)
+	}
+	return (tasks + each - 1) / each
+}
+
+// fit returns how often a need fits into what is free.
+func fit(n, free job.Need) int {
+	times := math.MaxInt32
+	for _, x := range [...]struct{ need, free int }{{n.MilliCPU, free.MilliCPU}, {n.MemoryMB, free.MemoryMB}, {n.GPU, free.GPU}} {
+		if x.need > 0 {
+			times = min(times, x.free/x.need)
+		}
+	}
+	return times
+}
+
 // Weights of a room's score; each outweighs those below it in most cases.
 const (
 	// nearWeight: away from its data a task takes at least twice as long.
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -17,7 +17,7 @@
 	keepFor = 500 * time.Millisecond
 	// idleFor is how long an instance is not needed before it is parked: the next pool may need it soon.
 	idleFor = 2 * time.Second
-	// freshFor is how long instances of a pool that had no load yet are not parked.
+	// unknownFor is how long instances of a pool that had no load yet are not parked.
 	unknownFor = 30 * time.Second
 	// spareShare is what a pool keeps beyond its need, since tasks do not pack without gaps.
 	spareShare = 0.08
@@ -230,3 +230,70 @@
 	}
 	return p.ran
 }
+
+// stuckAfter is how long a step's tasks wait before more of the instances that it may use are asked for.
+const stuckAfter = 250 * time.Millisecond
+
+// lack sets how many instances each pool lacks for steps that may not use any instance with room: those that need a
+// label, and those of whose tasks a worker may run a few only.
+func (c *session) lack(rows map[string]*upkeep.Pool, instances []upkeep.Instance, now time.Time) {
+	for name, row := range rows {
+		lacks := c.lacks(c.pool(name), now)
+		if len(lacks) == 0 {
+			continue
+		}
+		for _, x := range instances {
+			if x.Pool != name || c.moves[x.Name] == nil {
+				continue
+			}
+			lacks[anyLabel]-- // it is on its way
+			for _, l := range x.Labels {
+				lacks[l]--
+			}
+		}
+		row.Lacks = lacks
+	}
+}
+
+// anyLabel stands for instances with whatever label.
+const anyLabel = ""
+
+// lacks returns, by label, how many more instances the pool's steps wait for that may not use any with room.
+func (c *session) lacks(p *poolRow, now time.Time) map[string]int {
+	lacks := make(map[string]int)
+	blocked := c.blocked(p.name)
+	for _, g := range p.open {
+		step := &g.Job.Spec.Steps[g.Step]
+		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.Opened) < stuckAfter || (blocked && c.restored[g.Job.Spec.ID]) {
+			continue
+		}
+		c.countGroup(g, step)
+		n := len(g.Tasks)
+		for _, w := range c.workers {
+			if w.Pool == p.name && w.usable(now) {
+				n -= g.Fits(&w.room)
+			}
+		}
+		if n <= 0 {
+			continue
+		}
+		lacks[step.Label] = max(lacks[step.Label], g.Instances(n, c.whole))
+	}
+	c.countCaptive(p, lacks, now)
+	return lacks
+}
+
+// countCaptive adds an instance for each worker whose lasting tasks can't leave for its upkeep, for want of a place.
+func (c *session) countCaptive(p *poolRow, lacks map[string]int, now time.Time) {
+	for _, w := range c.workers {
+		if w.Pool != p.name || !w.out || w.room.Serving+w.room.Filling == 0 {
+			continue
+		}
+		for t := range w.runs {
+			if t.Spec().Lasting && !t.Stopping && !c.hasPlace(t, now) {
+				lacks[t.Spec().Label] = max(lacks[t.Spec().Label], 1)
+				break
+			}
+		}
+	}
+}
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -3,10 +3,14 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"rackstep.dev/job"
+	"rackstep.dev/work"
 )
 
 func TestRate(t *testing.T) {
@@ -81,3 +85,55 @@
 	b.moves["moved"] = &moveStep{moved: true, since: now.Add(-time.Second)}
 	c.Assert(b.able("moved", now), quicktest.Equals, 1.0)
 }
+
+// TestWhatLastsWaitsForAPlaceBeforeAnUpkeep: its worker is emptied once another one can take it, or time is short.
+func TestWhatLastsWaitsForAPlaceBeforeAnUpkeep(t *testing.T) {
+	c := quicktest.New(t)
+	j := one(1)
+	j.Spec.Steps[0] = job.Step{Count: 1, Need: job.Need{MilliCPU: 1000}, Lasting: true, MayMiss: 1, Label: "red"}
+	b := newBench(c, []*job.Job{job.New(j.Spec, time.Now())}, "w1", "w2")
+	b.workers["w1"].Labels = []string{"red"}
+	for _, life := range []string{"w1", "w2"} {
+		b.reports(life, 10, nil)
+	}
+	c.Assert(b.ordered(), quicktest.Equals, 1)
+	b.reports("w1", 20, []work.Row{{Task: taskName, Run: b.task(0).Run, Percent: fullPercent}})
+	now := time.Now()
+	s := &upkeepStep{life: "w1", since: now}
+	c.Assert(b.emptied("m-w1", s, now), quicktest.IsFalse)
+	c.Assert(b.task(0).Stopping, quicktest.IsFalse)
+	c.Assert(b.lacks(b.pool("p"), now)["red"], quicktest.Equals, 1)
+	b.workers["w2"].Labels = []string{"red"}
+	b.emptied("m-w1", s, now)
+	c.Assert(b.task(0).Stopping, quicktest.IsTrue)
+}
+
+// TestAStepThatNeedsSeveralWorkersAsksForInstances: room alone does not tell that its tasks can't be placed.
+func TestAStepThatNeedsSeveralWorkersAsksForInstances(t *testing.T) {
+	for _, test := range [...]struct {
+		name  string
+		step  job.Step
+		lacks string
+	}{
+		{"room for all", job.Step{Count: 4}, "map[]"},
+		{"one a worker", job.Step{Count: 5, PerWorker: 1}, "map[:3]"},
+		{"two a worker", job.Step{Count: 7, PerWorker: 2}, "map[:2]"},
+		{"a label that one worker has", job.Step{Count: 3, PerWorker: 1, Label: "red"}, "map[red:2]"},
+		{"a label that none has", job.Step{Count: 8, Label: "blue"}, "map[blue:2]"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			j := one(1)
+			test.step.Need = job.Need{MilliCPU: 1000}
+			j.Spec.Steps = []job.Step{test.step}
+			b := newBench(c, []*job.Job{job.New(j.Spec, time.Now())}, "w1", "w2")
+			b.workers["w1"].Labels = []string{"red"}
+			for _, life := range []string{"w1", "w2"} {
+				b.reports(life, 10, nil)
+			}
+			b.countLoads()
+			c.Assert(fmt.Sprint(b.lacks(b.pool("p"), time.Now())), quicktest.Equals, "map[]") // it may still be placed
+			c.Assert(fmt.Sprint(b.lacks(b.pool("p"), time.Now().Add(stuckAfter))), quicktest.Equals, test.lacks)
+		})
+	}
+}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -54,7 +54,7 @@
 	q := c.queue(j)
 	p := c.pool(q.Pool)
 	key := groupKey{job: j.Spec.ID, time: k, step: step}
-	g := &place.Group{Job: j, Time: k, Step: step, Priority: q.Priority, Lasting: j.Spec.Steps[step].Lasting, Since: j.Received}
+	g := &place.Group{Job: j, Time: k, Step: step, Priority: q.Priority, Lasting: j.Spec.Steps[step].Lasting, Since: j.Received, Opened: time.Now()}
 	tasks := j.StepTasks(k, step)
 	for i := range tasks {
 		if tasks[i].Phase == job.Waiting {
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -61,6 +61,8 @@
 	// Life is the life of its worker, empty when it has none.
 	Life  string
 	State MachineState
+	// Labels are its kind and its rack, which it keeps wherever it goes.
+	Labels []string
 }
 
 // Machines is the machine interface, filled in by an adapter.
--- a/pool/size.go
+++ b/pool/size.go
@@ -69,7 +69,7 @@
 		if c.inWave(name) {
 			continue // it serves nobody until its upkeep is over
 		}
-		x := upkeep.Instance{Name: name, Pool: m.Pool, Fixed: m.State != MachineUp || c.fixed(name, now)}
+		x := upkeep.Instance{Name: name, Pool: m.Pool, Labels: m.Labels, Fixed: m.State != MachineUp || c.fixed(name, now)}
 		if s := c.moves[name]; s != nil {
 			x.Pool = s.to
 		}
@@ -96,6 +96,7 @@
 		}
 	}
 	c.expect(rows, now)
+	c.lack(rows, instances, now)
 	return pools, instances
 }
 
@@ -205,8 +206,10 @@
 	switch {
 	case m.err == nil:
 		s.moved, s.since = true, now
-		from := c.machines[m.machine].Pool
-		c.machines[m.machine] = Machine{Name: m.machine, Pool: s.to, State: MachineUp}
+		x := c.machines[m.machine]
+		from := x.Pool
+		x.Pool, x.State, x.Life = s.to, MachineUp, ""
+		c.machines[m.machine] = x
 		c.ownWord[m.machine] = now
 		if w := c.workers[s.life]; w != nil {
 			c.lose(w, "its instance was moved")
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -13,6 +13,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/place"
 	"rackstep.dev/upkeep"
 )
 
@@ -52,6 +53,8 @@
 	since time.Time
 	// asking says that a call is on its way, doubt that one got no answer, away that the upkeep has begun.
 	asking, doubt, away bool
+	// pressed says that the wave has no time to wait for a place for what must leave.
+	pressed bool
 	// begun is when the call was answered.
 	begun     time.Time
 	notBefore time.Time
@@ -160,6 +163,7 @@
 		if s.away || s.asking || now.Before(s.notBefore) {
 			continue
 		}
+		s.pressed = row.known(now) >= time.Duration(waitsFor*float64(row.Within))
 		if !c.emptied(m, s, now) || (fails && !s.doubt) {
 			continue
 		}
@@ -269,7 +273,7 @@
 		switch {
 		case t.Stopping:
 		case t.Spec().Lasting:
-			if c.mayTakeAway(t, now) {
+			if c.mayTakeAway(t, now) && (s.pressed || c.hasPlace(t, now)) {
 				c.stopTask(w, t, "upkeep")
 			}
 		case now.Sub(s.since) > patience:
@@ -291,6 +295,19 @@
 	return away < t.Spec().MayMiss
 }
 
+// hasPlace says whether another worker could take the task at once.
+func (c *session) hasPlace(t *job.Task, now time.Time) bool {
+	g := &place.Group{Job: t.Job, Time: t.Time, Step: t.Step, Lasting: true}
+	c.countGroup(g, t.Spec())
+	pool := c.queue(t.Job).Pool
+	for _, w := range c.workers {
+		if w.Pool == pool && w.usable(now) && g.Fits(&w.room) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // surelyAtWork says whether a lasting task is at work as far as its worker's latest word goes.
 func (c *session) surelyAtWork(t *job.Task, now time.Time) bool {
 	w := c.workers[t.Worker]
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -18,6 +19,8 @@
 	// Idle is how many it has needed over a longer time: what it has beyond that is parked. Soon is how many it will want
 	// before long.
 	Idle, Soon float64
+	// Lacks are, by label, how many instances with that label its tasks wait for, under no label how many of any.
+	Lacks map[string]int
 	// Have counts those that serve it or are on their way to it.
 	Have int
 }
@@ -25,6 +28,7 @@
 // Instance is one that can move.
 type Instance struct {
 	Name, Pool string
+	Labels     []string
 	// Runs counts its runs, Lasting those that last: they hold it where it is.
 	Runs, Lasting int
 	// Fixed says that it is on its way somewhere, or down.
@@ -40,6 +44,7 @@
 	m := mover{pools: make(map[string]*Pool, len(pools))}
 	for i := range pools {
 		p := pools[i]
+		p.Lacks = maps.Clone(p.Lacks)
 		m.pools[p.Name] = &p
 		m.names = append(m.names, p.Name)
 		if p.Headroom && m.headroom == "" {
@@ -53,6 +58,10 @@
 			break
 		}
 	}
+	for _, n := range m.names {
+		for m.supplyLacking(m.pools[n]) {
+		}
+	}
 	m.prepare()
 	m.park()
 	return m.moves
@@ -102,19 +111,46 @@
 	return worst
 }
 
-// supply moves the cheapest instance to the pool; it says whether there was one.
+// supply moves the cheapest instance to the pool, one that it lacks most if there is one; it says whether there was any.
 func (m *mover) supply(to *Pool) bool {
-	for i, x := range m.free {
-		from := m.pools[x.Pool]
-		if from == to || (!from.Headroom && !spares(from)) {
-			continue
-		}
-		m.move(i, to)
+	if m.supplyLacking(to) {
 		return true
 	}
-	return false
+	i := slices.IndexFunc(m.free, func(x Instance) bool { return m.spare(x, to) })
+	if i < 0 {
+		return false
+	}
+	m.move(i, to)
+	return true
 }
 
+// supplyLacking moves an instance of a kind that the pool lacks; it says whether there was one.
+func (m *mover) supplyLacking(to *Pool) bool {
+	if len(to.Lacks) == 0 {
+		return false
+	}
+	i := slices.IndexFunc(m.free, func(x Instance) bool { return m.spare(x, to) && lacking(to, x) })
+	if i < 0 {
+		return false
+	}
+	m.move(i, to)
+	return true
+}
+
+// spare says whether an instance can go to a pool: it is off, or its own pool has more than it keeps.
+func (m *mover) spare(x Instance, to *Pool) bool {
+	from := m.pools[x.Pool]
+	return from != to && (from.Headroom || spares(from))
+}
+
+// lacking says whether the pool lacks instances of this kind.
+func lacking(to *Pool, x Instance) bool {
+	return to.Lacks[anyLabel] > 0 || slices.ContainsFunc(x.Labels, func(l string) bool { return to.Lacks[l] > 0 })
+}
+
+// anyLabel stands for instances with whatever label.
+const anyLabel = ""
+
 // spares says whether a pool has an instance more than it keeps.
 func spares(p *Pool) bool { return float64(p.Have-1) >= math.Ceil(p.Keep) }
 
@@ -142,6 +178,12 @@
 	m.moves = append(m.moves, Move{Instance: x.Name, From: x.Pool, To: to.Name})
 	m.pools[x.Pool].Have--
 	to.Have++
+	if len(to.Lacks) > 0 {
+		to.Lacks[anyLabel]--
+		for _, l := range x.Labels {
+			to.Lacks[l]--
+		}
+	}
 	m.free = slices.Delete(m.free, i, i+1)
 }
 
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -34,6 +34,31 @@
 	}
 }
 
+func TestLabelsThatAreLackedComeFirst(t *testing.T) {
+	instances := []Instance{
+		{Name: "a1", Pool: "spare", Labels: []string{"red"}},
+		{Name: "b1", Pool: "spare", Labels: []string{"blue"}},
+		{Name: "b2", Pool: "spare", Labels: []string{"blue"}},
+	}
+	for _, test := range [...]struct {
+		name  string
+		want  float64
+		lacks map[string]int
+		moves string
+	}{
+		{"no label is asked for", 2, nil, "[{a1 spare p}]"},
+		{"the one that is lacked", 2, map[string]int{"blue": 1}, "[{b1 spare p}]"},
+		{"beyond what the pool wants in all", 1, map[string]int{"blue": 2}, "[{b1 spare p} {b2 spare p}]"},
+		{"any, beyond what the pool wants in all", 1, map[string]int{"": 2}, "[{a1 spare p} {b1 spare p}]"},
+		{"none has it", 1, map[string]int{"green": 2}, "[]"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pools := []Pool{{Name: "p", Want: test.want, Keep: 5, Have: 1, Lacks: test.lacks}, {Name: "spare", Headroom: true, Have: 3}}
+			quicktest.Assert(t, fmt.Sprint(Moves(pools, instances)), quicktest.Equals, test.moves)
+		})
+	}
+}
+
 func TestPaceGoesDownQuicklyAndUpGently(t *testing.T) {
 	c := quicktest.New(t)
 	p := 100
