lead, pool: move instances at once after one's own earlier life

An earlier life of the same process has ended. Change: Term.Alone says that the earlier leader has surely stopped; moves, upkeep and the doubt about jobs read meanwhile end with it.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -258,12 +258,15 @@
 	switch {
 	case e.latest.Term == 0 || e.latest.Released:
 		return e.leave() + e.wait
-	case e.latest.Entry == e.Entry && e.latest.Boot != e.Boot && e.leave() == 0:
-		return 0 // an earlier life of this very process
+	case e.earlierLife() && e.leave() == 0:
+		return 0
 	}
 	return missedAfter + e.leave() + e.wait
 }
 
+// earlierLife says whether the latest leader was an earlier life of this very process, which has ended.
+func (e *Elector) earlierLife() bool { return e.latest.Entry == e.Entry && e.latest.Boot != e.Boot }
+
 // untilVacant returns how long a read may wait, so that it ends when the lead becomes vacant.
 func (e *Elector) untilVacant() time.Duration {
 	e.mu.Lock()
@@ -297,6 +300,7 @@
 	serve, lost := context.WithCancel(ctx)
 	e.mu.Lock()
 	t := Term{Number: term, Fence: rec.Fence, Coarse: e.latest.Loose || e.sawOutage(), Clean: e.latest.Released || e.latest.Term == 0}
+	t.Alone = t.Clean || e.earlierLife()
 	e.loose, e.looseKept = false, false
 	e.latest, e.end = rec, next
 	e.lost, e.fence = lost, rec.Fence
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -253,10 +253,15 @@
 func TestARestartedLeaderTakesItsLeadBackAtOnce(t *testing.T) {
 	bubble(t, func(t *testing.T, c *quicktest.C) {
 		tp := newTopic()
+		terms := make(chan Term, 2)
 		run := func(boot string) (*Elector, func()) {
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
-			e := &Elector{Entry: "e", Boot: boot, Weight: 1, Topic: tp.of("e"), Events: &event.Ring{}, Serve: func(ctx context.Context, _ Term) { <-ctx.Done() }}
+			serve := func(ctx context.Context, t Term) {
+				terms <- t
+				<-ctx.Done()
+			}
+			e := &Elector{Entry: "e", Boot: boot, Weight: 1, Topic: tp.of("e"), Events: &event.Ring{}, Serve: serve}
 			go func() { defer close(done); _ = e.Run(ctx) }()
 			return e, func() { cancel(); <-done }
 		}
@@ -266,6 +271,10 @@
 		e, stop := run("2")
 		time.Sleep(100 * time.Millisecond)
 		c.Assert(e.Confirmed(), quicktest.IsTrue)
+		c.Assert((<-terms).Clean, quicktest.IsTrue) // nobody led before
+		again := <-terms
+		c.Assert(again.Clean, quicktest.IsFalse)
+		c.Assert(again.Alone, quicktest.IsTrue)
 		stop()
 		time.Sleep(time.Second)
 	})
--- a/lead/record.go
+++ b/lead/record.go
@@ -23,6 +23,7 @@
 // Term is a lead that was taken.
 type Term struct {
 	Number, Fence int64
-	// Coarse says that the leader before may have ordered what is not kept; Clean that it gave the lead up itself.
-	Coarse, Clean bool
+	// Coarse says that the leader before may have ordered what is not kept; Clean that it gave the lead up itself; Alone
+	// that it has surely stopped: it gave the lead up, or was an earlier life of this very process.
+	Coarse, Clean, Alone bool
 }
--- a/pool/load.go
+++ b/pool/load.go
@@ -153,7 +153,10 @@
 	c.coarse = c.term.Coarse
 	c.aloneFrom = now
 	if !c.term.Clean {
-		c.aloneFrom, c.hearUntil = now.Add(handover), now.Add(hearFirst)
+		c.hearUntil = now.Add(hearFirst)
+	}
+	if !c.term.Alone {
+		c.aloneFrom = now.Add(handover)
 	}
 	c.doubtUntil = now.Add(c.Bounds().Lease*102/100 + handover)
 	c.serversEnd = list.Next
--- a/pool/session_test.go
+++ b/pool/session_test.go
@@ -47,7 +47,7 @@
 	s.SetBounds(Bounds{Lease: 10 * time.Second, Stop: 400 * time.Millisecond, Status: time.Minute})
 	s.catalog.Store(&job.Catalog{Queues: map[string]job.Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 2}}})
 	s.counts = newMetrics(nil)
-	b := &bench{session: newSession(s, lead.Term{Number: 2, Fence: 2 << 16, Clean: true}), c: c}
+	b := &bench{session: newSession(s, lead.Term{Number: 2, Fence: 2 << 16, Clean: true, Alone: true}), c: c}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.ctx = ctx
 	c.Cleanup(func() { cancel(); b.work.Wait() })
