pool, upkeep: mend what a reading of the whole change found

Cause: read as a newcomer would, the change held one constant twice (the sign for any label), a field that was worked out and never used, a copy loop that the library has, two bare numbers in the need of a pool, and three records whose encoding could fail without a log line. Change: AnyLabel stands in upkeep alone; load.waiting and Expected.At are gone; leftOfRuns and firstRun are named; what can't be encoded of lessons, waves and workers is told of. No decision changes.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -144,6 +144,7 @@
 	}
 	value, err := job.Encode(done.workers)
 	if err != nil {
+		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "workers not kept: %v", err)
 		return records
 	}
 	return append(records, feed.KeyedRecord{Key: workersKey, Value: value})
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -31,6 +31,10 @@
 	arrives = 150 * time.Millisecond
 	// clearIn is the time in which a backlog is to be worked off once the instances have arrived.
 	clearIn = time.Second
+	// leftOfRuns is the part of their time that runs still have before them, on the average.
+	leftOfRuns = 0.5
+	// firstRun is how long runs are taken to be before any has ended, in seconds.
+	firstRun = 1.0
 	// soonShare is the part of an expected turn's need that is got ready before it: the rest comes in time by itself.
 	soonShare = 0.75
 )
@@ -51,8 +55,8 @@
 type load struct {
 	// lasting is held by tasks that last, running by others.
 	lasting, running float64
-	// waiting is asked for by tasks that wait, waitingWork what they bring in instance-seconds.
-	waiting, waitingWork float64
+	// waitingWork is what tasks bring that wait, in instance-seconds.
+	waitingWork float64
 	// able is for how long its instances will serve it, together, in the time that a move takes, in instance-seconds.
 	able float64
 }
@@ -136,7 +140,6 @@
 			p.load.lasting += float64(n) * each
 			continue
 		}
-		p.load.waiting += float64(n) * each
 		p.load.waitingWork += float64(n) * each * c.runTime(step, g.Job.Spec.Queue).Seconds()
 	}
 }
@@ -172,7 +175,7 @@
 	l := &p.load
 	ahead := (c.Bounds().Move + arrives).Seconds()
 	rate := p.rate(now)
-	work := l.running*p.meanRun()/2 + l.waitingWork + rate*ahead
+	work := l.running*p.meanRun()*leftOfRuns + l.waitingWork + rate*ahead
 	left := work - max(l.able-l.lasting*ahead, 0)
 	return l.lasting + rate + max(left, 0)/clearIn.Seconds()
 }
@@ -226,7 +229,7 @@
 // meanRun returns how long the pool's tasks run, in seconds.
 func (p *poolRow) meanRun() float64 {
 	if p.ran == 0 {
-		return 1
+		return firstRun
 	}
 	return p.ran
 }
@@ -246,7 +249,7 @@
 			if x.Pool != name || c.moves[x.Name] == nil {
 				continue
 			}
-			lacks[anyLabel]-- // it is on its way
+			lacks[upkeep.AnyLabel]-- // it is on its way
 			for _, l := range x.Labels {
 				lacks[l]--
 			}
@@ -255,9 +258,6 @@
 	}
 }
 
-// anyLabel stands for instances with whatever label.
-const anyLabel = ""
-
 // lacks returns, by label, how many more instances the pool's steps wait for that may not use any with room.
 func (c *session) lacks(p *poolRow, now time.Time) map[string]int {
 	lacks := make(map[string]int)
--- a/pool/lessons.go
+++ b/pool/lessons.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
 	"rackstep.dev/upkeep"
@@ -54,7 +55,8 @@
 	c.lessonsAt = now
 	value, err := job.Encode(c.learnedSoFar(now))
 	if err != nil {
-		return records // of use only; the tables do not depend on it
+		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "lessons not kept: %v", err)
+		return records // the tables do not depend on it
 	}
 	return append(records, feed.KeyedRecord{Key: lessonsKey, Value: value})
 }
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -125,6 +125,7 @@
 		kept := keptWave{Begun: slices.Sorted(maps.Keys(row.begun)), Known: row.known(time.Now())}
 		value, err := job.Encode(kept)
 		if err != nil {
+			c.emit(event.RecordRefused, event.Subject{}, "wave=%d not kept: %v", n, err)
 			continue
 		}
 		records = append(records, feed.KeyedRecord{Key: waveKey + strconv.FormatInt(n, 10), Value: value})
--- a/upkeep/moves.go
+++ b/upkeep/moves.go
@@ -19,7 +19,7 @@
 	// Idle is how many it has needed over a longer time: what it has beyond that is parked. Soon is how many it will want
 	// before long.
 	Idle, Soon float64
-	// Lacks are, by label, how many instances with that label its tasks wait for, under no label how many of any.
+	// Lacks are, by label, how many instances with that label its tasks wait for, under AnyLabel how many of any.
 	Lacks map[string]int
 	// Have counts those that serve it or are on their way to it.
 	Have int
@@ -111,7 +111,7 @@
 	return worst
 }
 
-// supply moves the cheapest instance to the pool, one that it lacks most if there is one; it says whether there was any.
+// supply moves the cheapest instance to the pool, of a kind that it lacks if there is one; it says whether there was any.
 func (m *mover) supply(to *Pool) bool {
 	if m.supplyLacking(to) {
 		return true
@@ -145,11 +145,11 @@
 
 // lacking says whether the pool lacks instances of this kind.
 func lacking(to *Pool, x Instance) bool {
-	return to.Lacks[anyLabel] > 0 || slices.ContainsFunc(x.Labels, func(l string) bool { return to.Lacks[l] > 0 })
+	return to.Lacks[AnyLabel] > 0 || slices.ContainsFunc(x.Labels, func(l string) bool { return to.Lacks[l] > 0 })
 }
 
-// anyLabel stands for instances with whatever label.
-const anyLabel = ""
+// AnyLabel stands for instances with whatever label in Pool.Lacks.
+const AnyLabel = ""
 
 // spares says whether a pool has an instance more than it keeps.
 func spares(p *Pool) bool { return float64(p.Have-1) >= math.Ceil(p.Keep) }
@@ -179,7 +179,7 @@
 	m.pools[x.Pool].Have--
 	to.Have++
 	if len(to.Lacks) > 0 {
-		to.Lacks[anyLabel]--
+		to.Lacks[AnyLabel]--
 		for _, l := range x.Labels {
 			to.Lacks[l]--
 		}
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -52,10 +52,9 @@
 	Round bool
 }
 
-// Expected is a turn that is to come.
+// Expected is a turn that is to come, and what it will bring in instances.
 type Expected struct {
 	Pool string
-	At   time.Time
 	Need float64
 }
 
@@ -166,7 +165,7 @@
 	due := t.due()
 	out := make([]Expected, 0, len(due))
 	for _, name := range due {
-		out = append(out, Expected{Pool: name, At: at, Need: t.need(t.Pools[name]) / float64(len(due))})
+		out = append(out, Expected{Pool: name, Need: t.need(t.Pools[name]) / float64(len(due))})
 	}
 	return out
 }
--- a/upkeep/wave.go
+++ b/upkeep/wave.go
@@ -4,13 +4,15 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
 )
 
+// Figures of a wave's pace.
 const (
-	// emptyFor is how long an instance takes to be emptied, on the average.
+	// emptyFor is how long an instance is taken to need to be emptied: assumed, a little under what short work is given.
 	emptyFor = 2 * time.Second
 	// useOf is the part of a wave's time in which it is to be done; the rest is for calls that fail.
 	useOf = 0.75
@@ -51,10 +53,7 @@
 	slices.SortStableFunc(all, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Lasting, b.Lasting), cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.Name, b.Name))
 	})
-	spare := make(map[string]int, len(surplus))
-	for p, n := range surplus {
-		spare[p] = n
-	}
+	spare := maps.Clone(surplus)
 	width := w.width()
 	var out []Candidate
 	var busy []Candidate
