pool: count calls of a test safely

The list in TestAnUpkeepThatAnEarlierLeaderBeganCounts was written to in the same way. Change: atomic counters, and a lock around the list. What is asserted is the same; no code outside these two tests changes.

--- a/pool/size_test.go
+++ b/pool/size_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,15 +24,15 @@
 				b := newBench(c, nil, "w1")
 				b.config.Pools = map[string]job.Pool{"p": {}, "spare": {Headroom: true}}
 				b.machines["m-w1"] = Machine{Name: "m-w1", Pool: "p", Life: "w1"}
-				var moved, maintained int
+				var moved, maintained atomic.Int64 // calls are made at the same time
 				wave := Wave{Number: 1, Most: 1, Within: time.Minute}
 				for i := range 4 {
 					m := fmt.Sprintf("off%d", i)
 					b.machines[m] = Machine{Name: m, Pool: "spare"}
 					wave.Machines = append(wave.Machines[:0], m)
 				}
-				b.Machines.Move = func(context.Context, string, string, int64) error { moved++; return nil }
-				b.Machines.Upkeep = func(context.Context, string, int64, int64) error { maintained++; return nil }
+				b.Machines.Move = func(context.Context, string, string, int64) error { moved.Add(1); return nil }
+				b.Machines.Upkeep = func(context.Context, string, int64, int64) error { maintained.Add(1); return nil }
 				b.PutWave = func(context.Context, int64, bool) error { return nil }
 				b.machinesRead = time.Now()
 				waveRead{wave: wave}.apply(b.session)
@@ -42,8 +43,8 @@
 					b.sizePools(time.Now())
 					synctest.Wait()
 				}
-				c.Assert(moved > 0, quicktest.Equals, !fails)
-				c.Assert(maintained > 0, quicktest.Equals, !fails)
+				c.Assert(moved.Load() > 0, quicktest.Equals, !fails)
+				c.Assert(maintained.Load() > 0, quicktest.Equals, !fails)
 			})
 		})
 	}
--- a/pool/upkeep_test.go
+++ b/pool/upkeep_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := quicktest.New(t)
 				b := newBench(c, nil)
+				var mu sync.Mutex // calls are made at the same time
 				var asked []string
 				b.Machines.Upkeep = func(_ context.Context, machine string, _, _ int64) error {
+					mu.Lock()
+					defer mu.Unlock()
 					asked = append(asked, machine)
 					return answer
 				}
