pool: what an earlier leader can't have read starts at once; steps of a takeover are told

Cause: a new leader held back every job that it read until 2.5 s after half of the workers had its token, although an earlier one starts only what it read while a renewal proved its lead, and the next term is taken only when none was read for longer than that. Earlier jobs waited 0.6 s beyond that for nothing, since runs are kept before they are ordered. Past 0.6 s, which a loaded leader of 1,100 workers crosses by itself, the takeover counted as one after an outage and all earlier jobs waited for a whole lease. Change: only jobs that the store may have held before the term wait for the earlier leader (by when the read before was asked); the wait ends with half of the tokens raised. The bound for those counts from when the last renewal was read, and grows with the fleet on both sides: a leader goes on without the store 1 ms later for each instance beyond 100. A worker's first hold may take 2 s. Pages that had no room for all are not taken for the end.

--- a/feed/topic.go
+++ b/feed/topic.go
@@ -37,6 +37,8 @@
 	Records []KeyedRecord
 	// Next is the offset to read on from.
 	Next int64
+	// More says that the topic had further records when it was read, which the page had no room for.
+	More bool
 }
 
 // Topic is one keyed topic of a log service, as functions that an adapter or a test fills in.
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -28,8 +28,8 @@
 	readLeast = 30 * time.Millisecond
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 700 * time.Millisecond
-	// renewTimeout bounds a renewal: with the pause it stays under missedAfter, so that one lost answer ends no lead.
-	renewTimeout = 450 * time.Millisecond
+	// RenewTimeout bounds a renewal: with the pause it stays under missedAfter, so that one lost answer ends no lead.
+	RenewTimeout = 450 * time.Millisecond
 	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
 	retakePause = 4 * time.Second
 	// spread keeps candidates from asking all at once. Entries smaller than the largest that ever led leave those like it
@@ -67,6 +67,8 @@
 	latest    Record
 	end       int64
 	changed   time.Time // when latest changed, or the store began to answer
+	renewed   time.Time // when the newest renewal was read
+	offset    int64     // of the newest renewal
 	began     time.Time // when Run was called
 	failing   time.Time // when the first call of those that have failed since was made; zero while they succeed
 	outage    time.Time // when the store last answered after a long silence
@@ -225,6 +227,9 @@
 			continue
 		}
 		e.changed = time.Now()
+		if r.Offset > e.offset || r.Offset == 0 { // the same record read again is no renewal
+			e.renewed, e.offset = e.changed, r.Offset
+		}
 		if rec != e.latest {
 			e.latest = rec
 			news = &rec
@@ -311,7 +316,7 @@
 	}
 	serve, lost := context.WithCancel(ctx)
 	e.mu.Lock()
-	t := Term{Number: term, Fence: rec.Fence, Coarse: e.latest.Loose || e.latest.Coarse || e.sawOutage()}
+	t := Term{Number: term, Fence: rec.Fence, Renewed: e.renewed, Coarse: e.latest.Loose || e.latest.Coarse || e.sawOutage()}
 	t.Clean = e.latest.Term == 0 || (e.latest.Released && !e.latest.Open)
 	t.Alone = t.Clean || (e.earlierLife() && !e.latest.Open)
 	e.open, e.coarse = !t.Alone, t.Coarse && !t.Clean
@@ -393,7 +398,7 @@
 
 // renew sends a renewal, and returns the next one or the same again.
 func (e *Elector) renew(ctx context.Context, r renewal) renewal {
-	call, cancel := context.WithTimeout(ctx, renewTimeout)
+	call, cancel := context.WithTimeout(ctx, RenewTimeout)
 	defer cancel()
 	again := !r.sent.IsZero()
 	if !again {
--- a/lead/record.go
+++ b/lead/record.go
@@ -2,6 +2,8 @@
 
 package lead
 
+import "time"
+
 // Record is what the topic says of the leader.
 type Record struct {
 	_ struct{} `cbor:",toarray"`
@@ -29,4 +31,6 @@
 	// Alone that all have surely stopped: the last one gave the lead up, or was an earlier life of this very process, and
 	// had told that those before it had stopped.
 	Coarse, Clean, Alone bool
+	// Renewed is when this entry read the newest renewal of the leader before; the zero time when there was none.
+	Renewed time.Time
 }
--- a/pool/load.go
+++ b/pool/load.go
@@ -44,9 +44,6 @@
 	intakeWait   = 700 * time.Millisecond
 	// workersEvery spaces the reads of the list of workers, which is written to all the time.
 	workersEvery = 150 * time.Millisecond
-	// hearFirst is how long a new leader lets the workers tell what they run before it starts what the earlier one may
-	// have started; those that can be reached answer in some milliseconds.
-	hearFirst = 600 * time.Millisecond
 	// handover is for how long after the next term an earlier leader may go on calling the machine interface, which takes
 	// the store's word (lead.ConfirmedFor), and what such a call may take.
 	handover = 1100 * time.Millisecond
@@ -153,9 +150,6 @@
 	}
 	c.coarse = c.term.Coarse
 	c.aloneFrom = now
-	if !c.term.Clean {
-		c.hearUntil = now.Add(hearFirst)
-	}
 	if !c.term.Alone {
 		c.aloneFrom = now.Add(handover)
 	}
@@ -196,6 +190,7 @@
 	for _, j := range c.jobs {
 		c.openJob(j, now)
 	}
+	c.takeoverStep("tables-read", now)
 	c.emit(event.TablesRead, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
 }
 
@@ -211,6 +206,7 @@
 // followIntake hands on what clients hand in through one partition.
 func (c *session) followIntake(part int) {
 	from := c.intakeEnd[part]
+	after := c.fresh[part]
 	topic := c.Intake[part]
 	for c.ctx.Err() == nil {
 		asked := time.Now()
@@ -228,25 +224,33 @@
 			continue
 		}
 		from = page.Next
-		c.post(intakeRead{part: part, page: page, asked: asked})
+		c.post(intakeRead{part: part, page: page, asked: asked, after: after})
+		if !page.More {
+			after = asked // what comes next was not there then
+		}
 	}
 }
 
-// intakeRead is a page of a partition of the intake.
+// intakeRead is a page of a partition of the intake; none of what it holds was in the store before the time after.
 type intakeRead struct {
-	part  int
-	page  feed.KeyedPage
-	asked time.Time
+	part         int
+	page         feed.KeyedPage
+	asked, after time.Time
 }
 
 func (m intakeRead) apply(c *session) {
 	now := time.Now()
-	c.fresh[m.part] = m.asked
+	if !m.page.More {
+		c.fresh[m.part] = m.asked
+	}
 	for _, r := range m.page.Records {
 		if j := c.readIntake(m.part, r, now); j != nil {
 			if !c.confirmed(now) {
 				c.readUnsure[j.Spec.ID] = true
 			}
+			if c.earlierRead(m.after) {
+				c.restored[j.Spec.ID] = true
+			}
 			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s part=%d offset=%d", describe(j), m.part, r.Offset)
 			c.learnJob(j)
 			c.openJob(j, now)
@@ -273,9 +277,6 @@
 	j := job.New(spec, now)
 	j.KeptVersion = j.Version // the intake itself keeps a new job
 	c.jobs[spec.ID] = j
-	if stopped, known := c.stoppedBy(); !known || now.Before(stopped) {
-		c.restored[spec.ID] = true // the earlier leader may have read it too
-	}
 	if c.cancelled[id] {
 		c.cancel(j, now)
 	}
--- a/pool/loose.go
+++ b/pool/loose.go
@@ -14,10 +14,18 @@
 	// leader will know that they may have.
 	slowAfter = 250 * time.Millisecond
 	// blindAfter is how long nothing must have been published for orders to leave while that goes on: by then another
-	// leader, if there were one, would have raised the workers' fencing tokens.
+	// leader, if there were one, would have raised the workers' fencing tokens. It takes blindEach longer for each instance
+	// beyond blindSmall: with 1,100 of them half had answered 1.05 s after the tables were read, on 0.8 of a core.
 	blindAfter = 2200 * time.Millisecond
+	blindEach  = time.Millisecond
+	blindSmall = 100
 )
 
+// blindFor returns how long nothing must have been published for orders to leave without the store.
+func blindFor(instances int) time.Duration {
+	return blindAfter + blindEach*time.Duration(max(0, instances-blindSmall))
+}
+
 // loosen lets orders leave that can't be kept, while the store does not take them.
 //
 // It needs proof that this entry is not the one cut off: most workers must have answered what they were asked since.
@@ -33,8 +41,8 @@
 	since := c.commitSince
 	switch confirmed := c.ConfirmedAt(); {
 	case c.LooseKept():
-	case now.Sub(confirmed) > blindAfter:
-		since = confirmed.Add(blindAfter)
+	case now.Sub(confirmed) > blindFor(c.sure):
+		since = confirmed.Add(blindFor(c.sure))
 	default:
 		return
 	}
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -46,6 +46,11 @@
 	m.scope.Tagged(map[string]string{"why": why}).Counter("orders_refused").Inc(1)
 }
 
+// takeover records how long after its term a new leader reached a step of taking over.
+func (m *metrics) takeover(step string, after time.Duration) {
+	m.scope.Tagged(map[string]string{"step": step}).Histogram("takeover", buckets).RecordDuration(after)
+}
+
 // modeLasted counts the time that a degraded mode has lasted.
 func (m *metrics) modeLasted(of mode, d time.Duration) {
 	m.scope.Tagged(map[string]string{"mode": of.String()}).Counter("mode_milliseconds").Inc(d.Milliseconds())
--- a/pool/modes.go
+++ b/pool/modes.go
@@ -60,9 +60,23 @@
 	}
 }
 
+// takeoverStep tells, once, that a new leader has reached a step of taking over.
+func (c *session) takeoverStep(name string, now time.Time) {
+	if c.steps[name] {
+		return
+	}
+	c.steps[name] = true
+	after := now.Sub(c.began)
+	c.counts.takeover(name, after)
+	c.emit(event.TakeoverStep, event.Subject{Entry: c.Entry}, "step=%s after=%v term=%d heard=%d of %d", name, after.Round(time.Millisecond), c.term.Number, c.heard, len(c.workers))
+}
+
 // watchModes keeps those modes true that follow from other tables.
 func (c *session) watchModes(now time.Time) {
 	c.setMode(modeUnconfirmed, !c.confirmed(now), now, "newest confirmed renewal")
 	c.setMode(modeHearing, !c.term.Clean && c.raised.IsZero(), now, "half of the instances have this leader's token")
+	if len(c.unheard) == 0 {
+		c.takeoverStep("all-heard", now)
+	}
 	c.setMode(modeOrphans, c.coarse && len(c.unheard) > 0, now, "workers that have not answered")
 }
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -80,6 +80,7 @@
 	}
 	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v free=%d config=%d", r.number, time.Since(t.Job.Received).Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
 	c.counts.ordered.Inc(1)
+	c.takeoverStep("first-start", now)
 	if !t.Job.Began {
 		c.counts.firstStarts.RecordDuration(time.Since(t.Job.Received))
 	}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -222,7 +222,7 @@
 
 // blocked says whether a worker of the pool that has not answered may still run what an earlier leader started.
 func (c *session) blocked(pool string) bool {
-	if !c.coarse && time.Now().After(c.hearUntil) && (c.term.Clean || !c.raised.IsZero()) {
+	if !c.coarse && (c.term.Clean || !c.raised.IsZero()) {
 		return false // what it started is kept
 	}
 	for _, w := range c.unheard {
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -107,11 +107,30 @@
 		return
 	}
 	c.raised = now
-	if now.After(c.hearUntil) && !c.hearUntil.IsZero() {
+	c.takeoverStep("fenced", now)
+	if now.After(c.term.Renewed.Add(raisedWithin(c.instances(listed)))) {
 		c.beCoarse("half of the workers were heard late")
 	}
 }
 
+// raisedWithin returns how soon after a renewal was read a successor must have its token at half of the instances, so that the
+// leader whose renewal it was can't have gone on without the store: that begins blindFor after a renewal that the store
+// confirmed, and one that it took without a word is at the most lead.RenewTimeout newer. Both leaders count instances, but not
+// in the same moment, so that a fifth fewer are taken here.
+func raisedWithin(instances int) time.Duration {
+	return blindFor(instances*4/5) - lead.RenewTimeout - raisedSlack
+}
+
+// raisedSlack is for what passes between the store and its reader.
+const raisedSlack = 100 * time.Millisecond
+
+// earlierRead says whether an earlier leader may have started a job that the store took after the time.
+//
+// A leader starts only what it read while a renewal proved its lead, so no later than lead.ConfirmedFor after that one was
+// sent. The next term is taken only when none was read for longer than that, so what the store took after the term was taken
+// no earlier leader can have started; c.began is after that.
+func (c *session) earlierRead(after time.Time) bool { return after.Before(c.began) }
+
 // tellOfEarlier publishes what is still open of the leaders before, for the next one.
 func (c *session) tellOfEarlier(now time.Time) {
 	stopped, known := c.stoppedBy()
--- a/pool/session.go
+++ b/pool/session.go
@@ -68,8 +68,8 @@
 	restored map[string]bool
 	// unheard are the lives that may still run what an earlier leader started, until doubtOver.
 	unheard map[string]*worker
-	// hearUntil is until when earlier jobs wait for the workers' first reports.
-	hearUntil time.Time
+	// steps are the steps of taking over that were reached.
+	steps map[string]bool
 	// aloneFrom is when the earlier leader has surely stopped calling the machine interface, which takes the store's word.
 	aloneFrom time.Time
 	// readAt is when the tables were read, raised when half of the workers had this leader's token.
@@ -123,7 +123,7 @@
 		unkept: make(map[*job.Job]int64), unacked: make(map[*worker]bool), batchMost: cmp.Or(s.BatchMost, batchMost), later: make(map[string]*job.Job), restored: make(map[string]bool), unread: make(map[string]time.Time), readUnsure: make(map[string]bool),
 		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
 		keepsOf: make(map[string]uint64), cancelled: make(map[string]bool),
-		unheard: make(map[string]*worker), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
+		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*moveStep), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -20,6 +20,9 @@
 	holdWait = 2 * time.Second
 	// holdTimeout bounds a hold beyond its wait.
 	holdTimeout = 700 * time.Millisecond
+	// firstTimeout bounds a worker's first hold: a new leader sends as many at once as there are workers, and one that it has
+	// given up on costs a connection more.
+	firstTimeout = 2 * time.Second
 	// ackWait is how long the next hold waits for the ends of the last one to be kept; without the store holds go on
 	// at this pace, since a worker answers at once while it lists ends.
 	ackWait = 600 * time.Millisecond
@@ -212,7 +215,11 @@
 		case w.mixed.Load():
 			o.Wait = pacedWait
 		}
-		call, cancel := context.WithTimeout(ctx, o.Wait+holdTimeout)
+		timeout := o.Wait + holdTimeout
+		if first {
+			timeout = firstTimeout
+		}
+		call, cancel := context.WithTimeout(ctx, timeout)
 		rep, err := c.Calls.Hold(call, row, o)
 		cancel()
 		if ctx.Err() != nil {
