lead: a store that is slow, or a leader short of processor, ends no lead

Cause: a renewal was given up after 0.45 s and sent again after a pause. A renewal and its pause took turns, so that late answers spaced them out. Change: the same renewal is sent beside the first after 0.45 s, each sending may take 2.5 s, renewals are spaced from sending to sending; candidates wait longer by twice how late their own reads come back.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -18,7 +18,7 @@
 
 // Times of the election.
 const (
-	// renewEvery is the pause between two renewals; each costs a write and wakes every entry once.
+	// renewEvery is the time from one renewal's sending to the next's; each costs a write and wakes every entry once.
 	renewEvery = 350 * time.Millisecond
 	// missedAfter is how long candidates wait for a renewal: three of them.
 	missedAfter = 1100 * time.Millisecond
@@ -28,8 +28,18 @@
 	readLeast = 30 * time.Millisecond
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 700 * time.Millisecond
-	// RenewTimeout bounds a renewal: with the pause it stays under missedAfter, so that one lost answer ends no lead.
+	// RenewTimeout is how long a renewal waits for its answer before the same is sent once more beside it: with renewEvery it
+	// stays under missedAfter, so that one lost answer ends no lead.
 	RenewTimeout = 450 * time.Millisecond
+	// renewCall bounds one sending: a store that takes a second to answer must still get its word through. With sendings
+	// that were given up after 0.45 s a leader lost its lead in every slow time of the store.
+	renewCall = 2500 * time.Millisecond
+	// renewAgain is the pause after a renewal that was refused at once.
+	renewAgain = 50 * time.Millisecond
+	// renewMost bounds the sendings of one renewal that are on their way at once.
+	renewMost = 4
+	// lateMost bounds by how much longer candidates wait for a renewal because their own calls are late.
+	lateMost = time.Second
 	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
 	retakePause = 4 * time.Second
 	// spread keeps candidates from asking all at once. Entries smaller than the largest that ever led leave those like it
@@ -66,12 +76,13 @@
 	mu        sync.Mutex
 	latest    Record
 	end       int64
-	changed   time.Time // when latest changed, or the store began to answer
-	renewed   time.Time // when the newest renewal was read
-	offset    int64     // of the newest renewal
-	began     time.Time // when Run was called
-	failing   time.Time // when the first call of those that have failed since was made; zero while they succeed
-	outage    time.Time // when the store last answered after a long silence
+	changed   time.Time     // when latest changed, or the store began to answer
+	renewed   time.Time     // when the newest renewal was read
+	offset    int64         // of the newest renewal
+	began     time.Time     // when Run was called
+	late      time.Duration // how much later than it should the newest read came back that brought nothing
+	failing   time.Time     // when the first call of those that have failed since was made; zero while they succeed
+	outage    time.Time     // when the store last answered after a long silence
 	wait      time.Duration
 	notBefore time.Time
 	lost      context.CancelFunc
@@ -208,10 +219,20 @@
 	if err != nil {
 		return fmt.Errorf("follow the leader's record: %w", err)
 	}
+	if len(page.Records) == 0 {
+		e.cameLate(time.Since(asked) - wait)
+	}
 	e.took(page)
 	return nil
 }
 
+// cameLate notes how late a read came back that brought nothing: the leader's renewals have the same way to go.
+func (e *Elector) cameLate(by time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.late = min(max(by, 0), lateMost)
+}
+
 // took applies what was read.
 func (e *Elector) took(page feed.KeyedPage) {
 	var news *Record
@@ -277,7 +298,7 @@
 	case e.earlierLife() && e.leave() == 0:
 		return 0
 	}
-	return missedAfter + e.leave() + e.wait
+	return missedAfter + 2*e.late + e.leave() + e.wait
 }
 
 // earlierLife says whether the latest leader was an earlier life of this very process, which has ended.
@@ -351,11 +372,11 @@
 		close(done)
 	}()
 	next := renewal{record: rec, sequence: 1}
+	sent := time.Now()
 	for ctx.Err() == nil {
-		if !next.repeated {
-			e.awaitRenewal(ctx)
-		}
+		e.awaitRenewal(ctx, renewEvery-time.Since(sent))
 		if ctx.Err() == nil {
+			sent = time.Now()
 			next = e.renew(ctx, next)
 		}
 	}
@@ -375,8 +396,8 @@
 }
 
 // awaitRenewal waits until the next renewal is due, or something is to be published at once.
-func (e *Elector) awaitRenewal(ctx context.Context) {
-	t := time.NewTimer(renewEvery)
+func (e *Elector) awaitRenewal(ctx context.Context, due time.Duration) {
+	t := time.NewTimer(due)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -389,42 +410,64 @@
 type renewal struct {
 	record   Record
 	sequence int64
-	// sent is when it was first sent, zero before; one without an answer is sent again as it was, since the store may have
-	// taken it: then its answer proves nothing later than this time.
-	sent time.Time
-	// repeated says that the one before it needed several tries: its proof is old, so that this one leaves at once.
-	repeated bool
 }
 
-// renew sends a renewal, and returns the next one or the same again.
+// renew has the store take a renewal, and returns the next one.
+//
+// One without an answer is sent again as it was, beside what is on its way, since the store may have taken it: it takes the same
+// sequence number once and repeats its answer. That answer proves nothing later than the first sending.
 func (e *Elector) renew(ctx context.Context, r renewal) renewal {
-	call, cancel := context.WithTimeout(ctx, RenewTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	again := !r.sent.IsZero()
-	if !again {
-		r.sent = time.Now()
-		e.mu.Lock()
-		r.record.Loose, r.record.Open, r.record.Coarse = e.loose, e.open, e.coarse
-		e.mu.Unlock()
-	}
-	_, err := e.append(call, r.record, -1, r.sequence)
-	var fenced *feed.FencedError
-	switch {
-	case err == nil:
-		e.mu.Lock()
-		e.confirmed = r.sent
-		e.looseKept = r.record.Loose && e.loose
-		e.mu.Unlock()
-		return renewal{record: r.record, sequence: r.sequence + 1, repeated: again}
-	case errors.As(err, &fenced):
-		e.Lost(r.record.Fence)
-	case !again && !errors.Is(err, feed.ErrUncertain):
-		r.sent = time.Time{} // nothing was done
+	e.mu.Lock()
+	r.record.Loose, r.record.Open, r.record.Coarse = e.loose, e.open, e.coarse
+	e.mu.Unlock()
+	first := time.Now()
+	answers := make(chan error, renewMost)
+	underWay := 0
+	for ctx.Err() == nil {
+		if underWay < renewMost {
+			underWay++
+			go func() { answers <- e.sendRenewal(ctx, r) }()
+		}
+		again := time.NewTimer(RenewTimeout)
+		select {
+		case <-ctx.Done():
+		case <-again.C:
+		case err := <-answers:
+			underWay--
+			var fenced *feed.FencedError
+			switch {
+			case err == nil:
+				e.renewalTaken(r, first)
+				again.Stop()
+				return renewal{record: r.record, sequence: r.sequence + 1}
+			case errors.As(err, &fenced):
+				e.Lost(r.record.Fence)
+			default:
+				pause(ctx, renewAgain)
+			}
+		}
+		again.Stop()
 	}
-	r.repeated = false
 	return r
 }
 
+func (e *Elector) sendRenewal(ctx context.Context, r renewal) error {
+	call, cancel := context.WithTimeout(ctx, renewCall)
+	defer cancel()
+	_, err := e.append(call, r.record, -1, r.sequence)
+	return err
+}
+
+// renewalTaken notes that the store took a renewal that was first sent at the time.
+func (e *Elector) renewalTaken(r renewal, first time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.confirmed = first
+	e.looseKept = r.record.Loose && e.loose
+}
+
 func (e *Elector) release(rec Record, sequence int64) {
 	rec.Released = true
 	e.mu.Lock()
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -59,10 +59,7 @@
 			if t.failing(entry) {
 				return feed.KeyedPage{}, hang(ctx)
 			}
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			n := len(t.records)
-			return feed.KeyedPage{Records: t.records[max(n-1, 0):], Next: int64(n)}, nil
+			return t.newest(), nil
 		},
 		Read: func(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
 			if t.failing(entry) {
@@ -89,6 +86,13 @@
 	return int64(len(t.records)), nil
 }
 
+func (t *topic) newest() feed.KeyedPage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := len(t.records)
+	return feed.KeyedPage{Records: t.records[max(n-1, 0):], Next: int64(n)}
+}
+
 func (t *topic) read(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -120,12 +124,17 @@
 }
 
 func newGroup(t *testing.T, n int) *group {
+	return newGroupOf(t, n, (*topic).of)
+}
+
+// newGroupOf returns a running group whose entries see the topic each in its way.
+func newGroupOf(t *testing.T, n int, of func(t *topic, entry string) feed.Topic) *group {
 	g := &group{topic: newTopic(), leading: make(map[string]Term)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	for i := range n {
 		name := fmt.Sprint("e", i)
-		e := &Elector{Entry: name, Address: name, Boot: "1", Topic: g.topic.of(name), Weight: 1, Events: &event.Ring{}}
+		e := &Elector{Entry: name, Address: name, Boot: "1", Topic: of(g.topic, name), Weight: 1, Events: &event.Ring{}}
 		e.Serve = func(ctx context.Context, term Term) {
 			g.mu.Lock()
 			g.leading[name] = term
@@ -137,9 +146,11 @@
 			g.mu.Unlock()
 		}
 		g.electors = append(g.electors, e)
+	}
+	for _, e := range g.electors {
 		done.Go(func() { _ = e.Run(ctx) })
 	}
-	t.Cleanup(func() { cancel(); done.Wait(); time.Sleep(time.Second) })
+	t.Cleanup(func() { cancel(); done.Wait(); time.Sleep(5 * time.Second) }) // calls on their way end
 	return g
 }
 
