--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -69,16 +69,19 @@
 //
 // Upkeep and Move return no error also when the same was done before; ErrBusy, ErrFenced and others say why not.
 type Machines struct {
-	List   func(ctx context.Context) ([]Machine, error)
-	Upkeep func(ctx context.Context, machine string, wave, fence int64) error
-	Move   func(ctx context.Context, machine, pool string, fence int64) error
+	// PerSecond is how many of the calls Upkeep and Move it takes in a second, over all entries; 0 for any.
+	PerSecond float64
+	List      func(ctx context.Context) ([]Machine, error)
+	Upkeep    func(ctx context.Context, machine string, wave, fence int64) error
+	Move      func(ctx context.Context, machine, pool string, fence int64) error
 }
 
 // Errors of the machine interface.
 var (
-	ErrBusy   = errors.New("instance is not up; ask again when it is")
-	ErrFenced = errors.New("another leader has used a higher fencing token; stop")
-	ErrWave   = errors.New("instance is not of that wave, or unknown")
+	ErrTooMany = errors.New("the machine interface takes no more calls now and has done nothing; ask again in a moment")
+	ErrBusy    = errors.New("instance is not up; ask again when it is")
+	ErrFenced  = errors.New("another leader has used a higher fencing token; stop")
+	ErrWave    = errors.New("instance is not of that wave, or unknown")
 )
 
 // Ticket lets a worker's life run a step.
--- a/pool/session.go
+++ b/pool/session.go
@@ -106,6 +106,7 @@
 	tickets      map[string]*stepTickets
 	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
+	desk         desk
 	surplus      map[string]int // how many instances each pool could spare with the last look at its size
 	turns        upkeep.Turns
 	whole        job.Need // the mean room of an instance
--- a/pool/size.go
+++ b/pool/size.go
@@ -25,9 +25,9 @@
 type moveStep struct {
 	to, life string
 	since    time.Time
-	// asking says that a call is on its way, moved that it was done.
-	asking, moved bool
-	notBefore     time.Time
+	// asking says that a call is on its way, moved that it was done, queued that one is to leave as soon as it may.
+	asking, moved, queued bool
+	notBefore             time.Time
 }
 
 // sizePools moves instances to where the work is.
@@ -40,6 +40,7 @@
 		return
 	}
 	c.carryMoves(now)
+	c.dropQueued()
 	pools, instances := c.sizes(now)
 	c.surplus = upkeep.Surplus(pools)
 	for _, m := range upkeep.Moves(pools, instances) {
@@ -132,10 +133,24 @@
 	c.carryMove(m.Instance, s, now)
 }
 
-// carryMoves goes on with the moves that have begun.
+// carryMoves goes on with the moves that have begun: those into pools that are in use first, then those into the headroom.
 func (c *session) carryMoves(now time.Time) {
+	c.desk.refused = false
+	for _, parks := range [...]bool{false, true} {
+		for machine, s := range c.moves {
+			if c.config.Pools[s.to].Headroom == parks {
+				c.carryMove(machine, s, now)
+			}
+		}
+	}
+}
+
+// dropQueued forgets the moves whose calls have not left: whether they are still wanted is decided anew.
+func (c *session) dropQueued() {
 	for machine, s := range c.moves {
-		c.carryMove(machine, s, now)
+		if s.queued && s.notBefore.IsZero() {
+			c.stay(machine, s)
+		}
 	}
 }
 
@@ -172,18 +187,28 @@
 	}
 }
 
-// endMove leaves the instance where it is.
-func (c *session) endMove(machine string, s *moveStep) {
+// stay leaves the instance where it is.
+func (c *session) stay(machine string, s *moveStep) {
 	if w := c.workers[s.life]; w != nil {
 		w.out = false
 		c.dirtyPool(w.Pool)
 	}
 	delete(c.moves, machine)
+}
+
+// endMove leaves the instance where it is for a while.
+func (c *session) endMove(machine string, s *moveStep) {
+	c.stay(machine, s)
 	c.unmovable[machine] = time.Now().Add(moveAgain)
 }
 
 func (c *session) askMove(machine string, s *moveStep) {
-	if !c.confirmed(time.Now()) {
+	now := time.Now()
+	if !c.confirmed(now) {
+		return
+	}
+	s.queued = !c.desk.take(c.Machines.PerSecond, now)
+	if s.queued {
 		return
 	}
 	s.asking = true
@@ -206,6 +231,12 @@
 	s := m.step
 	s.asking = false
 	now := time.Now()
+	c.desk.done()
+	defer func() {
+		if c.desk.refused {
+			c.carryMoves(now)
+		}
+	}()
 	switch {
 	case m.err == nil:
 		s.moved, s.since = true, now
@@ -221,6 +252,11 @@
 		c.emit(event.MachineMoved, event.Subject{Instance: m.machine}, "from=%s to=%s", from, s.to)
 	case errors.Is(m.err, ErrFenced):
 		c.Lost(c.term.Fence)
+	case errors.Is(m.err, ErrTooMany):
+		c.desk.rest(now)
+		if s.notBefore.IsZero() {
+			c.stay(m.machine, s) // decided anew when the interface takes calls again
+		}
 	case errors.Is(m.err, ErrBusy), errors.Is(m.err, ErrWave):
 		c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "move to=%s err=%q", s.to, m.err)
 		c.endMove(m.machine, s)
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -358,7 +358,8 @@
 
 // askUpkeep has the instance maintained.
 func (c *session) askUpkeep(row *waveRow, machine string, s *upkeepStep) {
-	if !c.confirmed(time.Now()) {
+	now := time.Now()
+	if !c.confirmed(now) || !c.desk.take(c.Machines.PerSecond, now) {
 		return
 	}
 	s.asking = true
@@ -381,6 +382,7 @@
 func (m upkeepAsked) apply(c *session) {
 	m.step.asking = false
 	now := time.Now()
+	c.desk.done()
 	switch {
 	case m.err == nil:
 		m.step.away, m.step.doubt, m.step.begun = true, false, now
@@ -391,6 +393,8 @@
 		c.counts.upkeeps.Inc(1)
 		c.emit(event.UpkeepBegun, event.Subject{Instance: m.machine}, "wave=%d done=%d of %d", m.row.Number, len(m.row.begun), len(m.row.Machines))
 		return
+	case errors.Is(m.err, ErrTooMany):
+		c.desk.rest(now) // the step stays as it was
 	case errors.Is(m.err, ErrBusy):
 		m.step.doubt = false
 		m.row.unask(m.machine) // it has not begun, and no call with a lower token can begin it any more
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -43,6 +43,8 @@
 	askMachinesEvery = 700 * time.Millisecond
 	// lookEvery is the pause between two looks at all instances.
 	lookEvery = 1500 * time.Millisecond
+	// listTimeout bounds a list of all instances, which comes in pages; the adapter bounds each of them.
+	listTimeout = 6 * time.Second
 	// silentAfter is how long a worker is silent before the machine interface is asked about it.
 	silentAfter = 500 * time.Millisecond
 )
@@ -363,7 +365,7 @@
 	c.machinesAt = time.Now()
 	asked := c.machinesAt
 	c.work.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, listTimeout)
 		defer cancel()
 		list, err := c.Machines.List(ctx)
 		c.post(machinesRead{list: list, asked: asked, err: err})
