upkeep, place: instances with lasting tasks have a pace of their own through a wave

The wave was late by one instance of 550, two missed duties. Lasting tasks also moved to instances that the wave had still to empty.

--- a/place/tasks.go
+++ b/place/tasks.go
@@ -18,6 +18,8 @@
 	Free   job.Need
 	// Serving and Filling count its lasting tasks that serve users and those that fill beside them.
 	Serving, Filling int
+	// Due says that the instance is to be emptied for its upkeep before long.
+	Due bool
 }
 
 // Group is the waiting tasks of one step of one time of a job.
@@ -265,8 +267,10 @@
 	// togetherWeight keeps lasting tasks on few workers, so that the others are free to move; sameWeight spreads those
 	// of one step over them, and rackWeight over racks.
 	togetherWeight = 1
-	sameWeight     = 0.8
-	rackWeight     = 0.2
+	// dueWeight keeps lasting tasks off instances that are still to be emptied for their upkeep: they would leave twice.
+	dueWeight  = 1.5
+	sameWeight = 0.8
+	rackWeight = 0.2
 )
 
 // score is higher for better rooms. The fullest room with space is best, so that others empty and can be used elsewhere.
@@ -285,6 +289,9 @@
 	if r.Serving+r.Filling > 0 {
 		s += togetherWeight
 	}
+	if r.Due {
+		s -= dueWeight
+	}
 	if step.Fills {
 		return s - besideWeight*float64(r.Serving)
 	}
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -191,6 +191,7 @@
 			c.takeOut(row, m, now) // by an earlier leader
 		}
 	}
+	c.markDue(row)
 	away := c.countAway(row)
 	fails := c.storeFails(now) && row.known(now) < time.Duration(waitsFor*float64(row.Within))
 	if !fails {
@@ -218,12 +219,27 @@
 	}
 }
 
+// markDue tells placement which instances the wave has still to empty.
+func (c *session) markDue(row *waveRow) {
+	for _, m := range row.Machines {
+		if w := c.workerOf(m); w != nil {
+			w.room.Due = !row.begun[m]
+		}
+	}
+}
+
 // nextOfWave returns the instances of the wave to be emptied now.
 func (c *session) nextOfWave(row *waveRow, now time.Time) []upkeep.Candidate {
 	w := upkeep.Wave{Most: row.Most, Out: len(row.steps), Left: len(row.steps), Within: row.Within, Since: row.known(now), Each: c.Bounds().Upkeep}
 	var waiting []upkeep.Candidate
 	for _, m := range row.Machines {
-		if row.begun[m] || row.steps[m] != nil {
+		if s := row.steps[m]; s != nil {
+			if k := c.workers[s.life]; k != nil && !s.away && k.room.Serving+k.room.Filling > 0 {
+				w.OutLasting++
+			}
+			continue
+		}
+		if row.begun[m] {
 			continue
 		}
 		w.Left++
