place: the fullest room with space is found without looking at all

Cause: each task looked at every room; a backlog on 780 rooms took 45 ms a pass, and placement rests four times as long as it took, so that freed rooms stood empty between passes. Change: short tasks without conditions take the fullest room from shelves by size, kept in order as rooms are taken; others look at all as before. Copies of rooms are made in one piece. Properties: what is free in the end equals what looking at all rooms leaves; one room found has the same score. The property found a reserved room that a gang's refusal laid back, before the commit.

--- a/place/tasks.go
+++ b/place/tasks.go
@@ -96,6 +96,7 @@
 	var out []Choice
 	var full []job.Need // needs for which no room was found, without conditions
 	reserved := 0
+	free := newShelves(rooms)
 	for _, g := range groups {
 		if len(rooms) == 0 {
 			break
@@ -107,23 +108,37 @@
 		}
 		before := len(out)
 		for _, t := range g.Tasks {
-			r := choose(g, t, rooms)
+			var r *Room
+			if plain && !step.Lasting && step.Rack == "" {
+				r = free.fullest(charge(step), t.Avoid)
+			} else {
+				r = choose(g, t, rooms)
+			}
 			if r == nil {
 				if plain {
 					full = append(full, charge(step))
 				}
 				if step.Lasting || reserved < reserveMost {
-					rooms = reserve(g, step, rooms)
+					if kept := emptiest(g, step, rooms); kept != nil {
+						rooms = slices.DeleteFunc(slices.Clone(rooms), func(o *Room) bool { return o == kept })
+						free.drop(kept)
+					}
 					reserved++
 				}
 				break
 			}
+			free.drop(r)
 			take(g, r)
+			free.put(r)
 			out = append(out, Choice{Task: t, Room: r, Ticket: g.Tickets[r.Worker.Life]})
 		}
 		if step.Gang && len(out)-before < len(g.Tasks) {
 			for _, c := range out[before:] {
+				shelved := free.drop(c.Room) // it may be reserved by now
 				giveBack(g, c.Room)
+				if shelved {
+					free.put(c.Room)
+				}
 			}
 			out = out[:before]
 		}
@@ -131,21 +146,18 @@
 	return out
 }
 
-// reserve returns the rooms without the emptiest one that the step may use once it has space.
-func reserve(g *Group, step *job.Step, rooms []*Room) []*Room {
-	best := -1
-	for i, r := range rooms {
+// emptiest returns the emptiest room that the step may use once it has space, or nil.
+func emptiest(g *Group, step *job.Step, rooms []*Room) *Room {
+	var best *Room
+	for _, r := range rooms {
 		if !atLeast(r.Worker.Room, charge(step)) || !allowed(g, step, r) {
 			continue
 		}
-		if best < 0 || r.Free.MilliCPU > rooms[best].Free.MilliCPU {
-			best = i
+		if best == nil || r.Free.MilliCPU > best.Free.MilliCPU {
+			best = r
 		}
 	}
-	if best < 0 {
-		return rooms
-	}
-	return slices.Delete(slices.Clone(rooms), best, best+1)
+	return best
 }
 
 // charge is what a task of the step is counted with.
@@ -275,7 +287,7 @@
 
 // score is higher for better rooms. The fullest room with space is best, so that others empty and can be used elsewhere.
 func score(g *Group, t *job.Task, step *job.Step, r *Room) float64 {
-	s := -float64(r.Free.MilliCPU) / float64(max(r.Worker.Room.MilliCPU, 1))
+	s := -r.freePart()
 	if step.Rack != "" && slices.Contains(r.Worker.Labels, step.Rack) {
 		s += nearWeight
 	}
--- a/place/tasks_test.go
+++ b/place/tasks_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,6 +132,86 @@
 	})
 }
 
+// TestShelvesFindWhatLookingAtAllRoomsFinds places random steps by the index and by looking at every room for each task: what is
+// free in the end is the same, whichever of equal rooms was taken.
+func TestShelvesFindWhatLookingAtAllRoomsFinds(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		size := rapid.SampledFrom([]int{4000, 16000}).Draw(r, "size")
+		var free []job.Need
+		for range rapid.IntRange(0, 30).Draw(r, "rooms") {
+			free = append(free, job.Need{MilliCPU: rapid.IntRange(0, size).Draw(r, "free"), MemoryMB: 4000})
+		}
+		var steps []job.Step
+		for range rapid.IntRange(1, 10).Draw(r, "groups") {
+			steps = append(steps, job.Step{
+				Count: rapid.IntRange(1, 9).Draw(r, "count"), Gang: rapid.Bool().Draw(r, "gang"),
+				Need: job.Need{MilliCPU: rapid.IntRange(0, 5000).Draw(r, "cpu")},
+			})
+		}
+		place := func(label string) (int, []float64) {
+			var rooms []*Room
+			for i := range free {
+				x := roomOf(fmt.Sprint("w", i), "r", size, free[i].MilliCPU)
+				x.Free.MemoryMB, x.Worker.Room.MemoryMB = free[i].MemoryMB, 4000
+				x.Worker.Labels = append(x.Worker.Labels, "any")
+				rooms = append(rooms, x)
+			}
+			var groups []*Group
+			for i, s := range steps {
+				s.Rack = label // a rack that none has: every room is looked at, and none is nearer
+				groups = append(groups, groupOf(fmt.Sprintf("%02d", i), s))
+			}
+			Order(groups)
+			n := len(Tasks(groups, rooms))
+			var left []float64
+			for _, x := range rooms {
+				left = append(left, x.freePart())
+			}
+			slices.Sort(left)
+			return n, left
+		}
+		n, left := place("")
+		wantN, want := place("none")
+		if n != wantN || !slices.Equal(left, want) {
+			r.Fatalf("%d placed, %v left; by looking at all rooms %d, %v", n, left, wantN, want)
+		}
+	})
+}
+
+// TestTheFullestRoomWithSpaceIsFound asks for one room among those of several sizes.
+func TestTheFullestRoomWithSpaceIsFound(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var rooms []*Room
+		for i := range rapid.IntRange(0, 30).Draw(r, "rooms") {
+			size := rapid.SampledFrom([]int{4000, 8000, 16000}).Draw(r, "size")
+			x := roomOf(fmt.Sprint("w", i), "r", size, rapid.IntRange(0, size).Draw(r, "free"))
+			x.Free.MemoryMB = rapid.IntRange(0, 4000).Draw(r, "memory")
+			rooms = append(rooms, x)
+		}
+		step := job.Step{Count: 1, Need: job.Need{MilliCPU: rapid.IntRange(0, 5000).Draw(r, "cpu"), MemoryMB: rapid.IntRange(0, 4000).Draw(r, "MB")}}
+		g := groupOf("a", step)
+		g.Tasks[0].Avoid = rapid.SampledFrom([]string{"", "w0", "w1"}).Draw(r, "avoid")
+		got, want := newShelves(rooms).fullest(charge(&step), g.Tasks[0].Avoid), choose(g, g.Tasks[0], rooms)
+		switch {
+		case (got == nil) != (want == nil):
+			r.Fatalf("found %v, by looking at all rooms %v", got, want)
+		case got != nil && score(g, g.Tasks[0], &step, got) != score(g, g.Tasks[0], &step, want):
+			r.Fatalf("found %v, by looking at all rooms %v", got, want)
+		}
+	})
+}
+
+func TestTheWorkerOnWhichATaskFailedIsItsLastChoice(t *testing.T) {
+	c := quicktest.New(t)
+	g := groupOf("a", job.Step{Count: 1, Need: cpu(1000)})
+	g.Tasks[0].Avoid = "full"
+	rooms := []*Room{roomOf("full", "r", 4000, 1000), roomOf("empty", "r", 4000, 4000)}
+	c.Assert(Tasks([]*Group{g}, rooms)[0].Room.Worker.Life, quicktest.Equals, "empty")
+	g = groupOf("a", job.Step{Count: 1, Need: cpu(1000)})
+	g.Tasks[0].Avoid = "full"
+	c.Assert(Tasks([]*Group{g}, rooms[:1])[0].Room.Worker.Life, quicktest.Equals, "full")
+}
+
 // benchTasks places a backlog on a pool; run with -bench to see the cost of one decision.
 func benchTasks(b *testing.B, workers, jobs int) {
 	var groups []*Group
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -164,7 +164,7 @@
 
 // rooms returns copies of the rooms of the pool's usable workers.
 func (c *session) rooms(p *poolRow, now time.Time) []*place.Room {
-	var rooms []*place.Room
+	copies := make([]place.Room, 0, len(c.workers))
 	sure := c.confirmed(now)
 	for _, w := range c.workers {
 		if w.Pool != p.name {
@@ -174,10 +174,13 @@
 			p.dirty = true // looked at again with the next tick
 		}
 		if w.usable(now) && c.workersKept[w.Life] && (w.sure || sure) {
-			r := w.room
-			rooms = append(rooms, &r)
+			copies = append(copies, w.room)
 		}
 	}
+	rooms := make([]*place.Room, len(copies))
+	for i := range copies {
+		rooms[i] = &copies[i]
+	}
 	return rooms
 }
 
