pool: the model judges tasks that run on after their job's cancel

Cause: the users' rule now holds also for a task that a worker started late, and for one whose starter has been removed; the model did not look at what runs on. Change: at the end of every history, in calm, a run of a job that was cancelled longer than 5.9 s ago and that began longer than 5 s ago is wrong. A test cancels jobs whose starts are carried out late, and removes the leader for good in half of its histories.

--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -187,6 +187,10 @@
 	for _, task := range h.unfinished() {
 		h.wrong = append(h.wrong, "LOST "+task)
 	}
+	time.Sleep(modelContact + modelCancel + modelStop) // a start that was late may have come just before
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.judgeCancelled()
 }
 
 // unfinished are the tasks that are neither done nor, when they last, at work.
@@ -363,6 +367,40 @@
 	t.Logf("%d histories, %d calls", *histories, total)
 }
 
+// TestTasksOfACancelledJobEndWhoeverStartedThem cancels jobs whose starts workers carry out late, and removes the leader that
+// ordered them for good.
+func TestTasksOfACancelledJobEndWhoeverStartedThem(t *testing.T) {
+	late := 0
+	for seed := range uint64(24) {
+		_, wrong := play(t, seed, func(h *history) {
+			h.longest = time.Minute // what runs on is seen
+			h.mu.Lock()
+			h.lateShare = 0.7
+			h.mu.Unlock()
+			var ids []string
+			for range 8 {
+				ids = append(ids, h.submit(seed%3 == 0, 3))
+			}
+			time.Sleep(time.Duration(50+100*(seed%8)) * time.Millisecond)
+			for _, id := range ids {
+				h.cancelJob(id)
+			}
+			if seed%2 == 0 {
+				h.kill(h.leader()) // and nobody starts it again
+			}
+			time.Sleep(5 * time.Second)
+			h.mu.Lock()
+			late += h.startedAfterCancel()
+			h.mu.Unlock()
+			h.settle()
+		})
+		for _, x := range wrong {
+			t.Errorf("seed %d: %s", seed, x)
+		}
+	}
+	quicktest.Assert(t, late > 20, quicktest.IsTrue, quicktest.Commentf("%d starts came after their job's cancel", late))
+}
+
 // TestALeaderCutOffForLongerThanALeaseDoublesNothing cuts the data centre of the leader off, with workers in it whose clocks
 // are as slow as they may be.
 func TestALeaderCutOffForLongerThanALeaseDoublesNothing(t *testing.T) {
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -34,6 +34,8 @@
 	modelFails   = 3
 	modelWarm    = 300 * time.Millisecond
 	modelHeldUp  = 500 * time.Millisecond
+	modelContact = 5 * time.Second
+	modelCancel  = 5 * time.Second
 	slowest      = 0.98
 	modelStore   = "store"
 	modelControl = "machines"
--- a/pool/worldjudge_test.go
+++ b/pool/worldjudge_test.go
@@ -88,6 +88,37 @@
 	return !last.IsZero() && (planned || time.Since(last) >= modelNotice)
 }
 
+// judgeCancelled looks for tasks that run on although their job was cancelled long before, in calm: also those that a worker
+// started late count, and those whose starter is gone; the lock is held.
+func (w *world) judgeCancelled() {
+	for task, runs := range w.byTask {
+		n, _ := job.ParseName(task)
+		cancelled := w.cancels[n.ID]
+		if cancelled.IsZero() || time.Since(cancelled) < modelCancel+modelStop {
+			continue
+		}
+		for _, x := range runs {
+			if x.to.IsZero() && time.Since(x.from) > modelContact {
+				w.fail("UNASKED %s run=%d goes on at %s since %v, cancelled for %v", task, x.number, x.life.name, time.Since(x.from), time.Since(cancelled))
+			}
+		}
+	}
+}
+
+// startedAfterCancel counts the runs that began after their job's cancel; the lock is held.
+func (w *world) startedAfterCancel() int {
+	count := 0
+	for task, runs := range w.byTask {
+		n, _ := job.ParseName(task)
+		for _, x := range runs {
+			if at := w.cancels[n.ID]; !at.IsZero() && x.from.After(at) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (w *world) judgeUpkeep(wave int64, name, by string) {
 	var down []string
 	for _, m := range w.machines {
