pool: a store that is only slow stops moves for its first slow batches

Cause: no move and no upkeep began while a batch had been on its way for 0.25 s, so none at all while the store was slow, though what an instance comes back as is then learned late but surely. Change: the store counts as failing when a batch takes 2.5 times as long as batches lately did, 0.25 s at the least and 2 s at the most. Figures: new test: with batches of 0.6 s moves are barred in none of the looks once three batches were seen (before in all that came 0.25 s after a batch had left, and for as long as orders left unkept); with no answer in all. A store that takes a second also keeps renewals from being confirmed in time: moves still wait then, which is open.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -139,6 +139,7 @@
 	c.committing, c.inFlight = false, nil
 	took := m.answeredAt.Load().Sub(c.commitSince)
 	c.counts.batch.RecordDuration(took)
+	c.tookBatch(took)
 	for j, v := range m.versions {
 		j.KeptVersion = max(j.KeptVersion, v)
 		c.noteKept(j)
--- a/pool/keeping_test.go
+++ b/pool/keeping_test.go
@@ -229,3 +229,27 @@
 		})
 	})
 }
+
+// TestASlowStoreStopsMovesOnlyAtFirst has batches take 0.6 s, then not end at all.
+func TestASlowStoreStopsMovesOnlyAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newChanging(quicktest.New(t))
+		fails := func(d time.Duration) (share float64) {
+			n, failing := 0, 0
+			for end := time.Now().Add(d); time.Now().Before(end); n++ {
+				x.passFor(10*time.Millisecond, 500)
+				if x.storeFails(time.Now()) {
+					failing++
+				}
+			}
+			return float64(failing) / float64(n)
+		}
+		x.c.Assert(fails(time.Second), quicktest.Equals, 0.0)
+		x.takes = 600 * time.Millisecond
+		fails(2 * time.Second)
+		x.c.Assert(fails(4*time.Second), quicktest.Equals, 0.0, quicktest.Commentf("it is slow, and nothing else"))
+		x.takes = time.Minute
+		fails(2 * time.Second)
+		x.c.Assert(fails(time.Second), quicktest.Equals, 1.0, quicktest.Commentf("it does not answer"))
+	})
+}
--- a/pool/loose.go
+++ b/pool/loose.go
@@ -21,6 +21,16 @@
 	blindSmall = 100
 )
 
+// Figures of a store that fails, as against one that is slow.
+const (
+	// failsAfter is how many times as long as usual a batch takes before the store counts as failing, failsMost the longest that
+	// this may be.
+	failsAfter = 2.5
+	failsMost  = 2 * time.Second
+	// usualRate is the weight of a new batch in how long they usually take.
+	usualRate = 0.4
+)
+
 // blindFor returns how long nothing must have been published for orders to leave without the store.
 func blindFor(instances int) time.Duration {
 	return blindAfter + blindEach*time.Duration(max(0, instances-blindSmall))
@@ -84,10 +94,17 @@
 	}
 }
 
-// storeFails says whether the store has taken nothing for a while. What an instance comes back as after a move or an upkeep
-// is only known from the store, so none of either begins meanwhile.
+// storeFails says whether the store has not answered a batch for much longer than it lately took. What an instance comes back as
+// after a move or an upkeep is only known from the store, so none of either begins meanwhile. A store that is only slow tells
+// it late, but surely: it stops moves for its first slow batches only.
 func (c *session) storeFails(now time.Time) bool {
-	return c.is(modeUnkeptOrders) || c.overdue(now)
+	patience := min(max(slowAfter, time.Duration(failsAfter*float64(c.usualBatch))), failsMost)
+	return c.committing && c.inFlight.answeredAt.Load() == nil && now.Sub(c.commitSince) >= patience
+}
+
+// tookBatch notes how long the store took for a batch.
+func (c *session) tookBatch(took time.Duration) {
+	c.usualBatch += time.Duration(usualRate * float64(took-c.usualBatch))
 }
 
 // mostAskedSince says whether most listed workers were asked something after the time that they have answered.
--- a/pool/session.go
+++ b/pool/session.go
@@ -87,6 +87,7 @@
 	// inFlight is the batch on its way, commitSince when it left.
 	inFlight     *commitEnded
 	commitSince  time.Time
+	usualBatch   time.Duration // what the store lately took for one
 	workersKept  map[string]bool
 	workersDirty bool
 	// fresh is, by partition of the intake, the time before which all that was handed in has been read.
