pool, lead: a leader that is short of processor hands over by its own word

Change: when everything that is posted to the control goroutine has waited for 0.3 s, in every look for 1.2 s, the leader gives up its term; others take it at once, it itself after a second if there is no other. Not within its first 8 s, so that nothing is gained or lost where all are short.

--- a/entry/node.go
+++ b/entry/node.go
@@ -186,7 +186,7 @@
 		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.scheduler.Serve, Seen: n.followLeader,
 		May: func() bool { return n.ingress.Ready() },
 	}
-	n.scheduler.ConfirmedAt, n.scheduler.Lost = n.elector.ConfirmedAt, n.elector.Lost
+	n.scheduler.ConfirmedAt, n.scheduler.Lost, n.scheduler.HandOver = n.elector.ConfirmedAt, n.elector.Lost, n.elector.HandOver
 	n.scheduler.SetLoose, n.scheduler.LooseKept, n.scheduler.SetEarlier = n.elector.SetLoose, n.elector.LooseKept, n.elector.SetEarlier
 	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Wave: n.scheduler.SetWave, Config: func(c *platform.Config) {
--- a/lead/lead.go
+++ b/lead/lead.go
@@ -43,6 +43,8 @@
 	lateMost = time.Second
 	// retakePause keeps an entry that lost the lead from taking it back while workers may still hear both.
 	retakePause = 4 * time.Second
+	// handOverPause is how long an entry that has handed over leaves the lead to others, which take it at once.
+	handOverPause = time.Second
 	// spread keeps candidates from asking all at once. Entries smaller than the largest that ever led leave those like it
 	// sizeDelay, in proportion; before the first term, when there is time, the largest of all get firstDelay.
 	spread     = 80 * time.Millisecond
@@ -90,6 +92,8 @@
 	fence     int64
 	confirmed time.Time
 	resigned  bool
+	// handsOver says that this term is given up, and that others may have the next.
+	handsOver bool
 	// loose is what is to be published, looseKept says that it was; hurry ends the pause before the next renewal.
 	loose, looseKept bool
 	hurry            chan struct{}
@@ -128,6 +132,17 @@
 	}
 }
 
+// HandOver gives up the term with the fence; this entry takes the lead again only if no other has after handOverPause.
+func (e *Elector) HandOver(fence int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lost != nil && e.fence == fence {
+		e.handsOver = true
+		e.notBefore = time.Now().Add(handOverPause)
+		e.lost()
+	}
+}
+
 // Resign gives up the lead for good, before a planned stop.
 func (e *Elector) Resign() {
 	e.mu.Lock()
@@ -382,7 +397,8 @@
 		}
 	}
 	e.mu.Lock()
-	released := e.resigned
+	released := e.resigned || e.handsOver
+	e.handsOver = false
 	e.confirmed = time.Time{}
 	e.mu.Unlock()
 	e.Events.Emit(event.LeadLost, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d resigned=%t", rec.Term, released))
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -198,6 +198,32 @@
 	})
 }
 
+func TestALeaderThatHandsOverIsFollowedAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, c *quicktest.C) {
+		g := newGroup(t, 3)
+		time.Sleep(time.Second)
+		old := g.leader(c)
+		old.HandOver(1) // another term's
+		c.Assert(g.leader(c), quicktest.Equals, old)
+		old.HandOver(g.terms[0].Fence)
+		time.Sleep(400 * time.Millisecond)
+		c.Assert(g.leader(c) == old, quicktest.IsFalse)
+		c.Assert(g.terms, quicktest.HasLen, 2)
+		c.Assert(g.terms[1].Clean, quicktest.IsTrue)
+		next := g.leader(c)
+		next.HandOver(g.terms[1].Fence)
+		time.Sleep(400 * time.Millisecond)
+		c.Assert(g.leader(c) == next, quicktest.IsFalse)
+	})
+	bubble(t, func(t *testing.T, c *quicktest.C) {
+		g := newGroup(t, 1)
+		time.Sleep(time.Second)
+		g.leader(c).HandOver(g.terms[0].Fence)
+		time.Sleep(handOverPause + renewEvery)
+		c.Assert(g.leader(c), quicktest.Equals, g.electors[0], quicktest.Commentf("there is no other"))
+	})
+}
+
 // TestALeaderWithoutTheStoreIsFollowed also checks that two never count as confirmed at a time.
 func TestALeaderWithoutTheStoreIsFollowed(t *testing.T) {
 	bubble(t, func(t *testing.T, c *quicktest.C) {
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -117,6 +117,8 @@
 	// token.
 	ConfirmedAt func() time.Time
 	Lost        func(fence int64)
+	// HandOver gives up the term with the fence, so that another entry leads; never when nil.
+	HandOver func(fence int64)
 	// SetEarlier publishes whether a leader before this one may still give orders, and whether one may have ordered what
 	// it could not keep.
 	SetEarlier func(open, coarse bool)
--- a/pool/session.go
+++ b/pool/session.go
@@ -108,6 +108,7 @@
 	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
 	desk         desk
+	strain       strain
 	surplus      map[string]int // how many instances each pool could spare with the last look at its size
 	turns        upkeep.Turns
 	whole        job.Need // the mean room of an instance
@@ -150,6 +151,8 @@
 		case <-ctx.Done():
 			return
 		case <-c.inbox.signal:
+			now := time.Now()
+			c.handOverIfStrained(c.inbox.waited(now), now)
 			time.Sleep(gather)
 			for _, m := range c.inbox.take() {
 				if ctx.Err() != nil {
