pool: a leader sees that it is short of processor by how long goroutines wait for it

Change: the runtime's histogram of waits is read with each tick; 100 ms for a second, without a look under 50 ms, hands over.

--- a/pool/inbox.go
+++ b/pool/inbox.go
@@ -2,10 +2,7 @@
 
 package pool
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // message is something that the control goroutine takes in.
 type message interface {
@@ -16,7 +13,6 @@
 type inbox struct {
 	mu     sync.Mutex
 	queue  []message
-	oldest time.Time // when the first of the queue was posted
 	signal chan struct{}
 }
 
@@ -24,9 +20,6 @@
 
 func (b *inbox) post(m message) {
 	b.mu.Lock()
-	if len(b.queue) == 0 {
-		b.oldest = time.Now()
-	}
 	b.queue = append(b.queue, m)
 	b.mu.Unlock()
 	select {
@@ -43,13 +36,3 @@
 	b.queue = nil
 	return q
 }
-
-// waited returns how long the oldest message has waited, 0 when there is none.
-func (b *inbox) waited(now time.Time) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.queue) == 0 {
-		return 0
-	}
-	return now.Sub(b.oldest)
-}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -119,6 +119,8 @@
 	Lost        func(fence int64)
 	// HandOver gives up the term with the fence, so that another entry leads; never when nil.
 	HandOver func(fence int64)
+	// Waited returns how long goroutines waited for the processor since it was called last; the runtime's figure when nil.
+	Waited func() time.Duration
 	// SetEarlier publishes whether a leader before this one may still give orders, and whether one may have ordered what
 	// it could not keep.
 	SetEarlier func(open, coarse bool)
--- a/pool/session.go
+++ b/pool/session.go
@@ -151,8 +151,6 @@
 		case <-ctx.Done():
 			return
 		case <-c.inbox.signal:
-			now := time.Now()
-			c.handOverIfStrained(c.inbox.waited(now), now)
 			time.Sleep(gather)
 			for _, m := range c.inbox.take() {
 				if ctx.Err() != nil {
@@ -179,6 +177,7 @@
 	c.settleUnanswered(now)
 	c.loosen(now)
 	c.watchModes(now)
+	c.handOverIfStrained(now)
 	c.emptyLeaving(now)
 	c.runWaves(now)
 	c.sizePools(now)
