--- a/cmd/rackstep/explain.go
+++ b/cmd/rackstep/explain.go
@@ -24,13 +24,9 @@
 	if len(args) < 2 {
 		return cli.Exit("give the job's ID and one log file or more", exitUsage)
 	}
-	var logs [][]event.Line
-	for _, name := range args[1:] {
-		lines, err := readLog(name)
-		if err != nil {
-			return cli.Exit(err, exitUsage)
-		}
-		logs = append(logs, lines)
+	logs, err := readLogs(args[1:])
+	if err != nil {
+		return cli.Exit(err, exitUsage)
 	}
 	story := event.Story(args[0], logs)
 	for _, l := range story {
@@ -42,6 +38,19 @@
 	return nil
 }
 
+// readLogs reads the logs of several entries.
+func readLogs(names []string) ([][]event.Line, error) {
+	var logs [][]event.Line
+	for _, name := range names {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		logs = append(logs, lines)
+	}
+	return logs, nil
+}
+
 func readLog(name string) ([]event.Line, error) {
 	f, err := os.Open(name)
 	if err != nil {
--- a/cmd/rackstep/leads.go
+++ b/cmd/rackstep/leads.go
@@ -22,13 +22,9 @@
 	if c.NArg() == 0 {
 		return cli.Exit("give one log file or more", exitUsage)
 	}
-	var logs [][]event.Line
-	for _, name := range c.Args().Slice() {
-		lines, err := readLog(name)
-		if err != nil {
-			return cli.Exit(err, exitUsage)
-		}
-		logs = append(logs, lines)
+	logs, err := readLogs(c.Args().Slice())
+	if err != nil {
+		return cli.Exit(err, exitUsage)
 	}
 	found := event.Leaders(logs...)
 	if len(found.Leads) == 0 {
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -2,11 +2,14 @@
 
 package pool
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Figures of the calls that change instances.
 const (
-	// deskMost bounds the calls under way at once: as many as the adapter has connections for, so that none waits there and
+	// deskMost bounds the calls under way at once: fewer than the adapter has connections for, so that none waits there and
 	// a call that times out has left.
 	deskMost = 24
 	// deskShare is the part of the machine interface's rate that a leader uses; the rest is for calls of the one before and for
@@ -62,7 +65,7 @@
 // stood still, or a goroutine that waited for the processor, would send it after the next leader has begun. Nothing was done then.
 func (c *session) whileConfirmed(call func() error) error {
 	if !c.confirmed(time.Now()) {
-		return ErrBusy
+		return fmt.Errorf("not asked, the lead was no longer proven at the call: %w", ErrBusy)
 	}
 	return call()
 }
