--- a/event/leads.go
+++ b/event/leads.go
@@ -57,13 +57,8 @@
 // Leaders reads the leaders, their degraded modes and the pauses in their starts from the logs of all entries. Lines of
 // several entries are put together by their clocks.
 func Leaders(logs ...[]Line) Leadership {
-	var lines []Line
-	for _, l := range logs {
-		lines = append(lines, l...)
-	}
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	s := leaderScan{waiting: make(map[string]bool)}
-	for _, l := range lines {
+	for _, l := range inOrder(logs) {
 		s.take(l)
 	}
 	return s.found
--- a/pool/load.go
+++ b/pool/load.go
@@ -255,7 +255,7 @@
 			if c.earlierRead(m.after) {
 				c.restored[j.Spec.ID] = true
 			}
-			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s part=%d offset=%d", describe(j), m.part, r.Offset)
+			c.emit(event.JobRead, event.Subject{Job: j.Spec.ID}, "%s part=%d offset=%d age=%v", describe(j), m.part, r.Offset, now.Sub(j.Spec.Taken.Time()).Round(time.Millisecond))
 			c.learnJob(j)
 			c.openJob(j, now)
 		}
--- a/pool/report.go
+++ b/pool/report.go
@@ -49,13 +49,13 @@
 		return
 	}
 	w.silentSince = now
-	c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "machine=%s runs=%d err=%q", w.Machine, len(w.runs), err)
+	c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "machine=%s runs=%d leased=%v err=%q", w.Machine, len(w.runs), w.leasedFor(now), err)
 }
 
 // report takes in what a worker says of its runs.
 func (c *session) report(w *worker, rep work.Report, now time.Time) {
 	if !w.silentSince.IsZero() {
-		c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "answers again after %v", now.Sub(w.silentSince).Round(time.Millisecond))
+		c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "answers again after %v runs=%d leased=%v", now.Sub(w.silentSince).Round(time.Millisecond), len(w.runs), w.leasedFor(now))
 		w.silentSince = time.Time{}
 		c.dirtyPool(w.Pool)
 	}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -118,6 +118,11 @@
 	return w.lease.Until()
 }
 
+// leasedFor returns for how long something may still be leased there; 0 once nothing can be.
+func (w *worker) leasedFor(now time.Time) time.Duration {
+	return max(w.leasedUntil().Sub(now), 0).Round(time.Millisecond)
+}
+
 // ack lets the worker forget ends up to n.
 func (w *worker) ack(n int64) {
 	if n <= w.acked.Load() {
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -267,6 +267,7 @@
 	c.countRaised(now)
 	c.tellOfEarlier(now)
 	silent := false
+	workers, runs := 0, 0
 	for _, w := range c.workers {
 		if w.lost != "" && c.confirmed(now) {
 			c.lose(w, w.lost)
@@ -276,10 +277,14 @@
 			continue
 		}
 		silent = silent || now.Sub(w.silentSince) > silentAfter
+		workers++
+		runs += len(w.runs)
 		if c.confirmed(now) && c.leaseOver(w, now) {
 			c.endLease(w)
 		}
 	}
+	c.counts.silent.Update(float64(workers))
+	c.counts.doubted.Update(float64(runs))
 	if len(c.unheard) > 0 && c.doubtOver(now) {
 		clear(c.unheard)
 		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over")
