--- a/pool/workers.go
+++ b/pool/workers.go
@@ -202,15 +202,17 @@
 // hold extends the leases on one worker and brings what it reports, until the context ends.
 func (c *session) hold(ctx context.Context, w *worker, row *work.Worker) {
 	pause := retryFirst
-	first := true
+	first, silent := true, false
 	for ctx.Err() == nil {
 		now := time.Now()
 		o := work.Hold{Fence: c.term.Fence, Acked: w.acked.Load(), Wait: holdWait}
-		if c.mayOrder(now) {
+		// A hold without an answer may have been carried out, or may still be: its deadline counts as a lease that goes on.
+		// So a worker that was silent is asked without one until it answers, or its lease would last as long as its silence.
+		if !silent && c.mayOrder(now) {
 			o.Deadline = w.deadline(c.Bounds().Lease, now)
 		}
 		switch {
-		case first:
+		case first || silent:
 			o.Wait = 0
 		case now.Sub(c.ConfirmedAt()) > unsureAfter:
 			o.Wait = unsureWait
@@ -231,6 +233,7 @@
 			w.read(rep.Clock)
 		}
 		c.post(holdEnded{worker: w, asked: now, wait: o.Wait, report: rep, err: err})
+		silent = err != nil
 		if err != nil || rep.Refusal != work.Done {
 			sleep(ctx, pause)
 			pause = min(2*pause, retryMost)
