--- a/pool/size.go
+++ b/pool/size.go
@@ -59,12 +59,6 @@
 		rows[pools[i].Name] = &pools[i]
 	}
 	c.countLoads()
-	byMachine := make(map[string]*worker, len(c.workers))
-	for _, w := range c.workers {
-		if w.listed {
-			byMachine[w.Machine] = w
-		}
-	}
 	var instances []upkeep.Instance
 	for name, m := range c.machines {
 		if c.inWave(name) {
@@ -74,16 +68,18 @@
 		if s := c.moves[name]; s != nil {
 			x.Pool = s.to
 		}
-		w := byMachine[name]
-		if w != nil && !w.out && (w.Leaving || !w.silentSince.IsZero()) {
+		w := c.lifeOf(name)
+		switch {
+		case w != nil && !w.out && (w.Leaving || !w.silentSince.IsZero()):
 			continue // it is of no use to anybody
-		}
-		if w != nil {
+		case w != nil:
 			x.Runs = len(w.runs)
-			x.Fixed = x.Fixed || !w.heard
+			x.Fixed = x.Fixed || !w.heard || !w.listed
 			x.Lasting = w.room.Serving + w.room.Filling
-		} else if p := c.config.Pools[x.Pool]; !p.Headroom {
-			x.Fixed = true // it has no life that is known yet
+		case !c.config.Pools[x.Pool].Headroom && c.moves[name] == nil && m.State != MachineMoving:
+			// It is down, or cut off for longer than its lease and its entry in the list. While such instances counted, a pool whose
+			// tasks all waited for a cut to end got none in their place.
+			continue
 		}
 		instances = append(instances, x)
 		if row := rows[x.Pool]; row != nil {
