--- a/place/tasks.go
+++ b/place/tasks.go
@@ -29,11 +29,8 @@
 	Priority   int
 	// Lasting groups come first: they serve users all the time.
 	Lasting bool
-	// Slack is what is left before the job can't be on time any more, as far as estimates tell.
-	Slack time.Duration
-	// Density is what the job earns for each core-second that it still needs.
-	Density float64
-	// Ranked is when Slack and Density were worked out.
+	// Outlook is as of Ranked.
+	Outlook
 	Ranked time.Time
 	// Since is when the job was handed in.
 	Since time.Time
--- a/place/tasks_test.go
+++ b/place/tasks_test.go
@@ -22,7 +22,7 @@
 
 func groupOf(id string, s job.Step) *Group {
 	j := job.New(&job.Spec{ID: id, Steps: []job.Step{s}}, time.Time{})
-	g := &Group{Job: j, Lasting: s.Lasting, OnWorker: map[string]int{}, Racks: map[string]int{}, Slack: time.Second, Density: 1}
+	g := &Group{Job: j, Lasting: s.Lasting, OnWorker: map[string]int{}, Racks: map[string]int{}, Outlook: Outlook{Slack: time.Second, Density: 1}}
 	for i := range j.Tasks {
 		g.Tasks = append(g.Tasks, &j.Tasks[i])
 	}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -80,8 +80,10 @@
 	}
 	whole, left, work := c.chains(j, g.Time, q.Name)
 	due := from.Add(time.Duration(q.Stretch*float64(whole)) + q.Target)
-	g.Slack = due.Sub(now) - left
-	g.Density = earns(c.jobWork(j, q.Name)/max(c.learned(q.Name).work, minWork)) / max(work, minWork)
+	g.Outlook = place.Outlook{
+		Slack:   due.Sub(now) - left,
+		Density: earns(c.jobWork(j, q.Name)/max(c.learned(q.Name).work, minWork)) / max(work, minWork),
+	}
 }
 
 // rankFor is how long a group's rank is good for.
