--- a/intake/writer.go
+++ b/intake/writer.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,8 +65,29 @@
 	if !w.admit(e) {
 		return 0, 0, fmt.Errorf("%w: the store fails", ErrRefused)
 	}
-	o := <-e.done
-	return o.end, o.tries, o.err
+	select {
+	case o := <-e.done:
+		return o.end, o.tries, o.err
+	case <-ctx.Done():
+		return w.leave(e)
+	}
+}
+
+// leave answers for a record whose client's time is over: a batch is tried for as long as the latest of its clients waits, and
+// the others would hear nothing. A client that hears nothing doesn't come again.
+func (w *Writer) leave(e *entry) (end int64, tries int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case o := <-e.done:
+		return o.end, o.tries, o.err
+	default:
+	}
+	if i := slices.Index(w.waiting, e); i >= 0 {
+		w.waiting = slices.Delete(w.waiting, i, i+1)
+		return 0, 0, fmt.Errorf("%w: the store takes too long", ErrRefused)
+	}
+	return 0, e.tries, fmt.Errorf("%w: the store takes too long", ErrInDoubt)
 }
 
 func (w *Writer) admit(e *entry) bool {
@@ -98,6 +120,9 @@
 	batch := append(again, w.waiting[:n]...)
 	w.waiting = w.waiting[n:]
 	w.busy = len(batch) > 0
+	for _, e := range batch {
+		e.tries++
+	}
 	return batch
 }
 
@@ -112,7 +137,6 @@
 	latest := time.Time{}
 	for i, e := range batch {
 		records[i] = e.record
-		e.tries++
 		if d, ok := e.ctx.Deadline(); ok && d.After(latest) {
 			latest = d
 		}
--- a/intake/writer_test.go
+++ b/intake/writer_test.go
@@ -116,3 +116,21 @@
 		c.Assert(err, quicktest.IsNil)
 	})
 }
+
+func TestEachClientIsAnsweredInItsOwnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, _ := storeOf(time.Hour, always(nil))
+		var all sync.WaitGroup
+		for i := range 20 { // each waits for three seconds, from a time of its own
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 250 * time.Millisecond)
+				_, took, err := write(w, fmt.Sprint(i))
+				c.Check(errors.Is(err, ErrInDoubt) || errors.Is(err, ErrRefused), quicktest.IsTrue)
+				c.Check(took <= 3*time.Second, quicktest.IsTrue, quicktest.Commentf("client %d: %v", i, took))
+			})
+		}
+		all.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
