--- a/intake/writer.go
+++ b/intake/writer.go
@@ -117,6 +117,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := min(len(w.waiting), batchMost-len(again))
+	if w.silent {
+		n = min(n, max(1-len(again), 0)) // one tries for all: what is sent to a silent store is in doubt, and can't be refused any more
+	}
 	batch := append(again, w.waiting[:n]...)
 	w.waiting = w.waiting[n:]
 	w.busy = len(batch) > 0
@@ -160,6 +163,9 @@
 func (w *Writer) settle(batch []*entry, err error) []*entry {
 	silent := errors.Is(err, feed.ErrUncertain)
 	w.mu.Lock()
+	if silent && w.silent {
+		w.refuseWaiting(err)
+	}
 	w.silent, w.failing = silent, err != nil
 	w.mu.Unlock()
 	if err == nil {
@@ -184,6 +190,15 @@
 	return again
 }
 
+// refuseWaiting answers what has not been sent once a second append in a row had no answer; after one alone it may be the connection
+// that is silent.
+func (w *Writer) refuseWaiting(err error) {
+	for _, e := range w.waiting {
+		e.done <- outcome{err: fmt.Errorf("%w: %w", ErrRefused, err)}
+	}
+	w.waiting = nil
+}
+
 // over says whether there is no use in trying again after the pause.
 func (e *entry) over(pause time.Duration) bool {
 	if d, ok := e.ctx.Deadline(); e.ctx.Err() != nil || (ok && time.Until(d) < pause) {
--- a/intake/writer_test.go
+++ b/intake/writer_test.go
@@ -134,3 +134,44 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// What waits behind an append that falls silent has not been sent: it is refused once the next one is silent too, so that its client
+// comes again, instead of being sent to the silent store and then in doubt.
+func TestWhatWaitsBehindASilentAppendIsRefusedUnsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		w, _ := storeOf(time.Hour, always(nil))
+		go func() { _, _, _ = write(w, "first") }() // it ends in doubt, which is not what is checked here
+		time.Sleep(500 * time.Millisecond)
+		tries, took, err := write(w, "second")
+		c.Check(errors.Is(err, ErrRefused), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		c.Check(tries, quicktest.Equals, 0)
+		c.Check(took <= writeTimeout+silentPause+probeTimeout-500*time.Millisecond, quicktest.IsTrue)
+		time.Sleep(10 * time.Second)
+	})
+}
+
+func TestWhatWaitsBehindASilentConnectionIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		appends := 0
+		w := &Writer{Topic: feed.Topic{Append: func(ctx context.Context, b feed.Batch) (int64, error) {
+			appends++
+			if appends == 1 {
+				time.Sleep(time.Second)
+				return 0, feed.ErrUncertain // its connection has ended
+			}
+			return int64(appends), nil
+		}}}
+		var all sync.WaitGroup
+		for i := range 10 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+				_, took, err := write(w, fmt.Sprint(i))
+				c.Check(err, quicktest.IsNil)
+				c.Check(took <= 1300*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+			})
+		}
+		all.Wait()
+	})
+}
