--- /dev/null
+++ b/pool/foreign_test.go
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+
+//go:build !race
+
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/feed"
+)
+
+// Entries of the list of workers turn bad for some seconds under load, with a takeover meanwhile: a tenth of them, and all of a
+// pool. What runs goes on, nothing is lost or doubled, and lasting tasks stay at work.
+func TestEntriesThatTurnBadEndNothing(t *testing.T) {
+	for name, spoils := range map[string]func(l *life) bool{
+		"a tenth": func(l *life) bool { return l.machine.name == "m03" },
+		"a pool":  func(l *life) bool { return l.pool == "p0" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, takeover := range [...]bool{false, true} {
+				_, wrong := play(t, 11, func(h *history) { h.spoil(spoils, takeover) })
+				quicktest.New(t).Check(wrong, quicktest.HasLen, 0, quicktest.Commentf("takeover=%t", takeover))
+			}
+		})
+	}
+}
+
+// spoil has entries written badly for some seconds while jobs come.
+func (h *history) spoil(spoils func(l *life) bool, takeover bool) {
+	h.submit(true, 3)
+	h.submit(true, 3)
+	h.load(2*time.Second, 100*time.Millisecond)
+	lasting := h.lastingRuns()
+	h.mu.Lock()
+	h.spoils = spoils
+	h.topic("servers").add(feed.KeyedRecord{Key: "stranger", Value: []byte("\x00{")}, feed.KeyedRecord{Key: "else", Value: []byte(`{"machine":"m99","pool":"elsewhere","zone":"z0"}`)})
+	h.mu.Unlock()
+	h.load(3*time.Second, 100*time.Millisecond)
+	if takeover {
+		e := h.leader()
+		h.kill(e)
+		h.restart(e)
+	}
+	h.load(4*time.Second, 100*time.Millisecond)
+	h.mu.Lock()
+	h.spoils = nil
+	h.mu.Unlock()
+	h.c.Check(h.lastingRuns(), quicktest.DeepEquals, lasting)
+	h.settle()
+}
+
+// lastingRuns names the latest run of each lasting task.
+func (h *history) lastingRuns() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for id := 1; id <= h.jobs; id++ {
+		s := h.asked[fmt.Sprintf("%016x", id)]
+		for i := range s.Steps[0].Count {
+			task := fmt.Sprintf("%s.0.0.%d", s.ID, i)
+			if runs := h.byTask[task]; s.Steps[0].Lasting && len(runs) > 0 {
+				out = append(out, fmt.Sprint(task, " ", runs[len(runs)-1].number))
+			}
+		}
+	}
+	return out
+}
--- a/pool/session.go
+++ b/pool/session.go
@@ -41,6 +41,8 @@
 	// lives are the same by instance; heard counts those that have answered this leader.
 	lives map[string][]*worker
 	heard int
+	// foreign are the entries of the list of workers that name no worker to use.
+	foreign foreign
 	// over are the lives that have ended.
 	over map[string]bool
 	// dirty are the jobs with changes that are not kept.
@@ -213,6 +215,7 @@
 
 func (m catalogChanged) apply(c *session) {
 	c.config = m.catalog
+	c.readForeign()
 	for _, p := range c.pools {
 		clear(p.open)
 	}
--- a/pool/size.go
+++ b/pool/size.go
@@ -70,7 +70,7 @@
 		}
 		w := c.lifeOf(name)
 		switch {
-		case w != nil && !w.out && (w.Leaving || !w.silentSince.IsZero()):
+		case w != nil && !w.out && (w.Leaving || w.misread || !w.silentSince.IsZero()):
 			continue // it is of no use to anybody
 		case w != nil:
 			x.Runs = len(w.runs)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -25,6 +25,8 @@
 	strays map[int64]time.Time
 	// listed says that the platform lists the life; one that is no longer listed gets no starts.
 	listed bool
+	// misread says that its entry in the list can't be read: it gets no starts, and what runs there goes on.
+	misread bool
 	// sure says that it was listed when the store last confirmed the lead.
 	sure bool
 	// heard says that it answered this leader, so that no order of an earlier one can land there.
@@ -137,7 +139,7 @@
 
 // usable says whether the worker may get starts.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.lost == "" && w.heard && !w.Leaving && !w.out && w.silentSince.IsZero() && !now.Before(w.restUntil)
+	return w.listed && !w.misread && w.lost == "" && w.heard && !w.Leaving && !w.out && w.silentSince.IsZero() && !now.Before(w.restUntil)
 }
 
 // empty says whether nothing runs there by its own word.
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -103,16 +103,18 @@
 func (c *session) listWorker(life string, value []byte) *worker {
 	w := c.workers[life]
 	if len(value) == 0 {
+		c.foreign.drop(life)
 		if w != nil && w.listed {
 			c.unlist(w)
 		}
 		return nil
 	}
-	row, err := c.ParseWorker(life, value)
+	row, err := c.readEntry(life, value, w)
 	if err != nil {
-		c.emit(event.RecordRefused, event.Subject{Instance: life}, "list of workers: %v", err)
+		c.misread(life, value, w, err)
 		return nil
 	}
+	c.readAgain(life, w)
 	if w == nil {
 		if c.over[life] {
 			return nil // its record is older than the proof that it has ended
@@ -286,6 +288,7 @@
 			c.endLease(w)
 		}
 	}
+	c.counts.misread.Update(float64(len(c.foreign.entries)))
 	c.counts.silent.Update(float64(workers))
 	c.counts.doubted.Update(float64(runs))
 	if len(c.unheard) > 0 && c.doubtOver(now) {
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -66,6 +66,8 @@
 	// storeDown ends an outage of the store; storeLoses is the share of its answers that are lost.
 	storeDown  time.Time
 	storeLoses float64
+	// spoils says whether the next entry of a life in the list is cut short; none is when nil.
+	spoils func(l *life) bool
 	// longest is what a task takes at the most, beyond 200 ms.
 	longest time.Duration
 	// lateShare is the share of orders that workers carry out late and do not answer.
@@ -185,6 +187,9 @@
 			case now.Before(w.storeDown):
 			case !l.dead && !closed && (!l.listed || now.Sub(l.beatAt) >= modelBeat):
 				b, _ := json.Marshal(map[string]string{"machine": l.machine.name, "pool": l.pool, "zone": l.machine.zone})
+				if w.spoils != nil && w.spoils(l) {
+					b = b[:len(b)/2]
+				}
 				l.listed, l.beatAt = true, now
 				w.topic("servers").add(feed.KeyedRecord{Key: l.name, Value: b})
 			case l.listed && now.Sub(l.beatAt) > 3*modelBeat:
