--- a/event/losses.go
+++ b/event/losses.go
@@ -55,7 +55,7 @@
 //
 // A step's time is that of its last task: what others waited for beside it cost the job nothing.
 func Losses(every time.Duration, logs ...[]Line) []Loss {
-	s := lossScan{jobs: make(map[string]*lossJob), runs: make(map[string][]lossRun), silent: make(map[string][]span)}
+	s := lossScan{jobs: make(map[string]*lossJob), runs: make(map[string][]lossRun), silent: make(map[string][]span), open: make(map[string]map[string]bool)}
 	for _, l := range inOrder(logs) {
 		s.take(l)
 	}
@@ -96,6 +96,8 @@
 	jobs   map[string]*lossJob
 	runs   map[string][]lossRun
 	silent map[string][]span
+	// open are the tasks of each life's runs whose end was not read yet.
+	open map[string]map[string]bool
 }
 
 func (s *lossScan) job(id string) *lossJob {
@@ -116,11 +118,13 @@
 	case JobEnded:
 		s.job(l.Job).ended = l.Time
 	case RunOrdered:
-		s.runs[l.Job] = append(s.runs[l.Job], lossRun{span: span{from: l.Time}, life: l.Instance})
+		s.startRun(l)
 	case RunEnded:
 		s.endRun(l)
 	case WorkerSilent:
 		s.silence(l)
+	case WorkerLost:
+		s.lose(l)
 	}
 }
 
@@ -157,7 +161,16 @@
 	}
 }
 
+func (s *lossScan) startRun(l Line) {
+	s.runs[l.Job] = append(s.runs[l.Job], lossRun{span: span{from: l.Time}, life: l.Instance})
+	if s.open[l.Instance] == nil {
+		s.open[l.Instance] = make(map[string]bool)
+	}
+	s.open[l.Instance][l.Job] = true
+}
+
 func (s *lossScan) endRun(l Line) {
+	delete(s.open[l.Instance], l.Job)
 	runs := s.runs[l.Job]
 	if len(runs) == 0 {
 		return
@@ -167,6 +180,17 @@
 	}
 }
 
+// lose ends the runs of a worker whose life or lease has ended.
+func (s *lossScan) lose(l Line) {
+	for task := range s.open[l.Instance] {
+		runs := s.runs[task]
+		if r := &runs[len(runs)-1]; r.life == l.Instance && r.to.IsZero() {
+			r.to = l.Time
+		}
+	}
+	delete(s.open, l.Instance)
+}
+
 // silence notes since when a worker is silent, or that it answers again.
 func (s *lossScan) silence(l Line) {
 	spans := s.silent[l.Instance]
--- a/event/losses_test.go
+++ b/event/losses_test.go
@@ -56,6 +56,23 @@
 	}
 }
 
+func TestARunOnAWorkerThatIsLostEndsWithIt(t *testing.T) {
+	c := quicktest.New(t)
+	lines := readLines(c, "e1",
+		`01.000 event=814 name=job-read job=00000000000000a1 text="queue=q tasks=1 step=1x1000m/1MB/500ms part=0 offset=1"`,
+		`01.100 event=820 name=run-ordered instance=i1 job=00000000000000a1.0.0.0 text="run=1"`,
+		`01.500 event=831 name=worker-silent instance=i1 text="machine=m runs=1"`,
+		`04.500 event=832 name=worker-lost instance=i1 text="its lease is over runs=1"`,
+		`04.600 event=820 name=run-ordered instance=i2 job=00000000000000a1.0.0.0 text="run=2"`,
+		`05.600 event=823 name=run-ended instance=i2 job=00000000000000a1.0.0.0 text="run=2 how=succeeded n=1"`,
+		`05.700 event=815 name=job-ended job=00000000000000a1 text="state=succeeded"`,
+	)
+	rows := Losses(time.Minute, lines)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	c.Assert(rows, quicktest.HasLen, 1)
+	c.Assert(rows[0].Means, quicktest.DeepEquals, [owners]time.Duration{ForRoom: ms(100), Wasted: ms(400), Doubted: ms(3000), ForAnother: ms(100), AtWork: ms(1000), Untold: ms(100)})
+}
+
 // Whatever lines are lost, come twice or out of order, a job's owners add up to its time.
 func TestOwnersAddUpToAJobsTime(t *testing.T) {
 	c := quicktest.New(t)
