--- a/pool/silent_test.go
+++ b/pool/silent_test.go
@@ -16,14 +16,14 @@
 //
 //  1. In the queue's turn a data centre without the leader was cut off, its links dropping what they carried, for seven seconds.
 //  2. A quarter of the workers fell silent, each with some tasks; of a job's two steps of eight tasks nearly always one was there.
-//  3. Leases last three seconds, so that these tasks were free to start elsewhere four seconds before the cut ended. None did.
+//  3. These tasks were to start elsewhere once their lease was over. None ever did, however long the cut.
 //
 // The cause: a hold to a worker that does not answer brought a new deadline each time it was tried again. Nobody knows of an
 // unanswered call whether it was carried out, so the leader had to count each as a lease that may go on, and the lease was
 // never over while the cut lasted.
 //
-// The evidence: 85 workers silent for up to seven seconds, "its lease is over" nowhere in the logs of the day, and 4.3 s of a
-// job's 9.6 spent on silent workers, 0.15 s waiting for room.
+// The evidence: 85 workers silent for up to seven seconds, "its lease is over" nowhere in the logs of the day, 4.3 s of a job's 9.6
+// spent on silent workers, 0.15 s waiting for room; and this test, in whose cut of 40 s no lease ended.
 func TestTasksOnSilentWorkersStartElsewhereOnceTheirLeaseIsOver(t *testing.T) {
 	for _, resets := range []bool{false, true} {
 		t.Run(fmt.Sprintf("resets=%t", resets), func(t *testing.T) { silentZone(t, resets) })
@@ -68,3 +68,48 @@
 	}
 	return n
 }
+
+// The story goes on: leases were as long as workers allow, ten seconds, and aims are three to eight. So a cut of seven seconds cost each job
+// with a task there its whole length although only the lasting tasks need long leases, which hold through the loss of a leader.
+//
+// The evidence: 4.25 s of a job's 9.6 on silent workers with the lease that was, and with leases of three seconds on the same day
+// 0.728 instead of 0.556 of what the kind of job was owed.
+func TestShortTasksOfASilentZoneStartElsewhereSoon(t *testing.T) {
+	for _, x := range [...]struct {
+		name     string
+		takeover bool
+		within   time.Duration
+	}{
+		{"one leader", false, 5900 * time.Millisecond},
+		{"a takeover in the cut", true, 10500 * time.Millisecond},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			_, wrong := play(t, 4711, func(h *history) {
+				h.longest = 300 * time.Millisecond
+				var zone string
+				for _, e := range h.entries {
+					if e != h.leader() {
+						zone = h.zoneOf(e)
+					}
+				}
+				for range 6 {
+					h.submit(false, 5)
+				}
+				time.Sleep(60 * time.Millisecond)
+				h.c.Assert(h.runningIn(zone) > 0, quicktest.IsTrue)
+				h.cutZone(zone, 40*time.Second, false)
+				cut := time.Now()
+				if x.takeover {
+					time.Sleep(time.Second)
+					e := h.leader()
+					h.kill(e)
+					h.restart(e)
+				}
+				time.Sleep(time.Until(cut.Add(x.within)))
+				h.c.Check(h.unfinished(), quicktest.HasLen, 0)
+				h.settle()
+			})
+			quicktest.New(t).Check(wrong, quicktest.HasLen, 0)
+		})
+	}
+}
