--- a/pool/silent_test.go
+++ b/pool/silent_test.go
@@ -101,9 +101,9 @@
 				cut := time.Now()
 				if x.takeover {
 					time.Sleep(time.Second)
-					e := h.leader()
-					h.kill(e)
-					h.restart(e)
+					dead := h.leader()
+					h.kill(dead)
+					defer h.restart(dead)
 				}
 				time.Sleep(time.Until(cut.Add(x.within)))
 				h.c.Check(h.unfinished(), quicktest.HasLen, 0)
