--- a/pool/commit.go
+++ b/pool/commit.go
@@ -26,6 +26,7 @@
 type commitEnded struct {
 	versions map[*job.Job]int64
 	workers  []keptWorker
+	long     []string      // the lives that may have long leases
 	waves    map[int64]int // the versions of what is kept of them
 	starts   []plannedStart
 	// answeredAt is when the store had taken the batch, nil before; the call's goroutine sets it.
@@ -37,12 +38,13 @@
 	if c.committing {
 		return
 	}
-	if c.dirty.empty() && len(c.gone) == 0 && !c.workersDirty && !c.wavesDirty() {
+	if c.dirty.empty() && len(c.gone) == 0 && !c.workersDirty && !c.longDirty && !c.wavesDirty() {
 		return
 	}
 	done := &commitEnded{versions: make(map[*job.Job]int64), waves: make(map[int64]int)}
 	var records []feed.KeyedRecord
 	records = c.keepWorkers(done, records)
+	records = c.keepLong(done, records)
 	records = c.keepWaves(done, records)
 	records = c.keepLessons(time.Now(), records)
 	for _, id := range c.gone {
@@ -158,6 +160,7 @@
 		c.workersKept[k.Life] = true
 		c.dirtyPool(k.Pool)
 	}
+	c.longKept(m.long)
 	c.held = append(c.held, m.starts...)
 	c.sendHeld(time.Now())
 	for n, version := range m.waves {
--- a/pool/load.go
+++ b/pool/load.go
@@ -28,6 +28,7 @@
 	// instancesKey holds how many instances the leader last counted "most" of, see session.instances.
 	instancesKey = "instances"
 	lessonsKey   = "lessons"
+	longKey      = "long"
 )
 
 // JobKey and CancelKey return the intake's keys of a job.
@@ -113,7 +114,7 @@
 		}
 		t := &j.Tasks[r.Ordinal]
 		t.Phase, t.Run, t.Worker, t.Since = job.Starting, r.Run, r.Life, time.Now()
-		w.add(t, &run{number: r.Run, earlier: true, pace: fullPercent})
+		c.addRun(w, t, &run{number: r.Run, earlier: true, pace: fullPercent})
 	}
 }
 
@@ -135,6 +136,7 @@
 	clear(c.jobs)
 	kept := make(map[string]job.Kept)
 	var earlier []keptWorker
+	var long keptLong
 	for _, r := range state.Records {
 		switch {
 		case strings.HasPrefix(r.Key, stateKey):
@@ -150,6 +152,8 @@
 			c.restoreWave(r)
 		case r.Key == lessonsKey:
 			c.restoreLessons(r, now)
+		case r.Key == longKey:
+			c.read(r, &long)
 		}
 	}
 	c.coarse = c.term.Coarse
@@ -173,6 +177,7 @@
 		c.unheard[k.Life] = w
 		c.workersKept[k.Life] = true
 	}
+	c.restoreLong(long)
 	for i, page := range intakes {
 		for _, r := range page.Records {
 			c.readIntake(i, r, now)
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -36,7 +36,7 @@
 	r := &run{number: number, sentAt: now, pace: fullPercent, ticket: ticket}
 	t.Phase, t.Run, t.Worker, t.Since = job.Starting, number, w.Life, now
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
-	w.add(t, r)
+	c.addRun(w, t, r)
 	t.Job.Version++
 	c.dirty.add(t.Job)
 	c.planned = append(c.planned, plannedStart{worker: w, task: t, run: r})
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -166,7 +166,7 @@
 	return c.raised.Add(provedFor), true
 }
 
-// doubtOver says whether all that the earlier leader can have leased has ended.
+// doubtOver says whether all that the earlier leader can have leased on any worker has ended.
 func (c *session) doubtOver(now time.Time) bool {
 	stopped, known := c.stoppedBy()
 	return known && now.After(stopped.Add(work.Longest(c.Bounds().Lease)+doubtSlack))
--- a/pool/report.go
+++ b/pool/report.go
@@ -90,7 +90,9 @@
 	}
 	w.heard = true
 	c.heard++
-	w.bound(now.Add(work.Longest(c.Bounds().Lease))) // an earlier leader may have leased it for as long just before
+	if stopped, known := c.stoppedBy(); !known || !w.since.After(stopped) {
+		w.bound(now.Add(work.Longest(c.leasedBefore(w)))) // an earlier leader may have leased it for as long just before
+	}
 	c.countRaised(now)
 	c.endOtherLives(w)
 	c.dirtyPool(w.Pool) // also for earlier jobs that waited for it
@@ -186,7 +188,7 @@
 	t.Job.Began = true
 	t.Job.Version++
 	c.dirty.add(t.Job)
-	w.add(t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true})
+	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true})
 	if row.Run>>runBits < c.term.Number {
 		c.beCoarse("a worker runs what was not kept")
 	}
--- a/pool/session.go
+++ b/pool/session.go
@@ -94,6 +94,7 @@
 	usualBatch   time.Duration // what the store lately took for one
 	workersKept  map[string]bool
 	workersDirty bool
+	longDirty    bool // the record of long leases has changed
 	// fresh is, by partition of the intake, the time before which all that was handed in has been read.
 	fresh      []time.Time
 	intakeEnd  []int64
--- a/pool/session_test.go
+++ b/pool/session_test.go
@@ -28,7 +28,8 @@
 func newBench(c *quicktest.C, jobs []*job.Job, lives ...string) *bench {
 	s := &Scheduler{
 		Entry: "e", Intake: make([]feed.Topic, 1), Events: &event.Ring{},
-		Lost: func(int64) {}, SetLoose: func(bool) {}, SetEarlier: func(bool, bool) {}, LooseKept: func() bool { return false }, ConfirmedAt: time.Now,
+		State: feed.Topic{Append: func(context.Context, feed.Batch) (int64, error) { return 1, nil }},
+		Lost:  func(int64) {}, SetLoose: func(bool) {}, SetEarlier: func(bool, bool) {}, LooseKept: func() bool { return false }, ConfirmedAt: time.Now,
 		ParseWorker: func(life string, _ []byte) (work.Worker, error) {
 			return work.Worker{Life: life, Machine: "m-" + life, Pool: "p", Room: job.Need{MilliCPU: 4000, MemoryMB: 4000}}, nil
 		},
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -25,6 +25,8 @@
 	strays map[int64]time.Time
 	// listed says that the platform lists the life; one that is no longer listed gets no starts.
 	listed bool
+	// long says that it has or had lasting tasks, longBefore that it may have had some under an earlier leader.
+	long, longBefore bool
 	// misread says that its entry in the list can't be read: it gets no starts, and what runs there goes on.
 	misread bool
 	// sure says that it was listed when the store last confirmed the lead.
@@ -62,6 +64,8 @@
 	signal chan struct{}
 	// mixed says that filling tasks run beside serving ones, whose figures must be read often.
 	mixed atomic.Bool
+	// mayLong says that long leases may be given: the next leader would know.
+	mayLong atomic.Bool
 
 	mu    sync.Mutex
 	lease work.Lease
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -211,7 +211,7 @@
 		// A hold without an answer may have been carried out, or may still be: its deadline counts as a lease that goes on.
 		// So a worker that was silent is asked without one until it answers, or its lease would last as long as its silence.
 		if !silent && c.mayOrder(now) {
-			o.Deadline = w.deadline(c.Bounds().Lease, now)
+			o.Deadline = w.deadline(c.leaseOf(w), now)
 		}
 		switch {
 		case first || silent:
@@ -220,6 +220,8 @@
 			o.Wait = unsureWait
 		case w.mixed.Load():
 			o.Wait = pacedWait
+		case !w.mayLong.Load():
+			o.Wait = briefWait
 		}
 		timeout := o.Wait + holdTimeout
 		if first {
@@ -291,11 +293,7 @@
 	c.counts.misread.Update(float64(len(c.foreign.entries)))
 	c.counts.silent.Update(float64(workers))
 	c.counts.doubted.Update(float64(runs))
-	if len(c.unheard) > 0 && c.doubtOver(now) {
-		clear(c.unheard)
-		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over")
-		c.dirtyAll()
-	}
+	c.endDoubts(now)
 	if !c.machinesAsk && (now.Sub(c.machinesAt) > lookEvery || ((silent || c.waving()) && now.Sub(c.machinesAt) > askMachinesEvery)) {
 		c.askMachines()
 	}
@@ -316,7 +314,22 @@
 	if now.Before(w.leasedUntil()) {
 		return false
 	}
-	return w.heard || c.doubtOver(now)
+	return w.heard || c.doubtOverOn(w, now)
+}
+
+// endDoubts lets those workers go that have not answered and on which the last lease of the earlier leader is over.
+func (c *session) endDoubts(now time.Time) {
+	ended := 0
+	for life, w := range c.unheard {
+		if c.doubtOverOn(w, now) {
+			delete(c.unheard, life)
+			ended++
+		}
+	}
+	if ended > 0 {
+		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over on %d workers", ended)
+		c.dirtyAll()
+	}
 }
 
 // endLease gives up the runs of a worker whose lease is over; one that is not listed either is forgotten.
