--- a/place/tasks.go
+++ b/place/tasks.go
@@ -52,6 +52,8 @@
 	Room *Room
 	// Ticket lets the worker run the step, where one is needed.
 	Ticket string
+	// Slack is what its job had left to be on time, as far as estimates tell.
+	Slack time.Duration
 }
 
 // Order sorts groups by what comes first.
@@ -122,7 +124,7 @@
 			free.drop(r)
 			take(g, r)
 			free.put(r)
-			out = append(out, Choice{Task: t, Room: r, Ticket: g.Tickets[r.Worker.Life]})
+			out = append(out, Choice{Task: t, Room: r, Ticket: g.Tickets[r.Worker.Life], Slack: g.Slack})
 		}
 		if step.Gang && len(out)-before < len(g.Tasks) {
 			for _, c := range out[before:] {
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -32,9 +32,8 @@
 }
 
 // start plans a run of the task. Its order leaves once the run is kept, so that the next leader knows where it may be.
-func (c *session) start(w *worker, t *job.Task, number int64, ticket string, now time.Time) {
-	r := &run{number: number, sentAt: now, pace: fullPercent, ticket: ticket}
-	t.Phase, t.Run, t.Worker, t.Since = job.Starting, number, w.Life, now
+func (c *session) start(w *worker, t *job.Task, r *run, now time.Time) {
+	t.Phase, t.Run, t.Worker, t.Since = job.Starting, r.number, w.Life, now
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
 	c.addRun(w, t, r)
 	t.Job.Version++
@@ -78,7 +77,7 @@
 		Task: t.Name(), Run: r.number, Text: t.Job.Spec.Text, Deadline: r.deadline,
 		Fence: c.term.Fence, Saved: t.Saved, Ticket: r.ticket,
 	}
-	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v free=%d config=%d", r.number, time.Since(t.Job.Received).Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
+	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Life}, "run=%d waited=%v slack=%v free=%d config=%d", r.number, time.Since(t.Job.Received).Round(time.Millisecond), r.slack.Round(time.Millisecond), w.room.Free.MilliCPU, c.config.Version)
 	c.counts.ordered.Inc(1)
 	c.takeoverStep("first-start", now)
 	if !t.Job.Began {
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -281,7 +281,7 @@
 	} else {
 		number = c.nextRun()
 	}
-	c.start(w, t, number, x.Ticket, now)
+	c.start(w, t, &run{number: number, sentAt: now, pace: fullPercent, ticket: x.Ticket, slack: x.Slack}, now)
 }
 
 // gangRun returns the number that the members of the gang started now share, and gives them the same saved progress.
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -81,6 +81,8 @@
 	// sent says that the order has left; earlier that an earlier leader ordered the run, or meant to.
 	sent, earlier bool
 	ticket        string
+	// slack is what the job had left to be on time when the run was planned; it is for the log.
+	slack time.Duration
 	// unanswered says that the start got no answer.
 	unanswered bool
 	// stopSent says that a stop is on its way or was answered; stopped is the worker's clock of that answer.
