--- a/pool/fence_test.go
+++ b/pool/fence_test.go
@@ -31,8 +31,8 @@
 		b := newBench(c, []*job.Job{lasts}, "w1")
 		b.term.Alone, b.term.Clean = false, false
 		type call struct {
-			machine, pool string
-			fence         int64
+			Machine, Pool string
+			Fence         int64
 		}
 		var calls []call
 		b.Machines.Move = func(_ context.Context, machine, pool string, fence int64) error {
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -275,6 +275,9 @@
 func (c *session) startChoice(x place.Choice, now time.Time) {
 	t := x.Task
 	w := c.workers[x.Room.Worker.Life]
+	if t.Spec().Lasting && !c.mayLast(w, now) {
+		return // it waits on
+	}
 	number := int64(0)
 	if t.Spec().Gang {
 		number = c.gangRun(t)
--- a/pool/session.go
+++ b/pool/session.go
@@ -120,6 +120,9 @@
 	began        time.Time
 	lessons      map[string]*lesson
 	lessonsAt    time.Time // when what is learned was last kept
+	// fenced are the instances for which this leader has called, so that no call of an earlier one can be carried out there any
+	// more; fencing are those for which it is asking.
+	fenced, fencing map[string]bool
 	// unmovable are instances that could not be moved, and until when; ownWord is when this leader moved one.
 	unmovable, ownWord map[string]time.Time
 }
@@ -133,7 +136,7 @@
 		keepsOf: make(map[string]uint64), cancelled: make(map[string]bool),
 		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
-		moves: make(map[string]*moveStep), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
+		moves: make(map[string]*moveStep), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
 }
 
--- a/pool/size.go
+++ b/pool/size.go
@@ -238,6 +238,7 @@
 	switch {
 	case m.err == nil:
 		s.moved, s.since = true, now
+		c.fenced[m.machine] = true
 		x := c.machines[m.machine]
 		from := x.Pool
 		x.Pool, x.State, x.Life = s.to, MachineUp, ""
