--- a/pool/lease.go
+++ b/pool/lease.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// restoreLong takes what is kept of long leases. Unless the very last leader has kept it, any life may have them.
+// restoreLong takes what is kept of long leases, once all lives are in the tables that an earlier leader may have leased. Unless the very last leader has kept it, any life may have them.
 func (c *session) restoreLong(k keptLong) {
 	known := k.Term == c.term.Number-1
 	long := make(map[string]bool, len(k.Lives))
@@ -53,6 +53,7 @@
 		long[life] = true
 	}
 	for life, w := range c.workers {
+		w.before = true
 		w.long = w.long || !known || long[life]
 		w.longBefore = !known || long[life]
 		w.mayLong.Store(w.longBefore)
--- a/pool/proof.go
+++ b/pool/proof.go
@@ -112,7 +112,7 @@
 	// Lives that the earlier leader kept count whether they are listed or not: entries lapse while the store is away, and a
 	// leader that took over just then counted half of none as enough.
 	instances := c.instances(len(c.lives))
-	if 2*c.heard < instances {
+	if 2*c.heard < instances || !c.heardOfEarlier() {
 		return
 	}
 	c.raised = now
@@ -122,6 +122,23 @@
 	}
 }
 
+// heardOfEarlier says whether half of the lives that the earlier leader may have counted have this leader's token. Lives that began
+// since are in none of its majorities. One that has ended answers it no more, but it may have ended by the earlier leader's own move and
+// never have counted, so those count on neither side.
+func (c *session) heardOfEarlier() bool {
+	lives, heard := 0, 0
+	for _, w := range c.workers {
+		if !w.before {
+			continue
+		}
+		lives++
+		if w.heard {
+			heard++
+		}
+	}
+	return 2*heard >= lives
+}
+
 // raisedWithin returns how soon after a renewal was read a successor must have its token at half of the instances, so that the
 // leader whose renewal it was can't have gone on without the store: that begins blindFor after a renewal that the store
 // confirmed, and one that it took without a word is at the most lead.RenewTimeout newer. Both leaders count instances, but not
--- a/pool/report.go
+++ b/pool/report.go
@@ -90,7 +90,7 @@
 	}
 	w.heard = true
 	c.heard++
-	if stopped, known := c.stoppedBy(); !known || !w.since.After(stopped) {
+	if stopped, known := c.stoppedBy(); w.before || !known || !w.since.After(stopped) {
 		w.bound(now.Add(work.Longest(c.leasedBefore(w)))) // an earlier leader may have leased it for as long just before
 	}
 	c.countRaised(now)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -25,6 +25,8 @@
 	strays map[int64]time.Time
 	// listed says that the platform lists the life; one that is no longer listed gets no starts.
 	listed bool
+	// before says that it was known when the tables were read, so that the earlier leader may have counted and leased it.
+	before bool
 	// long says that it has or had lasting tasks, longBefore that it may have had some under an earlier leader.
 	long, longBefore bool
 	// misread says that its entry in the list can't be read: it gets no starts, and what runs there goes on.
