--- a/pool/silent_test.go
+++ b/pool/silent_test.go
@@ -33,12 +33,7 @@
 // silentZone cuts a zone off while jobs run there, and wants them done elsewhere before the cut ends.
 func silentZone(t *testing.T, resets bool) {
 	_, wrong := play(t, 4711, func(h *history) {
-		var zone string
-		for _, e := range h.entries {
-			if e != h.leader() {
-				zone = h.zoneOf(e)
-			}
-		}
+		zone := h.otherZone()
 		for range 6 {
 			h.submit(false, 5)
 		}
@@ -54,6 +49,17 @@
 	quicktest.New(t).Check(wrong, quicktest.HasLen, 0)
 }
 
+// otherZone returns a zone in which the leader is not.
+func (h *history) otherZone() string {
+	zone := ""
+	for _, e := range h.entries {
+		if e != h.leader() {
+			zone = h.zoneOf(e)
+		}
+	}
+	return zone
+}
+
 // runningIn counts the runs that go on in a zone.
 func (h *history) runningIn(zone string) int {
 	h.mu.Lock()
@@ -86,12 +92,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			_, wrong := play(t, 4711, func(h *history) {
 				h.longest = 300 * time.Millisecond
-				var zone string
-				for _, e := range h.entries {
-					if e != h.leader() {
-						zone = h.zoneOf(e)
-					}
-				}
+				zone := h.otherZone()
 				for range 6 {
 					h.submit(false, 5)
 				}
