--- a/pool/lease.go
+++ b/pool/lease.go
@@ -11,23 +11,10 @@
 	"rackstep.dev/work"
 )
 
-// Leases come in two lengths.
-//
-// Lasting tasks are leased for as long as workers allow: one that lapses is missed. What ends by itself within seconds is leased
-// briefly, so that it can start elsewhere while its job still has time when its worker falls silent; if it lapses over a takeover,
-// some seconds of work are done again.
-//
-// The next leader must know which workers may have long leases. They are kept before the first long one is given, and a worker that had a
-// lasting task counts as one until its life ends.
-const (
-	// briefLease is how long short tasks are leased: two holds that wait for briefWait and what their answers may take, and the 2 s that
-	// a takeover usually takes until it has held all workers. In cuts of 4 to 7 s with one leader three days of 349 workers were worth
-	// 0.611 instead of 0.579 with leases of ten seconds, and the worst served kind of job 0.71 instead of 0.63 of what it was owed.
-	briefLease = 3 * time.Second
-	// briefWait is how long a hold waits on a worker with brief leases where something runs; an idle one needs no lease, and what starts
-	// there meanwhile brings its own deadline.
-	briefWait = time.Second
-)
+// All runs are leased for as long as workers allow. Lasting tasks need that: one that lapses is missed. Short tasks would be better off with
+// brief leases, so that they start elsewhere while their job still has time when their worker falls silent; but a lease that is shorter by
+// seconds leaves no margin over holes in the proof that an earlier leader has stopped. What the next leader must know for it, which workers
+// may have long leases, is kept already.
 
 // keptLong names the lives that may have long leases; it speaks for all leaders up to its term.
 type keptLong struct {
@@ -92,20 +79,10 @@
 }
 
 // leaseOf returns how long what is on a worker is leased.
-func (c *session) leaseOf(w *worker) time.Duration {
-	if w.mayLong.Load() {
-		return c.Bounds().Lease
-	}
-	return min(briefLease, c.Bounds().Lease)
-}
+func (c *session) leaseOf(*worker) time.Duration { return c.Bounds().Lease }
 
 // leasedBefore returns the longest lease that an earlier leader may have given on a worker.
-func (c *session) leasedBefore(w *worker) time.Duration {
-	if w.longBefore {
-		return c.Bounds().Lease
-	}
-	return min(briefLease, c.Bounds().Lease)
-}
+func (c *session) leasedBefore(*worker) time.Duration { return c.Bounds().Lease }
 
 // doubtOverOn says whether all that earlier leaders can have leased on a worker has ended.
 func (c *session) doubtOverOn(w *worker, now time.Time) bool {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -68,8 +68,6 @@
 	mixed atomic.Bool
 	// mayLong says that long leases may be given: the next leader would know.
 	mayLong atomic.Bool
-	// busy says that runs are or may be there.
-	busy atomic.Bool
 
 	mu    sync.Mutex
 	lease work.Lease
@@ -183,7 +181,6 @@
 func (w *worker) count(t *job.Task, sign int) {
 	s := t.Spec()
 	n := place.Charge(s)
-	w.busy.Store(len(w.runs) > 0)
 	w.room.Free.MilliCPU += sign * n.MilliCPU
 	w.room.Free.MemoryMB += sign * n.MemoryMB
 	w.room.Free.GPU += sign * n.GPU
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -220,8 +220,6 @@
 			o.Wait = unsureWait
 		case w.mixed.Load():
 			o.Wait = pacedWait
-		case !w.mayLong.Load() && w.busy.Load():
-			o.Wait = briefWait
 		}
 		timeout := o.Wait + holdTimeout
 		if first {
