--- a/pool/fence.go
+++ b/pool/fence.go
@@ -14,7 +14,8 @@
 //
 // The machine interface compares fencing tokens by instance: until this leader has called for one, a call of an earlier leader
 // that was held up, in a cut for 12 s on a day that was traced, is carried out and ends whatever runs there by then. A move to the pool
-// that the instance is in changes nothing and fences it. After one that gave the lead up itself nothing is asked: its calls have had their time.
+// that the instance is in changes nothing and fences it. After one that gave the lead up itself nothing is asked, as for moves; a call of
+// such a leader that a cut holds up is not fenced.
 func (c *session) mayLast(w *worker, now time.Time) bool {
 	if c.term.Alone || c.term.Number == 1 || c.fenced[w.Machine] {
 		return true
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -14,7 +14,7 @@
 // All runs are leased for as long as workers allow. Lasting tasks need that: one that lapses is missed. Short tasks would be better off with
 // brief leases, so that they start elsewhere while their job still has time when their worker falls silent; but a lease that is shorter by
 // seconds leaves no margin over holes in the proof that an earlier leader has stopped. What the next leader must know for it, which workers
-// may have long leases, is kept already.
+// may have long leases, is kept already, and nothing reads it yet.
 
 // keptLong names the lives that may have long leases; it speaks for all leaders up to its term.
 type keptLong struct {
@@ -62,7 +62,7 @@
 	value, err := job.Encode(k)
 	if err != nil {
 		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "long leases not kept: %v", err)
-		return records // they stay brief
+		return records // the next batch tries again
 	}
 	c.longDirty = false
 	done.long = k.Lives
