fleet, serve, place: the older teams are organisations

Cause: teams had tokens, shares and quotas of their own beside the organisations of the users' platform: two models of one thing. Change: a view holds a directory of organisations instead of a map of teams; what a team's jobs hold is counted by the same ledger, and its quota checked by the same cap. Conclusion: one model.

--- a/admin/server.go
+++ b/admin/server.go
@@ -13,6 +13,7 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
+	"rackstep.dev/org"
 	"rackstep.dev/serve"
 )
 
@@ -96,7 +97,7 @@
 
 // operator returns the name of the request's operator, and whether the entry has a configuration yet.
 func (s *Server) operator(r *http.Request) (name string, configured bool, err error) {
-	hash := serve.TokenHash(serve.Bearer(r.Header))
+	hash := serve.TokenHash(org.KeyOf(r.Header.Get("Authorization")))
 	err = s.Read(r.Context(), func(t *fleet.Tables) {
 		if t == nil {
 			return
@@ -161,7 +162,7 @@
 		failed(w, err)
 		return
 	}
-	if !configured && s.Bootstrap != "" && serve.SameHash(s.Bootstrap, serve.TokenHash(serve.Bearer(r.Request.Header))) {
+	if !configured && s.Bootstrap != "" && serve.SameHash(s.Bootstrap, serve.TokenHash(org.KeyOf(r.Request.Header.Get("Authorization")))) {
 		by = "bootstrap"
 	}
 	if by == "" {
--- a/control/view.go
+++ b/control/view.go
@@ -107,13 +107,12 @@
 	v := &serve.View{
 		Offset: t.Offset, Version: t.Version,
 		Services: make(map[string]*serve.Service, len(t.Configuration.Services)),
-		Teams:    make(map[string]*fleet.Team, len(t.Configuration.Teams)),
 		Entries:  make(map[string][]string),
 	}
 	v.Near, v.Region = c.near()
-	for i := range t.Configuration.Teams {
-		team := t.Configuration.Teams[i]
-		v.Teams[team.TokenHash] = &team
+	var err error
+	if v.Organisations, err = t.Configuration.Organisations(); err != nil {
+		c.Events.Emit(event.RecordRefused, event.Subject{}, err.Error()) // nobody is known until it is mended
 	}
 	for _, id := range c.Mesh.Up() {
 		if e := c.members.byEntry[id]; e != nil && !e.status.Stopping {
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -233,7 +233,7 @@
 		return refuse(ReasonOccupied, remedy, "instance %s holds %d of %d cores and %d of %d MB", in.ID, cores, in.Cores, memory, in.MemoryMB)
 	}
 	team := t.Configuration.Team(j.Team)
-	if team != nil && team.JobCores > 0 && t.TeamCores(j.Team)+needs.Cores > team.JobCores {
+	if !t.MayHold(team, needs.Cores) {
 		return refuse(ReasonQuota, "wait for the team's jobs or raise its job_cores", "team %s holds its %d cores", j.Team, team.JobCores)
 	}
 	return nil
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/klauspost/compress/zstd"
+
+	"rackstep.dev/org"
 )
 
 // Tables is the state that all entries agree on; the zero value is the state before the first record.
@@ -28,8 +30,9 @@
 	// Checkpointed is the offset of the newest checkpoint seen in the log.
 	Checkpointed int64
 
-	// onInstance and ofTeam are what jobs hold, by instance and by team.
-	onInstance, ofTeam map[string]usage
+	// onInstance and teams are what jobs hold, by instance and by team.
+	onInstance map[string]usage
+	teams      org.Ledger
 	// ended is the number of jobs that have ended.
 	ended int
 }
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -27,10 +27,14 @@
 		return
 	}
 	if t.onInstance == nil {
-		t.onInstance, t.ofTeam = make(map[string]usage), make(map[string]usage)
+		t.onInstance = make(map[string]usage)
 	}
 	t.onInstance[j.Instance] = t.onInstance[j.Instance].add(j.Charged(), n)
-	t.ofTeam[j.Team] = t.ofTeam[j.Team].add(j.Charged(), n)
+	if n > 0 {
+		t.teams.Take(j.Team, j.Charged().need())
+	} else {
+		t.teams.Return(j.Team, j.Charged().need())
+	}
 }
 
 // recharge changes what the job is charged with and keeps the usage right.
@@ -47,7 +51,10 @@
 }
 
 // TeamCores returns the cores that the team's jobs hold.
-func (t *Tables) TeamCores(team string) int { return t.ofTeam[team].cores }
+func (t *Tables) TeamCores(team string) int {
+	held, _ := t.teams.Held(team)
+	return held.MilliCPU / milliCores
+}
 
 // JobsOn returns the number of jobs that hold something on the instance.
 func (t *Tables) JobsOn(instance string) int { return t.onInstance[instance].jobs }
--- a/org/directory.go
+++ b/org/directory.go
@@ -51,6 +51,11 @@
 	Cap job.Need
 }
 
+// Covers says whether a total is within the cap.
+func (o *Organisation) Covers(total job.Need) bool {
+	return within(total, o.Cap, total)
+}
+
 // maxName bounds a name in bytes: it is part of the keys under which jobs are kept, of which the users' store takes 255.
 const maxName = 200
 
--- a/place/decide.go
+++ b/place/decide.go
@@ -191,7 +191,7 @@
 
 func (d *decision) overQuota(j *fleet.Job) bool {
 	t := d.teams[j.Team]
-	return t.team != nil && t.team.JobCores > 0 && t.held+j.Charged().Cores > t.team.JobCores
+	return !d.t.MayHold(t.team, t.held-d.t.TeamCores(j.Team)+j.Charged().Cores)
 }
 
 func (d *decision) fits(j *fleet.Job, r *room) bool {
--- a/place/tasks.go
+++ b/place/tasks.go
@@ -51,6 +51,8 @@
 	Tickets map[string]string
 	// Racks counts the step's tasks in each rack, for lasting steps, so that they are spread.
 	Racks map[string]int
+	// share is its place among those of other organisations, lower first.
+	share float64
 }
 
 // organisation returns the name of who handed the job in, empty for nobody in particular.
@@ -74,19 +76,26 @@
 // within it what is expected to earn most for the work it still needs.
 func Order(groups []*Group) {
 	slices.SortFunc(groups, func(a, b *Group) int {
-		if a.Beyond != b.Beyond {
-			return first(b.Beyond)
-		}
-		if a.Lasting != b.Lasting {
-			return first(a.Lasting)
-		}
-		if a.Priority != b.Priority {
-			return cmp.Compare(a.Priority, b.Priority)
-		}
-		return cmp.Or(cmp.Compare(b.Expected, a.Expected), a.Since.Compare(b.Since), cmp.Compare(a.Job.Spec.ID, b.Job.Spec.ID), cmp.Compare(a.Step, b.Step))
+		return cmp.Or(compareClass(a, b), cmp.Compare(b.Expected, a.Expected), a.Since.Compare(b.Since), cmp.Compare(a.Job.Spec.ID, b.Job.Spec.ID), cmp.Compare(a.Step, b.Step))
 	})
 }
 
+// compareClass compares what goes before all that is expected to be earned.
+func compareClass(a, b *Group) int {
+	switch {
+	case a.Beyond != b.Beyond:
+		return first(b.Beyond)
+	case a.Lasting != b.Lasting:
+		return first(a.Lasting)
+	}
+	return cmp.Compare(a.Priority, b.Priority)
+}
+
+// compareShared compares the shares of organisations within a class.
+func compareShared(a, b *Group) int {
+	return cmp.Or(compareClass(a, b), cmp.Compare(a.share, b.share))
+}
+
 func first(yes bool) int {
 	if yes {
 		return -1
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -155,8 +155,8 @@
 		return
 	}
 	groups := c.groups(p, now)
-	place.Order(groups)
 	draft := c.draft()
+	place.OrderShared(groups, place.Shares{Way: c.Sharing, Draft: draft, Whole: c.room()})
 	rooms = c.placeApart(p, groups, rooms, draft, now)
 	for _, x := range place.Tasks(groups, rooms, draft) {
 		c.startChoice(x, now)
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -8,6 +8,7 @@
 
 	"rackstep.dev/job"
 	"rackstep.dev/org"
+	"rackstep.dev/place"
 )
 
 // organisationsChanged puts the organisations of a version of the configuration in force.
@@ -43,6 +44,18 @@
 // draft returns the ledger to decide on.
 func (c *session) draft() *org.Draft { return c.ledger.Draft(c.uncounted()) }
 
+// room returns the room of all workers together.
+func (c *session) room() job.Need {
+	var sum job.Need
+	if c.Sharing == place.ByWorth {
+		return sum
+	}
+	for _, w := range c.workers {
+		sum = sum.Plus(w.Room)
+	}
+	return sum
+}
+
 // uncounted returns the most that may run in workers without being in the tables: where an earlier leader may have started what it did not
 // keep and the worker has not answered yet, and where a worker lists runs of jobs that nobody has read. Whose it is nobody knows, so that it
 // counts against every cap.
--- a/serve/fuzz_test.go
+++ b/serve/fuzz_test.go
@@ -17,6 +17,7 @@
 	"rackstep.dev/claim"
 	"rackstep.dev/event"
 	"rackstep.dev/fleet"
+	"rackstep.dev/org"
 	"rackstep.dev/peer/peerpb"
 )
 
@@ -24,7 +25,7 @@
 func emptyServer() *Server {
 	s := &Server{Self: "e", DataCentre: "a", Targets: &Dispatcher{}, Events: &event.Ring{}, Book: &claim.Book{}}
 	svc := &Service{Service: fleet.Service{Name: "s", DataCentres: []string{"a"}}, Owner: "e", Slots: 1, Serving: []string{"a"}}
-	s.SetView(&View{Near: []string{"a"}, Services: map[string]*Service{"s": svc}, Teams: map[string]*fleet.Team{TokenHash("t"): {Name: "team"}}})
+	s.SetView(&View{Near: []string{"a"}, Services: map[string]*Service{"s": svc}, Organisations: fuzzTeams()})
 	return s
 }
 
@@ -116,3 +117,8 @@
 		c.Assert(w.Code >= 400, quicktest.IsTrue, quicktest.Commentf("%s: %d", path, w.Code))
 	}
 }
+
+func fuzzTeams() *org.Directory {
+	d, _ := org.NewDirectory([]org.Organisation{{Name: "team", Weight: 1, Keys: []org.Digest{org.DigestOf("t")}}}) // it has no mistake
+	return d
+}
--- a/serve/request.go
+++ b/serve/request.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"rackstep.dev/fleet"
+	"rackstep.dev/org"
 )
 
 // request is one caller's request after admission.
@@ -50,13 +50,13 @@
 )
 
 // admit checks the request against the view; after a Problem nothing has happened.
-func (s *Server) admit(v *View, team *fleet.Team, service, path string, r *http.Request) (*request, *Problem) {
+func (s *Server) admit(v *View, team *org.Organisation, service, path string, r *http.Request) (*request, *Problem) {
 	svc := v.Services[service]
 	if svc == nil {
 		return nil, notRun(http.StatusNotFound, ReasonNoService, "look at the services of the configuration", "service %q is not known", service)
 	}
 	req := &request{
-		ID: s.requestID(r), Service: svc, Team: team.Name, Share: team.Share,
+		ID: s.requestID(r), Service: svc, Team: team.Name, Share: int(team.Weight),
 		Method: r.Method, Path: path, Header: forwarded(r.Header),
 	}
 	for _, step := range [...]func(*request, *http.Request) *Problem{s.readPriority, s.readTimeout, s.readResidency(v), s.readRepeat, s.readBody} {
--- a/serve/view.go
+++ b/serve/view.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"rackstep.dev/fleet"
+	"rackstep.dev/org"
 	"rackstep.dev/route"
 )
 
@@ -16,8 +17,8 @@
 	Version uint64
 	// Services are the services of the configuration by name.
 	Services map[string]*Service
-	// Teams are the callers' teams by the hash of their token.
-	Teams map[string]*fleet.Team
+	// Organisations are the callers' teams.
+	Organisations *org.Directory
 	// Entries are the live entries that can be reached, by data centre and in order of their names.
 	Entries map[string][]string
 	// Near lists the data centres, the nearest first.
