event, pool: waiting for a cap is told, losses by organisation

Cause: on-call had no way to tell a job that waits for its organisation's cap from one that waits for room, and the losses had rows by queue alone. Change: a line when a step begins to wait for a cap and when it no longer does; the owner CAP and --by organisation in 'rackstep losses'; a counter. What a cap holds, and what is beyond its organisation's rate, asks for no instance and keeps no room.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -67,6 +67,7 @@
 	TablesRead           Number = 816
 	JobGivenUp           Number = 817
 	CallerRefused        Number = 818
+	JobWaits             Number = 819
 	RunOrdered           Number = 820
 	RunRefused           Number = 821
 	RunUnanswered        Number = 822
@@ -157,6 +158,7 @@
 	{JobEnded, "job-ended", "A job has reached its final state.", nothing},
 	{TablesRead, "tables-read", "A new leader has read the jobs and what was kept of them from the store.", nothing},
 	{CallerRefused, "caller-refused", "A call was refused before it ran, since its key is not known, or since nobody can tell; the text says by which version, how old the newest look at the configuration was, and whether a key was shown.", "Give the client one of its organisation's keys; where the look is old, see why this entry does not reach the store."},
+	{JobWaits, "job-waits", "A step's tasks wait for their organisation's cap, or for room again; the text says what the organisation has running.", "If an organisation waits for its cap for long, raise the cap, or look at what it has running."},
 	{JobGivenUp, "job-given-up", "A job has failed because workers' lives ended under one of its tasks; the text says how many, and whether it was the only one that can have ended the last.", "Look at what the task does, with the events 828 of its job."},
 	{RunOrdered, "run-ordered", "A worker was told to start a run of a task; the text says on what grounds.", nothing},
 	{RunRefused, "run-refused", "A worker refused an order; the text says why.", nothing},
--- a/event/losses.go
+++ b/event/losses.go
@@ -34,15 +34,18 @@
 	AtWork
 	// Untold: all is done, and it is not kept, so not shown.
 	Untold
+	// ForCap: its organisation has as much running as it may.
+	ForCap
 	owners
 )
 
-var ownerNames = [owners]string{"UNACCEPTED", "UNREAD", "ROOM", "AGAIN", "WASTED", "DOUBT", "WORK", "UNTOLD"}
+var ownerNames = [owners]string{"UNACCEPTED", "UNREAD", "ROOM", "AGAIN", "WASTED", "DOUBT", "WORK", "UNTOLD", "CAP"}
 
 // Loss is where the time of the jobs of one queue went that were first seen in one span of time.
 type Loss struct {
-	Queue string
-	From  time.Time
+	// Of is the name of the queue, or of the organisation.
+	Of   string
+	From time.Time
 	// Jobs ended; Open did not by the logs' end, and are not in the times.
 	Jobs, Open int
 	// Median and Most are of the jobs' whole times; Means are by owner, and add up to the mean whole time.
@@ -50,12 +53,24 @@
 	Means        [owners]time.Duration
 }
 
-// Losses tells from the logs of all entries what the time of jobs went into, by queue and span. Jobs that last and
+// Grouping is what losses are told by.
+type Grouping uint8
+
+// Groupings of losses.
+const (
+	ByQueue Grouping = iota
+	ByOrganisation
+)
+
+// String returns the grouping's name.
+func (g Grouping) String() string { return [...]string{"QUEUE", "ORGANISATION"}[g] }
+
+// Losses tells from the logs of all entries what the time of jobs went into, by queue or organisation and span. Jobs that last and
 // cancelled ones are left out. Lines of several entries are put together by their clocks.
 //
 // A step's time is that of its last task: what others waited for beside it cost the job nothing.
-func Losses(every time.Duration, logs ...[]Line) []Loss {
-	s := lossScan{jobs: make(map[string]*lossJob), runs: make(map[string][]lossRun), silent: make(map[string][]span), open: make(map[string]map[string]bool)}
+func Losses(by Grouping, every time.Duration, logs ...[]Line) []Loss {
+	s := lossScan{by: by, capped: make(map[string][]span), jobs: make(map[string]*lossJob), runs: make(map[string][]lossRun), silent: make(map[string][]span), open: make(map[string]map[string]bool)}
 	for _, l := range inOrder(logs) {
 		s.take(l)
 	}
@@ -84,7 +99,7 @@
 
 // lossJob is what the logs say of a job.
 type lossJob struct {
-	queue                    string
+	queue, organisation      string
 	seen, taken, read, ended time.Time
 	// steps counts the tasks of each step.
 	steps              []int
@@ -93,7 +108,10 @@
 
 // lossScan goes through the lines once.
 type lossScan struct {
-	jobs   map[string]*lossJob
+	by   Grouping
+	jobs map[string]*lossJob
+	// capped are the times in which a job waited for its organisation's cap.
+	capped map[string][]span
 	runs   map[string][]lossRun
 	silent map[string][]span
 	// open are the tasks of each life's runs whose end was not read yet.
@@ -117,7 +135,10 @@
 		s.read(l)
 	case JobEnded:
 		s.job(l.Job).ended = l.Time
+	case JobWaits:
+		s.wait(l)
 	case RunOrdered:
+		s.endCapped(jobOf(l.Job), l.Time)
 		s.startRun(l)
 	case RunEnded:
 		s.endRun(l)
@@ -151,7 +172,7 @@
 	if !j.read.IsZero() {
 		return // by a later leader
 	}
-	j.read, j.queue = l.Time, word(l.Text, "queue")
+	j.read, j.queue, j.organisation = l.Time, word(l.Text, "queue"), word(l.Text, "organisation")
 	for _, field := range strings.Fields(l.Text) {
 		var tasks int
 		if n, _ := fmt.Sscanf(field, "step=%dx", &tasks); n == 1 {
@@ -169,6 +190,27 @@
 	s.open[l.Instance][l.Job] = true
 }
 
+// wait notes that a job begins to wait for its organisation's cap, or no longer does.
+func (s *lossScan) wait(l Line) {
+	s.endCapped(l.Job, l.Time)
+	if word(l.Text, "why") == "cap" {
+		s.capped[l.Job] = append(s.capped[l.Job], span{from: l.Time})
+	}
+}
+
+func (s *lossScan) endCapped(id string, at time.Time) {
+	spans := s.capped[id]
+	if len(spans) > 0 && spans[len(spans)-1].to.IsZero() {
+		spans[len(spans)-1].to = at
+	}
+}
+
+// jobOf returns the ID of a task's job.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 func (s *lossScan) endRun(l Line) {
 	delete(s.open[l.Instance], l.Job)
 	runs := s.runs[l.Job]
@@ -206,8 +248,8 @@
 
 func (s *lossScan) losses(every time.Duration) []Loss {
 	type key struct {
-		queue string
-		from  time.Time
+		of   string
+		from time.Time
 	}
 	rows := make(map[key]*Loss)
 	wholes := make(map[key][]time.Duration)
@@ -216,9 +258,12 @@
 			continue
 		}
 		k := key{j.queue, j.first().Truncate(every)}
+		if s.by == ByOrganisation {
+			k.of = j.organisation
+		}
 		row := rows[k]
 		if row == nil {
-			row = &Loss{Queue: k.queue, From: k.from}
+			row = &Loss{Of: k.of, From: k.from}
 			rows[k] = row
 		}
 		if j.ended.IsZero() {
@@ -236,7 +281,7 @@
 		row.sum(wholes[k])
 		out = append(out, *row)
 	}
-	slices.SortFunc(out, func(a, b Loss) int { return cmp.Or(cmp.Compare(a.Queue, b.Queue), a.From.Compare(b.From)) })
+	slices.SortFunc(out, func(a, b Loss) int { return cmp.Or(cmp.Compare(a.Of, b.Of), a.From.Compare(b.From)) })
 	return out
 }
 
@@ -270,7 +315,7 @@
 			if i > 0 {
 				wait = ForAnother
 			}
-			w.spend(wait, r.from)
+			s.spendWait(&w, id, wait, r.from)
 			s.spendRun(&w, r, i == len(runs)-1)
 		}
 	}
@@ -278,6 +323,22 @@
 	return w.owned
 }
 
+// spendWait divides the time until a run between its organisation's cap and what else it waited for.
+func (s *lossScan) spendWait(w *ownerWalk, id string, owner Owner, until time.Time) {
+	for _, x := range s.capped[id] {
+		if x.from.After(until) {
+			break
+		}
+		to := x.to
+		if to.IsZero() || to.After(until) {
+			to = until
+		}
+		w.spend(owner, x.from)
+		w.spend(ForCap, to)
+	}
+	w.spend(owner, until)
+}
+
 // lastTasks returns, by step, the runs of the task that ended last, in the order in which the steps ended.
 func (s *lossScan) lastTasks(id string, j *lossJob) [][]lossRun {
 	var last [][]lossRun
@@ -339,11 +400,11 @@
 }
 
 // WriteLosses prints the rows as a table, times in seconds.
-func WriteLosses(w io.Writer, rows []Loss) error {
+func WriteLosses(w io.Writer, by Grouping, rows []Loss) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "QUEUE\tFIRST SEEN\tJOBS\tOPEN\tMEDIAN\tMOST\t"+strings.Join(ownerNames[:], "\t")+"\t")
+	fmt.Fprintln(t, by.String()+"\tFIRST SEEN\tJOBS\tOPEN\tMEDIAN\tMOST\t"+strings.Join(ownerNames[:], "\t")+"\t")
 	for _, r := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t%.2f", r.Queue, clock(r.From), r.Jobs, r.Open, r.Median.Seconds(), r.Most.Seconds())
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t%.2f", cmp.Or(r.Of, "-"), clock(r.From), r.Jobs, r.Open, r.Median.Seconds(), r.Most.Seconds())
 		for _, d := range r.Means {
 			fmt.Fprintf(t, "\t%.2f", d.Seconds())
 		}
--- a/event/losses_test.go
+++ b/event/losses_test.go
@@ -40,17 +40,17 @@
 		`06.800 event=814 name=job-read job=00000000000000a2 text="queue=q tasks=1 step=1x1000m/1MB/500ms part=0 offset=2"`,
 		`06.800 event=814 name=job-read job=00000000000000a3 text="queue=q tasks=1 step=1x1000m/1MB/0ms,lasting,image=,target=0,fills=false,miss=0 part=0 offset=3"`,
 	)
-	rows := Losses(4*time.Second, entry, leader)
+	rows := Losses(ByQueue, 4*time.Second, entry, leader)
 	at := func(s int) time.Time { return time.Date(2030, 1, 1, 0, 0, s, 0, time.UTC) }
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	c.Assert(rows, quicktest.DeepEquals, []Loss{
-		{Queue: "q", From: at(0), Jobs: 1, Median: ms(5700), Most: ms(5700), Means: [owners]time.Duration{
+		{Of: "q", From: at(0), Jobs: 1, Median: ms(5700), Most: ms(5700), Means: [owners]time.Duration{
 			Unaccepted: ms(1500), Unread: ms(100), ForRoom: ms(310), ForAnother: ms(100), Wasted: ms(500), Doubted: ms(2000), AtWork: ms(1090), Untold: ms(100),
 		}},
-		{Queue: "q", From: at(4), Open: 1},
+		{Of: "q", From: at(4), Open: 1},
 	})
 	var b strings.Builder
-	c.Assert(WriteLosses(&b, rows), quicktest.IsNil)
+	c.Assert(WriteLosses(&b, ByQueue, rows), quicktest.IsNil)
 	for _, want := range []string{"DOUBT", "2.00", "5.70"} {
 		c.Assert(b.String(), quicktest.Contains, want)
 	}
@@ -67,7 +67,7 @@
 		`05.600 event=823 name=run-ended instance=i2 job=00000000000000a1.0.0.0 text="run=2 how=succeeded n=1"`,
 		`05.700 event=815 name=job-ended job=00000000000000a1 text="state=succeeded"`,
 	)
-	rows := Losses(time.Minute, lines)
+	rows := Losses(ByQueue, time.Minute, lines)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	c.Assert(rows, quicktest.HasLen, 1)
 	c.Assert(rows[0].Means, quicktest.DeepEquals, [owners]time.Duration{ForRoom: ms(100), Wasted: ms(400), Doubted: ms(3000), ForAnother: ms(100), AtWork: ms(1000), Untold: ms(100)})
@@ -95,7 +95,7 @@
 				at() + ` event=810 name=job-taken job=00000000000000a1 text="submit took=300ms"`,
 			}[r.IntN(6)])
 		}
-		rows := Losses(time.Minute, readLines(c, "e", lines...))
+		rows := Losses(ByQueue, time.Minute, readLines(c, "e", lines...))
 		c.Assert(rows, quicktest.HasLen, 1, quicktest.Commentf("seed %d", seed))
 		sum := time.Duration(0)
 		for _, d := range rows[0].Means {
@@ -104,3 +104,27 @@
 		c.Assert(sum, quicktest.Equals, rows[0].Most, quicktest.Commentf("seed %d", seed))
 	}
 }
+
+// TestLossesByOrganisationTellTheCap has a job that waits for room, then for its organisation's cap, then for room again.
+func TestLossesByOrganisationTellTheCap(t *testing.T) {
+	c := quicktest.New(t)
+	lines := readLines(c, "e1",
+		`01.000 event=814 name=job-read job=00000000000000a1 text="queue=q tasks=1 organisation=\"a b\" step=1x1000m/1MB/500ms part=0 offset=1"`,
+		`01.200 event=819 name=job-waits job=00000000000000a1 text="why=cap organisation=\"a b\" step=0"`,
+		`02.200 event=819 name=job-waits job=00000000000000a1 text="why=room organisation=\"a b\" step=0"`,
+		`02.300 event=820 name=run-ordered instance=i1 job=00000000000000a1.0.0.0 text="run=1"`,
+		`02.800 event=823 name=run-ended instance=i1 job=00000000000000a1.0.0.0 text="run=1 how=succeeded n=1"`,
+		`02.900 event=815 name=job-ended job=00000000000000a1 text="state=succeeded"`,
+		`01.000 event=814 name=job-read job=00000000000000a2 text="queue=q tasks=1 step=1x1000m/1MB/500ms part=0 offset=1"`,
+	)
+	rows := Losses(ByOrganisation, time.Minute, lines)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	c.Assert(rows, quicktest.HasLen, 2)
+	c.Assert(rows[0].Of, quicktest.Equals, "")
+	c.Assert(rows[1].Of, quicktest.Equals, "a b")
+	c.Assert(rows[1].Means, quicktest.DeepEquals, [owners]time.Duration{ForRoom: ms(300), ForCap: ms(1000), AtWork: ms(500), Untold: ms(100)})
+	var b strings.Builder
+	c.Assert(WriteLosses(&b, ByOrganisation, rows), quicktest.IsNil)
+	c.Assert(b.String(), quicktest.Contains, "ORGANISATION")
+	c.Assert(b.String(), quicktest.Contains, "CAP")
+}
--- a/place/sharing.go
+++ b/place/sharing.go
@@ -22,6 +22,9 @@
 	// WithFloor starts first, by what they are expected to earn, what belongs to organisations that hold less than floorPart of their share,
 	// then the rest.
 	WithFloor
+	// Discounted starts what is expected to earn most, where what belongs to an organisation that holds more than its share counts for less, the more
+	// so the more it holds.
+	Discounted
 )
 
 // floorPart is the part of an organisation's share that WithFloor gives it before others get more than theirs.
@@ -54,14 +57,21 @@
 		name := g.organisation()
 		if name == "" {
 			g.share = 0 // it belongs to nobody who could hold too much
+			if s.Way == Discounted {
+				g.share = -g.Expected
+			}
 			continue
 		}
-		g.share = ahead[name]
-		if s.Way == WithFloor {
+		switch s.Way {
+		case WithFloor:
 			g.share = 0
 			if ahead[name] > floorPart/weights {
 				g.share = 1
 			}
+		case Discounted:
+			g.share = -g.Expected * min(1, 1/(ahead[name]*weights))
+		default:
+			g.share = ahead[name]
 		}
 		step := &g.Job.Spec.Steps[g.Step]
 		ahead[name] += float64(len(g.Tasks)) * org.Dominant(step.Need, s.Whole) / s.Draft.Weight(name)
--- a/place/tasks.go
+++ b/place/tasks.go
@@ -34,8 +34,8 @@
 	Lasting bool
 	// Beyond says that its job is beyond its organisation's rate: it takes room that nobody else wants, and keeps none.
 	Beyond bool
-	// Capped says that at the last look the organisation's cap kept some of it from starting.
-	Capped bool
+	// Capped says that at the last look the organisation's cap kept some of it from starting, ToldCapped that this is in the log.
+	Capped, ToldCapped bool
 	// Outlook is as of Ranked.
 	Outlook
 	Ranked time.Time
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -128,6 +128,9 @@
 		if blocked && c.restored[g.Job.Spec.ID] {
 			continue // its instances would stand idle
 		}
+		if g.Capped || g.Beyond {
+			continue // no instance would help the one, and nobody owes the other one
+		}
 		step := &g.Job.Spec.Steps[g.Step]
 		each := share(place.Charge(step), whole)
 		n := 0
@@ -264,7 +267,7 @@
 	blocked := c.blocked(p.name)
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.Opened) < stuckAfter || (blocked && c.restored[g.Job.Spec.ID]) {
+		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.Opened) < stuckAfter || g.Capped || g.Beyond || (blocked && c.restored[g.Job.Spec.ID]) {
 			continue
 		}
 		c.countGroup(g, step)
--- a/pool/learn.go
+++ b/pool/learn.go
@@ -63,7 +63,9 @@
 	l := c.learned(j.Spec.Queue)
 	w := c.jobWork(j, j.Spec.Queue)
 	p := c.pool(c.queue(j).Pool)
-	p.handed = append(p.handed, handed{at: c.now(), work: c.jobLoad(j)})
+	if !j.Beyond {
+		p.handed = append(p.handed, handed{at: c.now(), work: c.jobLoad(j)})
+	}
 	if l.work == 0 {
 		l.work = w
 	}
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -16,6 +16,8 @@
 	// runsLost are the runs whose worker's life ended under them, givenUp the jobs that were given up for it.
 	runsLost, givenUp    tally.Counter
 	upkeeps, looseStarts tally.Counter
+	// capped counts the steps that began to wait for their organisation's cap.
+	capped tally.Counter
 	// silent are the workers that do not answer, doubted the runs that are or may be on them.
 	silent, doubted tally.Gauge
 	// misread are the entries of the list of workers that name none.
@@ -35,7 +37,7 @@
 		batch: scope.Histogram("state_batch", buckets), ordered: scope.Counter("runs_ordered"), lost: scope.Counter("workers_lost"),
 		runsLost: scope.Counter("runs_lost"), givenUp: scope.Counter("jobs_given_up"),
 		moves: scope.Counter("instances_moved"), upkeeps: scope.Counter("upkeeps_begun"), looseStarts: scope.Counter("runs_ordered_unkept"),
-		misread: scope.Gauge("entries_misread"), silent: scope.Gauge("workers_silent"), doubted: scope.Gauge("runs_on_silent_workers"),
+		capped: scope.Counter("steps_capped"), misread: scope.Gauge("entries_misread"), silent: scope.Gauge("workers_silent"), doubted: scope.Gauge("runs_on_silent_workers"),
 	}
 }
 
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -69,6 +69,9 @@
 		delete(p.open, key)
 		return
 	}
+	if before := p.open[key]; before != nil {
+		g.Capped, g.ToldCapped = before.Capped, before.ToldCapped
+	}
 	p.open[key] = g
 	p.dirty = true
 }
@@ -167,6 +170,7 @@
 			delete(p.open, key)
 		}
 	}
+	c.tellCapped(groups)
 }
 
 // rooms returns copies of the rooms of the pool's usable workers.
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 
+	"rackstep.dev/event"
 	"rackstep.dev/job"
 	"rackstep.dev/org"
 	"rackstep.dev/place"
@@ -44,6 +45,28 @@
 // draft returns the ledger to decide on.
 func (c *session) draft() *org.Draft { return c.ledger.Draft(c.uncounted()) }
 
+// tellCapped writes which steps begin to wait for their organisation's cap, and which no longer do: a line for each change.
+func (c *session) tellCapped(groups []*place.Group) {
+	for _, g := range groups {
+		if g.Capped == g.ToldCapped || len(g.Tasks) == 0 {
+			continue
+		}
+		g.ToldCapped = g.Capped
+		why := "room"
+		if g.Capped {
+			why = "cap"
+			c.counts.capped.Inc(1)
+		}
+		name := g.Job.Spec.Organisation
+		held, runs := c.ledger.Held(name)
+		limit := job.Need{}
+		if o := c.ledger.Of(name); o != nil {
+			limit = o.Cap
+		}
+		c.emit(event.JobWaits, event.Subject{Job: g.Job.Spec.ID}, "why=%s organisation=%q step=%d tasks=%d running=%d held=%dm/%dMB cap=%dm/%dMB", why, name, g.Step, len(g.Tasks), runs, held.MilliCPU, held.MemoryMB, limit.MilliCPU, limit.MemoryMB)
+	}
+}
+
 // room returns the room of all workers together.
 func (c *session) room() job.Need {
 	var sum job.Need
--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"rackstep.dev/event"
 	"rackstep.dev/job"
 	"rackstep.dev/lead"
 	"rackstep.dev/org"
@@ -202,3 +203,50 @@
 	c.Assert(b.config, quicktest.Equals, newer)
 	c.Assert(b.ledger.Directory(), quicktest.Equals, d)
 }
+
+// TestWhatNobodyOwesAndWhatACapHoldsAskForNoInstance compares what a pool is taken to need with such work and without.
+func TestWhatNobodyOwesAndWhatACapHoldsAskForNoInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newBench(c, nil, "w1")
+		b.capped(1000)
+		b.reports("w1", 10, nil)
+		b.handIn("b", idOf(1), core(6))
+		b.ordered()
+		b.countLoads()
+		before := b.pool("p").load.waitingWork
+		b.handIn("a", idOf(2), core(20))
+		b.handIn("b", idOf(3), core(20)).Beyond = true
+		b.openJob(b.jobs[idOf(3)], time.Now())
+		b.ordered()
+		b.countLoads()
+		c.Assert(b.pool("p").load.waitingWork, quicktest.Equals, before)
+	})
+}
+
+func TestACapIsToldOnceWhenItBeginsAndWhenItEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newBench(c, nil, "w1")
+		b.capped(2000)
+		b.reports("w1", 10, nil)
+		b.handIn("a", idOf(1), core(3))
+		told := func() (lines []string) {
+			for _, e := range b.Events.Since(0) {
+				if e.Number == event.JobWaits {
+					lines = append(lines, e.Text)
+				}
+			}
+			return lines
+		}
+		for range 3 {
+			b.ordered()
+		}
+		c.Assert(told(), quicktest.DeepEquals, []string{`why=cap organisation="a" step=0 tasks=1 running=2 held=2000m/0MB cap=2000m/0MB`})
+		b.capped(8000)
+		b.workers["w1"].room.Free = job.Need{}
+		b.ordered()
+		c.Assert(told(), quicktest.HasLen, 2)
+		c.Assert(told()[1], quicktest.Contains, "why=room")
+	})
+}
