pool: until half of the instances have its token a leader counts what another may start

Cause: an earlier leader that is cut off may order what it can't keep until half of the instances have the next one's token; until then the next one counted only what was kept, so that both together passed a cap. Change: one word for 'may be unkept', for earlier jobs and for caps; until it is over the free room of instances that have not answered counts against every cap.

--- a/pool/placing.go
+++ b/pool/placing.go
@@ -242,10 +242,16 @@
 	return groups
 }
 
+// mayBeUnkept says whether an earlier leader may have started, or may still start, what is not kept: one that went on without the store, or that
+// may do so until half of the instances have this leader's token.
+func (c *session) mayBeUnkept() bool {
+	return c.coarse || (!c.term.Clean && c.raised.IsZero())
+}
+
 // blocked says whether a worker of the pool that has not answered may still run what an earlier leader started.
 func (c *session) blocked(pool string) bool {
-	if !c.coarse && (c.term.Clean || !c.raised.IsZero()) {
-		return false // what it started is kept
+	if !c.mayBeUnkept() {
+		return false
 	}
 	for _, w := range c.unheard {
 		if w.Pool == pool {
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -87,11 +87,11 @@
 	if !c.ledger.Bounded() {
 		return sum
 	}
-	unlisted := 0
+	unlisted, unkept := 0, c.mayBeUnkept()
 	var largest job.Need
 	for _, w := range c.workers {
 		largest = largest.Most(w.Room)
-		if w.unread == 0 && w.unknown == 0 && (!c.coarse || c.unheard[w.Life] == nil) {
+		if w.unread == 0 && w.unknown == 0 && (!unkept || c.unheard[w.Life] == nil) {
 			continue
 		}
 		if w.Room == (job.Need{}) {
--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -99,6 +99,26 @@
 	})
 }
 
+// TestUntilHalfHaveItsTokenALeaderCountsWhatAnotherMayStart has a leader that took its term from one that may go on without the store: found by random
+// histories (seed 2516).
+func TestUntilHalfHaveItsTokenALeaderCountsWhatAnotherMayStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newBench(c, nil, "w1", "w2", "w3")
+		b.term = lead.Term{Number: 2, Fence: 2 << 16}
+		for _, life := range []string{"w1", "w2"} {
+			b.unheard[life] = b.workers[life]
+		}
+		b.capped(9000)
+		b.reports("w3", 10, nil)
+		b.handIn("a", idOf(1), core(4))
+		c.Assert(b.ordered(), quicktest.Equals, 1, quicktest.Commentf("w1 and w2 may run eight cores of anybody's"))
+		b.reports("w2", 10, nil)
+		b.countRaised(time.Now())
+		c.Assert(b.ordered(), quicktest.Equals, 4)
+	})
+}
+
 // TestALifeOutOfTheListCountsAsLargeAsAny has a kept life that has left the list, so that its room is not known: found by random histories (seed 2929),
 // where an earlier leader that was cut off went on there beside the next one.
 func TestALifeOutOfTheListCountsAsLargeAsAny(t *testing.T) {
