soak: organisations with keys that come and go

Cause: the soak knew no keys, so that nothing tried them beside real processes that are paused, killed and cut off. Change: two organisations, one with a cap that changes; each configuration brings a key and takes one away; a stranger calls with keys that were never held or were withdrawn long ago.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,9 @@
 	mu                sync.Mutex
 	accepted, refused []string
 	next              int
+	// version is the newest configuration's; withdrawn are keys that it does not hold any more, and since when.
+	version   int
+	withdrawn map[string]time.Time
 }
 
 // process is one entry.
@@ -119,11 +122,7 @@
 	for i := range workers {
 		s.platform.AddWorker(fmt.Sprint("m", i), "pool-a", 4000, 8000)
 	}
-	s.platform.Publish(map[string]any{
-		"Version":  1,
-		"Routes":   []map[string]any{{"Name": "q", "Host": "h.example", "PathPrefix": "/q/", "Service": "pool-a", "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 1000}},
-		"Services": []map[string]any{{"Name": "pool-a", "AdmissionCheck": true}, {"Name": "spare", "Headroom": true}},
-	})
+	s.publish()
 	for i := range s.entries {
 		s.prepare(i)
 		s.run(i)
@@ -136,6 +135,7 @@
 	for i := range clients {
 		load.Go(func() { s.client(i, stop) })
 	}
+	load.Go(func() { s.stranger(stop) })
 	for end := time.Now().Add(*lasts); time.Now().Before(end); {
 		s.fault()
 		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
@@ -147,6 +147,68 @@
 	s.settle(seed)
 }
 
+// publish publishes the next configuration: each brings a key of its own and takes the one of the version before away. Clients use keys that stay.
+func (s *site) publish() {
+	s.mu.Lock()
+	if s.version > 0 {
+		s.withdrawn[versionKey(s.version)] = time.Now()
+	} else {
+		s.withdrawn = make(map[string]time.Time)
+	}
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	s.platform.Publish(map[string]any{
+		"Version":  version,
+		"Routes":   []map[string]any{{"Name": "q", "Host": "h.example", "PathPrefix": "/q/", "Service": "pool-a", "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 1000}},
+		"Services": []map[string]any{{"Name": "pool-a", "AdmissionCheck": true}, {"Name": "spare", "Headroom": true}},
+		"Tenants": []map[string]any{
+			{"Name": "even", "ApiKeys": []string{keys[0], versionKey(version)}, "Weight": 100, "Cap": map[string]int{"Cpu": 6000 + 300*(version%5)}},
+			{"Name": "odd", "ApiKeys": []string{keys[1]}, "Weight": 50},
+		},
+	})
+}
+
+// keys are those that the organisations keep.
+var keys = [...]string{"soak-key-of-the-even", "soak-key-of-the-odd-"}
+
+// keyOf returns the key of the organisation that hands the job in.
+func keyOf(id string) string {
+	n, _ := strconv.ParseUint(id, 16, 64) // the soak's own
+	return keys[n%2]
+}
+
+func versionKey(version int) string { return fmt.Sprintf("soak-key-of-version-%d", version) }
+
+// counts is for how long a withdrawn key may count: the time to apply and the skew of the settings, and what a call takes.
+const counts = 3*time.Second + 3*time.Second + 4*time.Second
+
+// stranger calls with keys that were never held, and with such as were withdrawn long ago; none may be let in.
+func (s *site) stranger(stop chan struct{}) {
+	h := &http.Client{Timeout: 2 * time.Second}
+	defer h.CloseIdleConnections()
+	for try := 0; ; try++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(60 * time.Millisecond):
+		}
+		key := "never-held"
+		s.mu.Lock()
+		for k, at := range s.withdrawn {
+			if time.Since(at) > counts && try%2 == 0 {
+				key = k
+			}
+		}
+		s.mu.Unlock()
+		switch status, body := s.call(h, try%entries, key, http.MethodGet, "00000000000000ff", ""); status {
+		case 0, http.StatusUnauthorized, http.StatusServiceUnavailable:
+		default:
+			s.c.Errorf("key %s: %d %s", key, status, body)
+		}
+	}
+}
+
 // prepare writes an entry's settings and opens its proxy.
 func (s *site) prepare(i int) {
 	p := &process{ip: fmt.Sprintf("127.1.0.%d", i+1)}
@@ -162,7 +224,8 @@
 PortRange: [18453, 18460]
 Seeds: ["127.1.0.1:1", "127.1.0.2:1", "127.1.0.3:1"]
 Limits: {CpuShare: 0.4, Cores: 1, MemoryMb: 284}
-Bounds: {HoldMaxMs: 6000, StopMs: 400, GraceS: 4.0, status_s: 120, NoticeMs: 4500, HarmMs: 4000, MoveS: 1.5, UpkeepS: 2}
+Contracts: [tenants]
+Bounds: {ConfigApplyMs: 3000, MaxSkewMs: 3000, HoldMaxMs: 6000, StopMs: 400, GraceS: 4.0, status_s: 120, NoticeMs: 4500, HarmMs: 4000, MoveS: 1.5, UpkeepS: 2}
 platform: {Address: "%s:18470", parts: 2}
 CloudApi: {Address: %q}
 `, i, p.ip, p.ip, p.ip, p.ip, local(platformtest.MachinesAddress))
@@ -211,7 +274,7 @@
 func (s *site) fault() {
 	i := s.random.IntN(entries)
 	p := s.entries[i]
-	switch s.random.IntN(10) {
+	switch s.random.IntN(11) {
 	case 0:
 		s.end(i, syscall.SIGKILL)
 		s.run(i)
@@ -245,6 +308,8 @@
 		s.platform.Revive(machine)
 	case 8:
 		s.platform.Store.Forget()
+	case 9:
+		s.publish()
 	default:
 		s.heal()
 	}
@@ -272,7 +337,7 @@
 		s.next++
 		id := fmt.Sprintf("%016x", s.next)
 		s.mu.Unlock()
-		status, _ := s.call(h, (number+try)%entries, http.MethodPost, id, `{"Spec":"x","Steps":[{"Count":2,"Cpu":300,"MemMb":50,"EstimateMs":400},{"Count":1,"Cpu":300,"MemMb":50,"DependsOn":[0]}]}`)
+		status, _ := s.call(h, (number+try)%entries, keyOf(id), http.MethodPost, id, `{"Spec":"x","Steps":[{"Count":2,"Cpu":300,"MemMb":50,"EstimateMs":400},{"Count":1,"Cpu":300,"MemMb":50,"DependsOn":[0]}]}`)
 		s.mu.Lock()
 		switch status {
 		case http.StatusOK:
@@ -284,12 +349,13 @@
 	}
 }
 
-func (s *site) call(h *http.Client, entry int, method, id, body string) (int, string) {
+func (s *site) call(h *http.Client, entry int, key, method, id, body string) (int, string) {
 	r, err := http.NewRequest(method, "http://"+s.entries[entry].ip+":18451/q/"+id, bytes.NewBufferString(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	r.Host = "h.example"
+	r.Header.Set("Authorization", "Bearer "+key)
 	resp, err := h.Do(r)
 	if err != nil {
 		return 0, err.Error()
@@ -309,7 +375,8 @@
 		if crashes(id) {
 			want = `"failed"`
 		}
-		for status, last := s.call(h, n%entries, http.MethodGet, id, ""); !strings.Contains(last, want); status, last = s.call(h, n%entries, http.MethodGet, id, "") {
+		ask := func() (int, string) { return s.call(h, n%entries, keyOf(id), http.MethodGet, id, "") }
+		for status, last := ask(); !strings.Contains(last, want); status, last = ask() {
 			if time.Now().After(end) {
 				s.c.Fatalf("seed %d: accepted job %s: %d %s instead of %s; logs in %s", seed, id, status, last, want, logsDir())
 			}
@@ -317,7 +384,7 @@
 		}
 	}
 	for n, id := range s.refused {
-		status, last := s.call(h, n%entries, http.MethodGet, id, "")
+		status, last := s.call(h, n%entries, keyOf(id), http.MethodGet, id, "")
 		s.c.Assert(status, quicktest.Equals, http.StatusGone, quicktest.Commentf("seed %d: refused job %s: %s; logs in %s", seed, id, last, logsDir()))
 	}
 	s.c.Assert(s.platform.Check(), quicktest.HasLen, 0, quicktest.Commentf("seed %d; logs in %s", seed, logsDir()))
