platform, pool, control: gangs over their cap, and what organisations hold

Cause: a gang that no cap allows would have waited for ever; bounds that change with the settings did not reach the ingress; nothing told what organisations have running. Change: such a gang is refused at hand-in with what to do; a reload sets the entry's patience; a gauge for 64 organisations by name and the rest together, and the teams in 'rackstep status'.

--- a/admin/wire.go
+++ b/admin/wire.go
@@ -75,6 +75,8 @@
 	Entries  []EntryStatus   `json:"entries"`
 	Services []ServiceStatus `json:"services"`
 	Plans    []PlanStatus    `json:"plans"`
+	// Teams are those that hold something for their jobs.
+	Teams []TeamStatus `json:"teams"`
 	Jobs     JobCounts       `json:"jobs"`
 	// InFlight, Waiting and Slots are of this entry only.
 	InFlight int `json:"in_flight"`
@@ -88,6 +90,13 @@
 	PlatformOut int64 `json:"platform_out"`
 }
 
+// TeamStatus is what one team's jobs hold, in cores; Quota is 0 for no bound.
+type TeamStatus struct {
+	Team  string `json:"team"`
+	Cores int    `json:"cores"`
+	Quota int    `json:"quota"`
+}
+
 // Line is the time line, with the entries that could not be asked.
 type Line struct {
 	Events    []event.Event `json:"events"`
--- a/cmd/rackstep/status.go
+++ b/cmd/rackstep/status.go
@@ -74,6 +74,12 @@
 			w.line("  %s waits: %s", in, reason)
 		}
 	}
+	if len(st.Teams) > 0 {
+		w.head("TEAM", "CORES", "QUOTA")
+	}
+	for _, t := range st.Teams {
+		w.row(t.Team, t.Cores, t.Quota)
+	}
 	for state, n := range st.Jobs {
 		w.line("jobs %s: %d", state, n)
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -54,6 +54,11 @@
 		s := &t.Configuration.Services[i]
 		st.Services = append(st.Services, admin.ServiceStatus{Service: s.Name, Pool: s.Pool, Margin: t.Spare(s.Budget()).Least()})
 	}
+	for _, team := range t.Configuration.Teams {
+		if cores := t.TeamCores(team.Name); cores > 0 {
+			st.Teams = append(st.Teams, admin.TeamStatus{Team: team.Name, Cores: cores, Quota: team.JobCores})
+		}
+	}
 	for _, p := range t.Plans.All {
 		st.Plans = append(st.Plans, c.planStatus(p))
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -205,7 +205,8 @@
 		n.scheduler.SetOrganisations(c.Organisations)
 		n.scheduler.SetCatalog(&c.Catalog)
 	}}
-	n.ingress.Age, n.ingress.Patience, n.ingress.Keyed = n.follower.Age, patienceOf(s.Bounds), s.Keyed()
+	n.ingress.Age, n.ingress.Keyed = n.follower.Age, s.Keyed()
+	n.ingress.SetPatience(patienceOf(s.Bounds))
 }
 
 // patienceOf returns how long an entry that can't read the configuration goes by what it has.
--- a/entry/organisations_test.go
+++ b/entry/organisations_test.go
@@ -329,3 +329,19 @@
 		}
 	})
 }
+
+func TestAGangThatNoCapAllowsIsRefusedAtOnce(t *testing.T) {
+	onFakeTime(t, func(c *quicktest.C) {
+		d := deployKeyed(c, 1, 3, nil)
+		d.publishes(3, organisation{Name: "org-a", ApiKeys: []string{keyA}, Weight: 10, Cap: map[string]int{"Cpu": 3000}})
+		time.Sleep(3 * time.Second)
+		gang := step{Count: 4, Cpu: 1000, MemMb: 10, Gang: true}
+		status, _, body := d.asks(d.client, 0, http.MethodPost, jobA, keyA, map[string]any{"Steps": []step{gang}})
+		c.Assert(status, quicktest.Equals, 400)
+		c.Assert(body, quicktest.Contains, "make it smaller, or have the cap raised")
+		c.Assert(d.status(0, http.MethodGet, jobA, keyA), quicktest.Equals, 410)
+		gang.Count = 3
+		c.Assert(d.status(0, http.MethodPost, jobA, keyA, gang), quicktest.Equals, 200)
+		d.awaitFor(0, jobA, keyA, "succeeded", 5*time.Second)
+	})
+}
--- a/org/ledger.go
+++ b/org/ledger.go
@@ -2,7 +2,12 @@
 
 package org
 
-import "rackstep.dev/job"
+import (
+	"maps"
+	"slices"
+
+	"rackstep.dev/job"
+)
 
 // account is what one organisation has running.
 type account struct {
@@ -89,6 +94,9 @@
 	return job.Need{}, 0
 }
 
+// Names returns the organisations that have something running, in the order of their names.
+func (l *Ledger) Names() []string { return slices.Sorted(maps.Keys(l.accounts)) }
+
 // Over says whether the organisation has more running than it may, counting the run of that need, which may be the only one: its order must
 // not leave then. It happens when a cap is lowered between a decision and its order.
 func (l *Ledger) Over(name string, n job.Need) bool {
--- a/pool/session.go
+++ b/pool/session.go
@@ -37,8 +37,9 @@
 
 	config *job.Catalog
 	// ledger counts what organisations have running, by the tables of workers; rate tells what they send beyond their rates.
-	ledger  org.Ledger
-	rate    org.Rate
+	ledger org.Ledger
+	rate   org.Rate
+	organisationMetrics
 	jobs    map[string]*job.Job
 	pools   map[string]*poolRow
 	workers map[string]*worker
@@ -206,6 +207,7 @@
 	c.runWaves(now)
 	c.sizePools(now)
 	c.forget(now)
+	c.tellOrganisations(now)
 }
 
 // queue returns what the configuration says of the job's queue; a queue that was taken away keeps what the job knew.
--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
@@ -287,3 +288,27 @@
 		c.Assert(told()[1], quicktest.Contains, "why=room")
 	})
 }
+
+// TestTheMetricsNameABoundedNumberOfOrganisations has more of them than are named apart.
+func TestTheMetricsNameABoundedNumberOfOrganisations(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(c, nil, "w1")
+	scope := tally.NewTestScope("", nil)
+	b.counts = newMetrics(scope)
+	for i := range organisationsMost + 10 {
+		b.ledger.Take(fmt.Sprintf("o%03d", i), job.Need{MilliCPU: 100})
+	}
+	b.tellOrganisations(time.Now())
+	gauges := scope.Snapshot().Gauges()
+	named := 0
+	for _, g := range gauges {
+		if g.Name() == "organisation_millicores" {
+			named++
+		}
+	}
+	c.Assert(named, quicktest.Equals, organisationsMost+1)
+	c.Assert(gauges["organisation_millicores+organisation="+otherOrganisations].Value(), quicktest.Equals, 1000.0)
+	b.ledger.Return("o000", job.Need{MilliCPU: 100})
+	b.tellOrganisations(time.Now().Add(organisationsEvery))
+	c.Assert(scope.Snapshot().Gauges()["organisation_millicores+organisation=o000"].Value(), quicktest.Equals, 0.0)
+}
