--- a/admin/wire.go
+++ b/admin/wire.go
@@ -77,7 +77,7 @@
 	Plans    []PlanStatus    `json:"plans"`
 	// Teams are those that hold something for their jobs.
 	Teams []TeamStatus `json:"teams"`
-	Jobs     JobCounts       `json:"jobs"`
+	Jobs  JobCounts    `json:"jobs"`
 	// InFlight, Waiting and Slots are of this entry only.
 	InFlight int `json:"in_flight"`
 	Waiting  int `json:"waiting"`
