job, intake: whose a job is stands with the job, and no ID names another one's

Cause: intake imported the scheduler for questions, answers and keys: an import from a lower layer up to a higher one. And a wish to cancel took any ID: while nobody could be asked, 'a/ID' through a public queue would have cancelled organisation a's job. Change: names, keys, questions and answers go to job; what is no ID is unknown at once. Conclusion: intake imports event, feed, clock and job.

--- a/entry/ask.go
+++ b/entry/ask.go
@@ -57,19 +57,19 @@
 }
 
 // ask asks the scheduling entry, which may be this one.
-func (n *Node) ask(ctx context.Context, q pool.Question) (pool.Answer, error) {
+func (n *Node) ask(ctx context.Context, q job.Question) (job.Answer, error) {
 	leader := n.elector.Latest().Address
 	if leader == n.elector.Address {
 		return n.scheduler.Ask(ctx, q)
 	}
 	var a peerpb.JobAnswer
 	if err := n.converse(ctx, leader, &peerpb.Open{Kind: &peerpb.Open_Job{Job: &peerpb.JobQuery{Id: q.ID, Queue: q.Queue, Organisation: q.Organisation, Open: q.Open}}}, &a); err != nil {
-		return pool.Answer{}, err
+		return job.Answer{}, err
 	}
 	if !a.Known && !a.Certain {
-		return pool.Answer{}, fmt.Errorf("ask %s: %w", leader, pool.ErrNotLeading)
+		return job.Answer{}, fmt.Errorf("ask %s: %w", leader, pool.ErrNotLeading)
 	}
-	return pool.Answer{Known: a.Known, Certain: a.Certain, State: job.State(a.State), Pending: int(a.Pending), Organisation: a.Organisation}, nil
+	return job.Answer{Known: a.Known, Certain: a.Certain, State: job.State(a.State), Pending: int(a.Pending), Organisation: a.Organisation}, nil
 }
 
 // serveStream answers another entry.
@@ -92,7 +92,7 @@
 }
 
 func (n *Node) answerQuery(ctx context.Context, q *peerpb.JobQuery) *peerpb.JobAnswer {
-	a, err := n.scheduler.Ask(ctx, pool.Question{ID: q.Id, Queue: q.Queue, Organisation: q.Organisation, Open: q.Open})
+	a, err := n.scheduler.Ask(ctx, job.Question{ID: q.Id, Queue: q.Queue, Organisation: q.Organisation, Open: q.Open})
 	if err != nil {
 		return &peerpb.JobAnswer{} // neither known nor certain
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,7 +11,6 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
-	"rackstep.dev/pool"
 )
 
 // Errors of an Intake.
@@ -33,7 +32,7 @@
 type Intake struct {
 	Writer *Writer
 	// Ask asks the scheduling entry for a job or a queue.
-	Ask    func(ctx context.Context, q pool.Question) (pool.Answer, error)
+	Ask    func(ctx context.Context, q job.Question) (job.Answer, error)
 	Events *event.Ring
 }
 
@@ -49,7 +48,7 @@
 		return err
 	}
 	began := time.Now()
-	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: pool.JobKey(s.Organisation, s.ID), Value: value})
+	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: s.Owner().HandedInKey(), Value: value})
 	i.tell(s.ID, fmt.Sprintf("submit queue=%s organisation=%q", s.Queue, s.Organisation), offset, tries, time.Since(began), err)
 	return err
 }
@@ -58,7 +57,10 @@
 //
 // It is written in the name of the job's organisation, or of the one that asks while nobody can tell whose the job is: it then reaches no
 // other one's job.
-func (i *Intake) Cancel(ctx context.Context, q pool.Question) error {
+func (i *Intake) Cancel(ctx context.Context, q job.Question) error {
+	if !job.ValidID(q.ID) {
+		return ErrUnknown // no job has such an ID, and kept under it a wish could name another organisation's
+	}
 	ask, done := context.WithTimeout(ctx, askTimeout)
 	a, err := i.Ask(ask, q)
 	done()
@@ -70,7 +72,7 @@
 		owner = a.Organisation
 	}
 	began := time.Now()
-	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: pool.CancelKey(owner, q.ID), Value: []byte{1}})
+	offset, tries, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: job.OwnedBy(owner, q.ID).CancelKey(), Value: []byte{1}})
 	i.tell(q.ID, fmt.Sprintf("cancel organisation=%q", owner), offset, tries, time.Since(began), err)
 	return err
 }
@@ -91,7 +93,10 @@
 }
 
 // State returns a job's state; the error is ErrUnknown or ErrUnclear.
-func (i *Intake) State(ctx context.Context, q pool.Question) (job.State, error) {
+func (i *Intake) State(ctx context.Context, q job.Question) (job.State, error) {
+	if !job.ValidID(q.ID) {
+		return 0, ErrUnknown
+	}
 	a, err := i.ask(ctx, q)
 	switch {
 	case err != nil:
@@ -106,11 +111,11 @@
 
 // Pending returns how many of the queue's accepted jobs have not begun; the error is ErrUnclear.
 func (i *Intake) Pending(ctx context.Context, queue string) (int, error) {
-	a, err := i.ask(ctx, pool.Question{Queue: queue})
+	a, err := i.ask(ctx, job.Question{Queue: queue})
 	return a.Pending, err
 }
 
-func (i *Intake) ask(ctx context.Context, q pool.Question) (pool.Answer, error) {
+func (i *Intake) ask(ctx context.Context, q job.Question) (job.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	a, err := i.Ask(ctx, q)
--- a/job/spec.go
+++ b/job/spec.go
@@ -123,7 +123,7 @@
 
 // Check returns a SpecError for a job that can't be kept or run.
 func (s *Spec) Check() error {
-	if len(s.ID) != 16 || !isHex(s.ID) {
+	if !ValidID(s.ID) {
 		return refuse("its ID must be 16 hex digits")
 	}
 	if len(s.Text) > MaxText {
@@ -167,6 +167,9 @@
 	return nil
 }
 
+// ValidID says whether a client may choose the ID.
+func ValidID(id string) bool { return len(id) == idLength && isHex(id) }
+
 func isHex(s string) bool {
 	for _, c := range []byte(s) {
 		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
--- a/pool/backoff_test.go
+++ b/pool/backoff_test.go
@@ -61,7 +61,7 @@
 	}
 	b.goesOn(time.Second)
 	s := &job.Spec{ID: "00000000000000b2", Queue: "q", Pool: "p", Steps: []job.Step{{Count: 12, Need: job.Need{MilliCPU: 1000}}}}
-	b.openJob(b.readIntake(0, record(c, JobKey("", s.ID), s), time.Now()), time.Now())
+	b.openJob(b.readIntake(0, record(c, job.OwnedBy("", s.ID).HandedInKey(), s), time.Now()), time.Now())
 	b.goesOn(200 * time.Millisecond)
 	c.Check(others.Load(), quicktest.Equals, int64(12))
 	b.goesOn(9 * time.Second)
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -250,15 +250,15 @@
 }
 
 // dropRecords takes what is kept of a job out of partitions of the intake; a failure leaves records that the next leader drops.
-func (c *session) dropRecords(name owned, parts uint64) {
-	organisation, id := name.parts()
+func (c *session) dropRecords(name job.Owned, parts uint64) {
+	_, id := name.Parts()
 	c.work.Go(func() {
 		for part, topic := range c.Intake {
 			if parts&(1<<part) == 0 {
 				continue
 			}
 			ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-			_, err := topic.Append(ctx, feed.Batch{At: -1, Records: []feed.KeyedRecord{{Key: JobKey(organisation, id)}, {Key: CancelKey(organisation, id)}}})
+			_, err := topic.Append(ctx, feed.Batch{At: -1, Records: []feed.KeyedRecord{{Key: name.HandedInKey()}, {Key: name.CancelKey()}}})
 			cancel()
 			if err != nil {
 				c.emit(event.StoreUnreachable, event.Subject{Job: id}, "old job not dropped: %v", err)
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -162,12 +162,12 @@
 }
 
 // ask asks the entries in turn until one that schedules answers.
-func (h *history) ask(id string) (pool.Answer, error) {
-	var a pool.Answer
+func (h *history) ask(id string) (job.Answer, error) {
+	var a job.Answer
 	err := pool.ErrNotLeading
 	for _, e := range h.entries {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		a, err = e.scheduler.Ask(ctx, pool.Question{ID: id})
+		a, err = e.scheduler.Ask(ctx, job.Question{ID: id})
 		cancel()
 		if err == nil {
 			break
--- a/pool/keeping_test.go
+++ b/pool/keeping_test.go
@@ -64,7 +64,7 @@
 	for range jobs {
 		x.jobs++
 		s := &job.Spec{ID: fmt.Sprintf("%016x", x.jobs), Queue: "q", Pool: "p", Steps: []job.Step{{Count: 1, Need: job.Need{MilliCPU: 1}}}}
-		j := x.readIntake(0, record(x.c, JobKey("", s.ID), s), time.Now())
+		j := x.readIntake(0, record(x.c, job.OwnedBy("", s.ID).HandedInKey(), s), time.Now())
 		x.openJob(j, time.Now())
 	}
 	for _, m := range x.inbox.take() {
--- a/pool/load.go
+++ b/pool/load.go
@@ -18,10 +18,8 @@
 	"rackstep.dev/work"
 )
 
-// Keys of the topics: what a client handed in, its wish to cancel, and what became of the job.
+// Keys of what is kept besides what clients handed in.
 const (
-	jobKey     = "j/"
-	cancelKey  = "c/"
 	stateKey   = "s/"
 	lostKey    = "l/"
 	waveKey    = "wave/"
@@ -306,14 +304,14 @@
 
 // readIntake adds the job that a record hands in, and returns it if it is new.
 func (c *session) readIntake(part int, r feed.KeyedRecord, now time.Time) *job.Job {
-	if !strings.HasPrefix(r.Key, jobKey) || len(r.Value) == 0 {
+	name, ok := job.HandedIn(r.Key)
+	if !ok || len(r.Value) == 0 {
 		return nil
 	}
-	name := owned(r.Key[len(jobKey):])
 	if c.idTaken(name, part) {
 		return nil
 	}
-	organisation, id := name.parts()
+	organisation, id := name.Parts()
 	c.keepsOf[name] |= 1 << part
 	if c.jobs[id] != nil {
 		return nil // handed in again
@@ -335,11 +333,11 @@
 
 // readCancel applies a record's wish to cancel, which may come before its job through another partition.
 func (c *session) readCancel(part int, r feed.KeyedRecord, now time.Time) {
-	if !strings.HasPrefix(r.Key, cancelKey) || len(r.Value) == 0 {
+	name, ok := job.CancelWished(r.Key)
+	if !ok || len(r.Value) == 0 {
 		return
 	}
-	name := owned(r.Key[len(cancelKey):])
-	organisation, id := name.parts()
+	organisation, id := name.Parts()
 	c.keepsOf[name] |= 1 << part
 	c.cancelled[name] = true
 	if j := c.jobs[id]; j != nil && j.Spec.Organisation == organisation {
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -11,56 +11,10 @@
 	"rackstep.dev/job"
 )
 
-// idLength is the length of a job's ID.
-const idLength = 16
-
-// owned names a job as it is kept: its ID behind the name of the organisation that handed it in, or alone.
-//
-// IDs are chosen by clients. Two organisations that choose the same one write under keys of their own, so that neither can
-// overwrite or cancel what the other has handed in.
-type owned string
-
-// ownedBy returns the name under which an organisation's job is kept; nobody's when the organisation is empty.
-func ownedBy(organisation, id string) owned {
-	if organisation == "" {
-		return owned(id)
-	}
-	return owned(organisation + "/" + id)
-}
-
-// parts returns the organisation and the ID; names of organisations may hold any sign.
-func (o owned) parts() (organisation, id string) {
-	if i := len(o) - idLength - 1; i > 0 && o[i] == '/' {
-		return string(o[:i]), string(o[i+1:])
-	}
-	return "", string(o)
-}
-
-// JobKey returns the intake's key of a job that an organisation hands in, or nobody in particular.
-func JobKey(organisation, id string) string { return jobKey + string(ownedBy(organisation, id)) }
-
-// CancelKey returns the intake's key of the cancel of such a job.
-func CancelKey(organisation, id string) string { return cancelKey + string(ownedBy(organisation, id)) }
-
-// Question asks for a job, or for a queue when ID is empty.
-type Question struct {
-	ID, Queue string
-	// Organisation is who asks, empty for nobody that is known; Open says that the queue answers anybody.
-	Organisation string
-	Open         bool
-}
-
-// sees says whether who asks may know of the job: its organisation may, and everybody of one that nobody in particular has handed in, or whose
-// queue answers anybody by now.
-func (q Question) sees(j *job.Job) bool {
-	owner := j.Spec.Organisation
-	return owner == "" || owner == q.Organisation || (q.Open && q.Queue == j.Spec.Queue)
-}
-
 // question is a Question on its way to the control goroutine.
 type question struct {
-	Question
-	reply chan<- Answer
+	job.Question
+	reply chan<- job.Answer
 }
 
 // freshFor is how old the latest look at the intake may be for a job to be certainly unknown; it is under the time
@@ -69,19 +23,19 @@
 
 func (m question) apply(c *session) {
 	if m.ID == "" {
-		m.reply <- Answer{Known: true, Pending: c.pending(m.Queue)}
+		m.reply <- job.Answer{Known: true, Pending: c.pending(m.Queue)}
 		return
 	}
-	if _, ok := c.taken[ownedBy(m.Organisation, m.ID)]; ok {
-		m.reply <- Answer{Known: true, State: job.Failed, Organisation: m.Organisation}
+	if _, ok := c.taken[job.OwnedBy(m.Organisation, m.ID)]; ok {
+		m.reply <- job.Answer{Known: true, State: job.Failed, Organisation: m.Organisation}
 		return
 	}
 	j := c.jobs[m.ID]
-	if j == nil || !m.sees(j) {
-		m.reply <- Answer{Certain: c.isFresh()}
+	if j == nil || !m.Sees(j.Spec) {
+		m.reply <- job.Answer{Certain: c.isFresh()}
 		return
 	}
-	m.reply <- Answer{Known: true, State: j.Shown(), Organisation: j.Spec.Organisation}
+	m.reply <- job.Answer{Known: true, State: j.Shown(), Organisation: j.Spec.Organisation}
 }
 
 // takenID is a job whose ID another organisation's job had: workers know tasks by the ID alone, so that it can't run.
@@ -92,8 +46,8 @@
 
 // idTaken says whether a job with the ID is in the tables that another organisation handed in, and settles the one that comes second:
 // it is shown as failed to its own organisation, at once, and never touches the first. That is kept, so that each leader decides alike.
-func (c *session) idTaken(name owned, part int) bool {
-	organisation, id := name.parts()
+func (c *session) idTaken(name job.Owned, part int) bool {
+	organisation, id := name.Parts()
 	if _, ok := c.taken[name]; ok {
 		return true
 	}
@@ -129,7 +83,7 @@
 
 // restoreTaken takes over what an earlier leader has kept of a job that came second.
 func (c *session) restoreTaken(r feed.KeyedRecord, now time.Time) {
-	c.taken[owned(strings.TrimPrefix(r.Key, takenKey))] = &takenID{since: now, kept: true}
+	c.taken[job.Owned(strings.TrimPrefix(r.Key, takenKey))] = &takenID{since: now, kept: true}
 }
 
 // forgetTaken drops those whose state is owed to nobody any more.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -188,34 +188,23 @@
 // ErrNotLeading means that this entry can't answer, because it does not schedule or has not read all yet.
 var ErrNotLeading = errors.New("this entry does not schedule now; ask again in a moment")
 
-// Answer is what is known of a job or a queue.
-type Answer struct {
-	// Known says that the job was accepted; otherwise Certain says that it was not.
-	Known, Certain bool
-	State          job.State
-	// Pending counts the queue's jobs of which nothing has begun.
-	Pending int
-	// Organisation is whose job it is, empty for nobody's in particular.
-	Organisation string
-}
-
 // Ask returns what is known of a job, or of a queue.
-func (s *Scheduler) Ask(ctx context.Context, q Question) (Answer, error) {
+func (s *Scheduler) Ask(ctx context.Context, q job.Question) (job.Answer, error) {
 	s.mu.Lock()
 	c := s.current
 	s.mu.Unlock()
 	if c == nil {
-		return Answer{}, ErrNotLeading
+		return job.Answer{}, ErrNotLeading
 	}
-	reply := make(chan Answer, 1)
+	reply := make(chan job.Answer, 1)
 	c.post(question{Question: q, reply: reply})
 	select {
 	case a := <-reply:
 		return a, nil
 	case <-c.ended:
-		return Answer{}, ErrNotLeading
+		return job.Answer{}, ErrNotLeading
 	case <-ctx.Done():
-		return Answer{}, fmt.Errorf("ask the scheduler: %w", ctx.Err())
+		return job.Answer{}, fmt.Errorf("ask the scheduler: %w", ctx.Err())
 	}
 }
 
--- a/pool/session.go
+++ b/pool/session.go
@@ -106,13 +106,13 @@
 	serversEnd int64
 	// keepsOf has a bit for each partition of the intake that keeps something of a job; cancelled are the jobs that
 	// clients want cancelled.
-	keepsOf   map[owned]uint64
-	cancelled map[owned]bool
+	keepsOf   map[job.Owned]uint64
+	cancelled map[job.Owned]bool
 	// taken are the jobs whose IDs other organisations' jobs had; takenDirty says that some are not kept as such, takenGone are those
 	// to be dropped from the store.
-	taken        map[owned]*takenID
+	taken        map[job.Owned]*takenID
 	takenDirty   bool
-	takenGone    []owned
+	takenGone    []job.Owned
 	waveRows     map[int64]*waveRow
 	gone         []string  // jobs whose state is to be dropped from the store
 	machinesAt   time.Time // when the machine interface was last asked
@@ -147,7 +147,7 @@
 		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), lives: make(map[string][]*worker), over: make(map[string]bool),
 		unkept: make(map[*job.Job]int64), unacked: make(map[*worker]bool), batchMost: cmp.Or(s.BatchMost, batchMost), later: make(map[string]*job.Job), restored: make(map[string]bool), unread: make(map[string]time.Time), readUnsure: make(map[string]bool),
 		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
-		keepsOf: make(map[owned]uint64), cancelled: make(map[owned]bool), taken: make(map[owned]*takenID),
+		keepsOf: make(map[job.Owned]uint64), cancelled: make(map[job.Owned]bool), taken: make(map[job.Owned]*takenID),
 		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*moveStep), keepsLost: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
@@ -281,7 +281,7 @@
 			delete(c.jobs, id)
 			delete(c.restored, id)
 			c.gone = append(c.gone, id)
-			name := ownedBy(j.Spec.Organisation, id)
+			name := j.Spec.Owner()
 			c.dropRecords(name, c.keepsOf[name])
 			delete(c.keepsOf, name)
 			delete(c.cancelled, name)
--- a/pool/session_test.go
+++ b/pool/session_test.go
@@ -56,7 +56,7 @@
 	c.Cleanup(func() { cancel(); b.work.Wait() })
 	state, intake, list := feed.KeyedPage{}, feed.KeyedPage{}, feed.KeyedPage{}
 	for _, j := range jobs {
-		intake.Records = append(intake.Records, record(c, JobKey(j.Spec.Organisation, j.Spec.ID), j.Spec))
+		intake.Records = append(intake.Records, record(c, j.Spec.Owner().HandedInKey(), j.Spec))
 		state.Records = append(state.Records, record(c, stateKey+j.Spec.ID, j.Keep()))
 	}
 	for i, life := range lives {
--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -31,7 +31,7 @@
 // handIn reads a job of an organisation from the intake.
 func (b *bench) handIn(organisation, id string, s job.Step) *job.Job {
 	b.c.Helper()
-	j := b.readIntake(0, record(b.c, JobKey(organisation, id), &job.Spec{ID: id, Queue: "q", Pool: "p", Steps: []job.Step{s}, Taken: job.UnixMilli(time.Now().UnixMilli())}), time.Now())
+	j := b.readIntake(0, record(b.c, job.OwnedBy(organisation, id).HandedInKey(), &job.Spec{ID: id, Queue: "q", Pool: "p", Steps: []job.Step{s}, Taken: job.UnixMilli(time.Now().UnixMilli())}), time.Now())
 	b.c.Assert(j, quicktest.IsNotNil)
 	b.judgeRate(j)
 	b.openJob(j, time.Now())
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -130,7 +130,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.asked[s.ID] = s
-	h.topic("intake").add(feed.KeyedRecord{Key: pool.JobKey(s.Organisation, s.ID), Value: value})
+	h.topic("intake").add(feed.KeyedRecord{Key: s.Owner().HandedInKey(), Value: value})
 }
 
 func (h *history) cancelJob(id string) {
@@ -138,7 +138,7 @@
 	defer h.mu.Unlock()
 	if h.cancels[id].IsZero() {
 		h.cancels[id] = time.Now()
-		h.topic("intake").add(feed.KeyedRecord{Key: pool.CancelKey(h.asked[id].Organisation, id), Value: []byte{1}})
+		h.topic("intake").add(feed.KeyedRecord{Key: job.OwnedBy(h.asked[id].Organisation, id).CancelKey(), Value: []byte{1}})
 	}
 }
 
--- a/pool/turn_bench_test.go
+++ b/pool/turn_bench_test.go
@@ -62,7 +62,7 @@
 	if t.organisations > 0 {
 		name = fmt.Sprint("o", t.jobs%t.organisations)
 	}
-	j := t.readIntake(0, record(t.c, JobKey(name, s.ID), s), time.Now())
+	j := t.readIntake(0, record(t.c, job.OwnedBy(name, s.ID).HandedInKey(), s), time.Now())
 	t.judgeRate(j)
 	t.learnJob(j)
 	t.openJob(j, time.Now())
