pool, org: what does not wait can't run unkept

Cause: after a takeover in a cut the free room of a whole data centre counted against every cap, until its workers' last lease was over: small organisations started nothing for 3 s. Change: no more counts against a cap than what waits of the organisation's jobs that the earlier leader knew.

--- a/job/spec.go
+++ b/job/spec.go
@@ -62,6 +62,16 @@
 	return Need{MilliCPU: max(n.MilliCPU, o.MilliCPU), MemoryMB: max(n.MemoryMB, o.MemoryMB), GPU: max(n.GPU, o.GPU)}
 }
 
+// Least returns the smaller of each figure of two needs.
+func (n Need) Least(o Need) Need {
+	return Need{MilliCPU: min(n.MilliCPU, o.MilliCPU), MemoryMB: min(n.MemoryMB, o.MemoryMB), GPU: min(n.GPU, o.GPU)}
+}
+
+// Times returns what that many of the need are.
+func (n Need) Times(count int) Need {
+	return Need{MilliCPU: n.MilliCPU * count, MemoryMB: n.MemoryMB * count, GPU: n.GPU * count}
+}
+
 // Lacks says that there is less than nothing of something.
 func (n Need) Lacks() bool { return n.MilliCPU < 0 || n.MemoryMB < 0 || n.GPU < 0 }
 
--- a/org/ledger.go
+++ b/org/ledger.go
@@ -118,9 +118,12 @@
 	return l.directory.bounded()
 }
 
-// Draft returns a copy to decide on. What may run without being counted, since nobody has told of it yet, is unknown: it counts against
-// every cap.
-func (l *Ledger) Draft(unknown job.Need) *Draft {
+// Draft returns a copy to decide on. What an organisation may have running without its being counted, since nobody has told of it yet, is
+// unknown: it counts against its cap; nothing is unknown when nil.
+func (l *Ledger) Draft(unknown func(name string) job.Need) *Draft {
+	if unknown == nil {
+		unknown = func(string) job.Need { return job.Need{} }
+	}
 	return &Draft{ledger: l, unknown: unknown, taken: make(map[string]account)}
 }
 
@@ -135,7 +138,7 @@
 // Draft is a Ledger with what one decision adds to it.
 type Draft struct {
 	ledger  *Ledger
-	unknown job.Need
+	unknown func(name string) job.Need
 	taken   map[string]account
 }
 
@@ -151,11 +154,11 @@
 		return true
 	}
 	held, before := d.held(name)
-	if before == 0 && runs == 1 && d.unknown == (job.Need{}) {
+	unknown := d.unknown(name)
+	if before == 0 && runs == 1 && unknown == (job.Need{}) {
 		return true
 	}
-	more := job.Need{MilliCPU: n.MilliCPU * runs, MemoryMB: n.MemoryMB * runs, GPU: n.GPU * runs}
-	return within(held.Plus(d.unknown).Plus(more), o.Cap, n)
+	return within(held.Plus(unknown).Plus(n.Times(runs)), o.Cap, n)
 }
 
 // Take adds runs to the draft, Return takes them out again.
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -43,7 +43,36 @@
 }
 
 // draft returns the ledger to decide on.
-func (c *session) draft() *org.Draft { return c.ledger.Draft(c.uncounted()) }
+func (c *session) draft() *org.Draft {
+	if !c.ledger.Bounded() {
+		return c.ledger.Draft(nil)
+	}
+	unread, unkept := c.uncounted()
+	if unkept == (job.Need{}) {
+		return c.ledger.Draft(func(string) job.Need { return unread })
+	}
+	may := c.mayHaveStarted()
+	return c.ledger.Draft(func(name string) job.Need { return unread.Plus(unkept.Least(may[name])) })
+}
+
+// mayHaveStarted returns, by organisation, what waits of the jobs that an earlier leader knew: no more can run without having been kept.
+func (c *session) mayHaveStarted() map[string]job.Need {
+	may := make(map[string]job.Need)
+	for id := range c.restored {
+		j := c.jobs[id]
+		if j == nil || j.Spec.Organisation == "" || j.State.Ended() {
+			continue
+		}
+		sum := may[j.Spec.Organisation]
+		for i := range j.Tasks {
+			if j.Tasks[i].Phase == job.Waiting {
+				sum = sum.Plus(j.Tasks[i].Spec().Need)
+			}
+		}
+		may[j.Spec.Organisation] = sum
+	}
+	return may
+}
 
 // tellCapped writes which steps begin to wait for their organisation's cap, and which no longer do: a line for each change.
 func (c *session) tellCapped(groups []*place.Group) {
@@ -79,27 +108,23 @@
 	return sum
 }
 
-// uncounted returns the most that may run in workers without being in the tables: where an earlier leader may have started what it did not
-// keep and the worker has not answered yet, and where a worker lists runs of jobs that nobody has read. Whose it is nobody knows, so that it
-// counts against every cap.
-func (c *session) uncounted() job.Need {
-	var sum job.Need
-	if !c.ledger.Bounded() {
-		return sum
-	}
-	unlisted, unkept := 0, c.mayBeUnkept()
+// uncounted returns the most that may run in workers without being in the tables: where a worker lists runs of jobs that nobody has read, so that
+// nobody knows whose they are; and where an earlier leader may have started what it did not keep and the worker has not answered yet.
+func (c *session) uncounted() (unread, unkept job.Need) {
 	var largest job.Need
+	unlisted, mayBe := 0, c.mayBeUnkept()
 	for _, w := range c.workers {
 		largest = largest.Most(w.Room)
-		if w.unread == 0 && w.unknown == 0 && (!unkept || c.unheard[w.Life] == nil) {
-			continue
-		}
-		if w.Room == (job.Need{}) {
+		switch {
+		case w.unread > 0 || w.unknown > 0:
+			unread = unread.Plus(w.room.Free.Most(job.Need{}))
+		case !mayBe || c.unheard[w.Life] == nil:
+		case w.Room == (job.Need{}):
 			unlisted++
-			continue
+		default:
+			unkept = unkept.Plus(w.room.Free.Most(job.Need{}))
 		}
-		sum = sum.Plus(w.room.Free.Most(job.Need{}))
 	}
 	// A life that is kept and has left the list has a room that this leader does not know: as large as the largest.
-	return sum.Plus(job.Need{MilliCPU: unlisted * largest.MilliCPU, MemoryMB: unlisted * largest.MemoryMB, GPU: unlisted * largest.GPU})
+	return unread, unkept.Plus(largest.Times(unlisted))
 }
