--- a/entry/node.go
+++ b/entry/node.go
@@ -195,9 +195,8 @@
 		Clock: n.Clock,
 		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.Own(leadTopic, 0), Events: n.Events,
 		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.scheduler.Serve, Seen: n.followLeader,
-		May: func() bool { return n.ingress.Ready() && n.relayed() == 0 }, // another one is nearer to the store
+		May: func() bool { return n.ingress.Ready() },
 	}
-	n.scheduler.Relayed = n.relayed
 	n.scheduler.ConfirmedAt, n.scheduler.Lost, n.scheduler.HandOver = n.elector.ConfirmedAt, n.elector.Lost, n.elector.HandOver
 	n.scheduler.SetLoose, n.scheduler.LooseKept, n.scheduler.SetEarlier = n.elector.SetLoose, n.elector.LooseKept, n.elector.SetEarlier
 	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Clock: n.Clock, Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
@@ -219,9 +218,6 @@
 	return org.Patience{Unknown: apply, Known: apply + platform.Millis(b.SkewMillis)}
 }
 
-// relayed returns for how long other entries have made this one's calls to the store.
-func (n *Node) relayed() time.Duration { return n.store.RelayedFor(leadTopic, 0) }
-
 // woke tells that the machine was suspended: all that was learned before proves nothing until it is learned again.
 func (n *Node) woke(slept time.Duration) {
 	n.Events.Emit(event.MachineWoke, event.Subject{Entry: n.Settings.Entry}, fmt.Sprintf("suspended for %v", slept.Round(time.Millisecond)))
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -13,10 +13,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,34 +44,6 @@
 	node   *Node
 	cancel context.CancelFunc
 	ended  chan struct{}
-	// far says that this node's calls to the store are turned away, and no others.
-	far atomic.Bool
-}
-
-// dial opens a connection as the node does; those to the store end at once while it is far.
-func (r *running) dial(d *deployment) platform.Dialer {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.network.Dial(ctx, network, address)
-		if err != nil || address != platformtest.StoreAddress {
-			return conn, err
-		}
-		return farConn{Conn: conn, far: &r.far}, nil
-	}
-}
-
-// farConn is a connection to the store that breaks while its node is far.
-type farConn struct {
-	net.Conn
-	far *atomic.Bool
-}
-
-// Write breaks the connection while the node is far.
-func (c farConn) Write(b []byte) (int, error) {
-	if c.far.Load() {
-		_ = c.Close() // a broken connection has nothing to tell
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(b)
 }
 
 const (
@@ -133,9 +103,8 @@
 	s.Rules = d.rules
 	ctx, cancel := context.WithCancel(d.ctx)
 	r := &running{cancel: cancel, ended: make(chan struct{}), node: &Node{
-		Settings: s, Events: &event.Ring{Entry: s.Entry}, Listen: d.network.Listen,
+		Settings: s, Events: &event.Ring{Entry: s.Entry}, Listen: d.network.Listen, Dial: d.network.Dial,
 	}}
-	r.node.Dial = r.dial(d)
 	go func() {
 		defer close(r.ended)
 		_ = r.node.Run(ctx) // a stopped node returns nothing of interest
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -179,7 +179,7 @@
 	{ModeBegun, "mode-begun", "The leader has begun to work in a degraded mode; the text names it and why.", "If it lasts, see docs/OPERATIONS.md."},
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", nothing},
 	{TakeoverStep, "takeover-step", "A new leader has reached a step of taking over; the text says how long after its term.", nothing},
-	{LeadHandedOver, "lead-handed-over", "A leader that is short of processor, or whose calls to the store go through other entries, gives up the lead, so that another entry takes it; the text says which.", "If it is often, look at the instance's processor share, or at its way to the store."},
+	{LeadHandedOver, "lead-handed-over", "A leader that is short of processor gives up the lead, so that another entry takes it.", "If it is often, look at the instance's processor share."},
 }
 
 // Name returns the event's name, or its number for one that is not in the catalogue.
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -18,10 +18,6 @@
 	// batchMost bounds the bytes of one batch where the adapter names no other bound: half of the 2 MB that the users' store
 	// takes in one call. A bound of 400 jobs let 50 of 15,000 runs leave at 5,000 jobs a second and a store of 200 ms.
 	batchMost = 1 << 20
-	// firstLeast is the least, and firstTimes how many times what the store lately took for a batch, that the first try of one waits; the
-	// same batch again does no harm.
-	firstLeast = 250 * time.Millisecond
-	firstTimes = 4.0
 	// commitPause is the pause after a batch that was not taken.
 	commitPause = 150 * time.Millisecond
 )
@@ -66,8 +62,7 @@
 	c.commitSince = c.now()
 	sequence := c.sequence
 	c.sequence++
-	first := c.firstPatience()
-	c.work.Go(func() { c.append(records, sequence, first, done) })
+	c.work.Go(func() { c.append(records, sequence, done) })
 }
 
 // keepJobs adds what has changed of jobs, as far as the batch has room.
@@ -140,20 +135,14 @@
 	return now, later
 }
 
-// firstPatience is how long the first try of a batch waits for its answer: a way that has fallen silent is left for another soon.
-func (c *session) firstPatience() time.Duration {
-	return min(max(firstLeast, time.Duration(firstTimes*float64(c.usualBatch))), storeTimeout)
-}
-
 // append tries until the store has taken the batch; the same sequence number again is taken once.
-func (c *session) append(records []feed.KeyedRecord, sequence int64, patience time.Duration, done *commitEnded) {
+func (c *session) append(records []feed.KeyedRecord, sequence int64, done *commitEnded) {
 	b := feed.Batch{Records: records, At: -1, Writer: feed.Writer{Name: writer, Epoch: c.term.Fence, Sequence: sequence + 1}}
 	failed := false
 	for c.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(c.ctx, patience)
+		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 		_, err := c.State.Append(ctx, b)
 		cancel()
-		patience = storeTimeout
 		if err == nil {
 			now := c.now()
 			done.answeredAt.Store(&now)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -121,9 +121,6 @@
 	Lost        func(fence int64)
 	// HandOver gives up the term with the fence, so that another entry leads; never when nil.
 	HandOver func(fence int64)
-	// Relayed returns for how long other entries have made this entry's calls to the store, 0 while its own way works or nobody's does; it always
-	// works when nil.
-	Relayed func() time.Duration
 	// Clock is what all that proves or bounds something goes by; the steady clock when nil.
 	Clock *clock.Clock
 	// Waited returns how long goroutines waited for the processor since it was called last; the runtime's figure when nil.
--- a/pool/session.go
+++ b/pool/session.go
@@ -203,7 +203,6 @@
 	c.loosen(now)
 	c.watchModes(now)
 	c.handOverIfStrained(now)
-	c.handOverIfFar(now)
 	c.emptyLeaving(now)
 	c.runWaves(now)
 	c.sizePools(now)
