standin: organisations are published in the stand-in's words

Cause: the tests of entries and the soak spelled the platform's names for organisations and keys. Change: the stand-in has a type for them and publishes it; no check changes. Conclusion: those names stand in platform/ and its stand-in alone.

--- a/entry/organisations_test.go
+++ b/entry/organisations_test.go
@@ -28,34 +28,27 @@
 )
 
 // organisation is one as the operator publishes it.
-type organisation struct {
-	Name    string
-	ApiKeys []string
-	Weight  float64
-	Cap     map[string]int `json:",omitempty"`
-}
+type organisation = platformtest.Organisation
 
 // publishes publishes a version with a queue that needs keys, and a public one.
 func (d *deployment) publishes(version int, organisations ...organisation) {
-	d.platform.Publish(map[string]any{
-		"Version": version,
+	d.platform.PublishOrganisations(version, map[string]any{
 		"Routes": []map[string]any{
 			{"Name": "queue-a", "Host": testHost, "PathPrefix": testPrefix, "Service": "pool-a", "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 1000},
 			{"Name": "open", "Host": testHost, "PathPrefix": publicPrefix, "Service": "pool-a", "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 1000, "Public": true},
 		},
 		"Services": []map[string]any{{"Name": "pool-a", "AdmissionCheck": true}, {"Name": "spare", "Headroom": true}},
-		"Tenants":  organisations,
-	})
+	}, organisations...)
 }
 
 func both() []organisation {
-	return []organisation{{Name: "org-a", ApiKeys: []string{keyA}, Weight: 10}, {Name: "org-b", ApiKeys: []string{keyB}, Weight: 5}}
+	return []organisation{{Name: "org-a", Keys: []string{keyA}, Weight: 10}, {Name: "org-b", Keys: []string{keyB}, Weight: 5}}
 }
 
 // deployKeyed starts a deployment of two organisations, whose bounds are those of the users' sheet.
 func deployKeyed(c *quicktest.C, nodes, workers int, change func(p *platformtest.Platform)) *deployment {
 	d := deploy(c, 0, workers, change)
-	d.rules = []string{"tenants"}
+	d.rules = []string{platformtest.Keyed}
 	d.publishes(2, both()...)
 	for i := range nodes {
 		d.nodes = append(d.nodes, d.start(i))
@@ -156,7 +149,7 @@
 		c.Assert(d.status(0, http.MethodPost, jobA, keyA, short), quicktest.Equals, 200)
 		time.Sleep(time.Second)
 		c.Assert(ask(keyA), quicktest.Equals, 200)
-		d.publishes(3, organisation{Name: "org-a", ApiKeys: []string{keyNew}, Weight: 10})
+		d.publishes(3, organisation{Name: "org-a", Keys: []string{keyNew}, Weight: 10})
 		time.Sleep(3 * time.Second)
 		c.Assert(ask(keyA), quicktest.Equals, 401)
 		c.Assert(ask(keyNew), quicktest.Equals, 200)
@@ -173,10 +166,10 @@
 
 func TestABrokenConfigurationChangesNothingAndIsTold(t *testing.T) {
 	for name, broken := range map[string][]organisation{
-		"an organisation twice": {{Name: "org-a", ApiKeys: []string{keyNew}, Weight: 1}, {Name: "org-a", Weight: 1}},
-		"a key for two":         {{Name: "org-a", ApiKeys: []string{keyNew}, Weight: 1}, {Name: "org-b", ApiKeys: []string{keyNew}, Weight: 1}},
-		"a negative cap":        {{Name: "org-a", ApiKeys: []string{keyNew}, Weight: 1, Cap: map[string]int{"Cpu": -1}}},
-		"no weight":             {{Name: "org-a", ApiKeys: []string{keyNew}}},
+		"an organisation twice": {{Name: "org-a", Keys: []string{keyNew}, Weight: 1}, {Name: "org-a", Weight: 1}},
+		"a key for two":         {{Name: "org-a", Keys: []string{keyNew}, Weight: 1}, {Name: "org-b", Keys: []string{keyNew}, Weight: 1}},
+		"a negative cap":        {{Name: "org-a", Keys: []string{keyNew}, Weight: 1, Cap: map[string]int{"Cpu": -1}}},
+		"no weight":             {{Name: "org-a", Keys: []string{keyNew}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			onFakeTime(t, func(c *quicktest.C) {
@@ -244,7 +237,7 @@
 		time.Sleep(testSkew)
 		c.Assert(d.status(0, http.MethodGet, testPrefix, keyA), quicktest.Equals, 503, quicktest.Commentf("not for ever"))
 		d.platform.SetFaults(nil)
-		d.publishes(3, organisation{Name: "org-a", ApiKeys: []string{keyNew}, Weight: 1})
+		d.publishes(3, organisation{Name: "org-a", Keys: []string{keyNew}, Weight: 1})
 		time.Sleep(3 * time.Second)
 		c.Assert(d.status(0, http.MethodGet, jobA, keyNew), quicktest.Equals, 410)
 		c.Assert(d.status(0, http.MethodGet, jobA, keyA), quicktest.Equals, 401)
@@ -264,7 +257,7 @@
 				}
 			}
 		}
-		d.publishes(3, organisation{Name: "org-a", ApiKeys: []string{keyNew, keyNew}})
+		d.publishes(3, organisation{Name: "org-a", Keys: []string{keyNew, keyNew}})
 		time.Sleep(5 * time.Second)
 		var told bytes.Buffer
 		for _, n := range d.nodes {
@@ -290,7 +283,7 @@
 	onFakeTime(t, func(c *quicktest.C) {
 		d := deployKeyed(c, 3, 6, func(p *platformtest.Platform) { p.Takes = func(string) time.Duration { return 3 * time.Second } })
 		capped := func(version, cpu int) {
-			d.publishes(version, organisation{Name: "org-a", ApiKeys: []string{keyA}, Weight: 10, Cap: map[string]int{"Cpu": cpu}}, both()[1])
+			d.publishes(version, organisation{Name: "org-a", Keys: []string{keyA}, Weight: 10, Cap: map[string]int{"Cpu": cpu}}, both()[1])
 		}
 		capped(3, 5000)
 		time.Sleep(2 * time.Second)
@@ -333,7 +326,7 @@
 func TestAGangThatNoCapAllowsIsRefusedAtOnce(t *testing.T) {
 	onFakeTime(t, func(c *quicktest.C) {
 		d := deployKeyed(c, 1, 3, nil)
-		d.publishes(3, organisation{Name: "org-a", ApiKeys: []string{keyA}, Weight: 10, Cap: map[string]int{"Cpu": 3000}})
+		d.publishes(3, organisation{Name: "org-a", Keys: []string{keyA}, Weight: 10, Cap: map[string]int{"Cpu": 3000}})
 		time.Sleep(3 * time.Second)
 		gang := step{Count: 4, Cpu: 1000, MemMb: 10, Gang: true}
 		status, _, body := d.asks(d.client, 0, http.MethodPost, jobA, keyA, map[string]any{"Steps": []step{gang}})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -158,15 +158,13 @@
 	s.version++
 	version := s.version
 	s.mu.Unlock()
-	s.platform.Publish(map[string]any{
-		"Version":  version,
+	s.platform.PublishOrganisations(version, map[string]any{
 		"Routes":   []map[string]any{{"Name": "q", "Host": "h.example", "PathPrefix": "/q/", "Service": "pool-a", "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 1000}},
 		"Services": []map[string]any{{"Name": "pool-a", "AdmissionCheck": true}, {"Name": "spare", "Headroom": true}},
-		"Tenants": []map[string]any{
-			{"Name": "even", "ApiKeys": []string{keys[0], versionKey(version)}, "Weight": 100, "Cap": map[string]int{"Cpu": 6000 + 300*(version%5)}},
-			{"Name": "odd", "ApiKeys": []string{keys[1]}, "Weight": 50},
-		},
-	})
+	},
+		platformtest.Organisation{Name: "even", Keys: []string{keys[0], versionKey(version)}, Weight: 100, Cap: map[string]int{"Cpu": 6000 + 300*(version%5)}},
+		platformtest.Organisation{Name: "odd", Keys: []string{keys[1]}, Weight: 50},
+	)
 }
 
 // keys are those that the organisations keep.
@@ -224,11 +222,11 @@
 PortRange: [18453, 18460]
 Seeds: ["127.1.0.1:1", "127.1.0.2:1", "127.1.0.3:1"]
 Limits: {CpuShare: 0.4, Cores: 1, MemoryMb: 284}
-Contracts: [tenants]
+Contracts: [%s]
 Bounds: {ConfigApplyMs: 3000, MaxSkewMs: 3000, HoldMaxMs: 6000, StopMs: 400, GraceS: 4.0, status_s: 120, NoticeMs: 4500, HarmMs: 4000, MoveS: 1.5, UpkeepS: 2}
 platform: {Address: "%s:18470", parts: 2}
 CloudApi: {Address: %q}
-`, i, p.ip, p.ip, p.ip, p.ip, local(platformtest.MachinesAddress))
+`, i, p.ip, p.ip, p.ip, platformtest.Keyed, p.ip, local(platformtest.MachinesAddress))
 	s.c.Assert(os.WriteFile(p.settings, []byte(text), 0o600), quicktest.IsNil)
 	s.entries[i] = p
 }
