org: the page's example calls Who as it is

Cause: read as a newcomer, the package page showed Who with two results; it has one, nil for a key that is nobody's, so the example did not compile.

Change: that line of the comment.

The rest of the reading found nothing worth a change.

--- a/org/doc.go
+++ b/org/doc.go
@@ -10,7 +10,7 @@
 
 	d, err := org.NewDirectory(rows)
 	if err != nil { ... }                  // says what is wrong and what to do
-	who, ok := d.Who("key")                // keys are kept and compared as digests
+	who := d.Who("key")                    // nil when the key is nobody's; keys are kept and compared as digests
 
 A Ledger counts what every organisation has running, on all pools together.
 Whoever places tasks makes a Draft of it, asks the draft what may still start,
