work, platform, pool: births of workers are read and told

Change: sight only. The adapter reads the birth that entries and answers tell, events of listed workers name it, and a worker whose answers tell another one than before is told as worker-reborn, with what the tables still hold of the time before. No decision looks at any of it yet.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -80,6 +80,7 @@
 	WorkerSeen           Number = 830
 	WorkerSilent         Number = 831
 	WorkerLost           Number = 832
+	WorkerReborn         Number = 833
 	UpkeepBegun          Number = 840
 	UpkeepRefused        Number = 841
 	WaveChanged          Number = 842
@@ -172,6 +173,7 @@
 	{WorkerSeen, "worker-seen", "A worker is listed, or has changed what it says of itself.", nothing},
 	{WorkerSilent, "worker-silent", "A worker does not answer this entry, or answers again.", nothing},
 	{WorkerLost, "worker-lost", "A worker's life has ended, or all its leases have; its tasks start elsewhere.", nothing},
+	{WorkerReborn, "worker-reborn", "A worker has begun anew under the ID that it had: its answers tell another birth than before.", "If it is often, see why the worker crashes."},
 	{UpkeepBegun, "upkeep-begun", "A worker's instance was taken down for its upkeep.", nothing},
 	{UpkeepRefused, "upkeep-refused", "The machine interface refused an upkeep or a move, or gave no answer.", nothing},
 	{WaveChanged, "wave-changed", "A wave of upkeep was read, or its state was written.", nothing},
--- a/pool/report.go
+++ b/pool/report.go
@@ -42,10 +42,20 @@
 		w.asked = m.asked
 	default:
 		w.asked, w.told = m.asked, m.told(now)
+		c.tellBirth(w, m.report)
 		c.report(w, m.report, now)
 	}
 }
 
+// tellBirth tells when a worker answers with another birth than before, and what the tables hold of the time before that.
+func (c *session) tellBirth(w *worker, rep work.Report) {
+	if before := w.answered; before != 0 && rep.Birth != before {
+		c.counts.reborn.Inc(1)
+		c.emit(event.WorkerReborn, event.Subject{Instance: w.Life}, "machine=%s born=%d before=%d clock=%d runs=%d ends=%d acknowledged=%d", w.Machine, rep.Birth, before, rep.Clock, len(w.runs), w.processed, w.acked.Load())
+	}
+	w.answered = rep.Birth
+}
+
 func (c *session) silent(w *worker, err error, at, now time.Time) {
 	if !w.silentSince.IsZero() {
 		return
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -72,6 +72,8 @@
 	unnamed int
 	// lost says why its life has ended, until the store confirms the lead; empty while it lives.
 	lost string
+	// answered is the birth that its latest report told.
+	answered work.Birth
 	// unread counts the runs it lists whose jobs may still be read.
 	unread int
 	// failures counts failed runs in a row.
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -127,7 +127,7 @@
 		w = newWorker(row, c.Clock, &c.ledger)
 		c.addWorker(w)
 		c.workersDirty = true
-		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s room=%d leaving=%t", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving)
+		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s room=%d leaving=%t born=%d", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving, row.Birth)
 		return w
 	}
 	if w.Leaving != row.Leaving || !w.listed {
--- a/work/calls.go
+++ b/work/calls.go
@@ -22,9 +22,12 @@
 type Worker struct {
 	// Life names this life, Machine the instance; a restart gives a new life.
 	Life, Machine string
-	Pool          string
-	Address       string
-	DataCentre    string
+	// ID is what the platform lists it under, and Birth tells its lives apart that bear it.
+	ID         string
+	Birth      Birth
+	Pool       string
+	Address    string
+	DataCentre string
 	// Labels are the instance's; Rack is one of them.
 	Labels []string
 	Rack   string
@@ -72,6 +75,8 @@
 	Refusal Refusal
 	// Clock is the worker's clock when it answered, 0 if it did not tell.
 	Clock Clock
+	// Birth is that of the life that answered, 0 if it did not tell.
+	Birth Birth
 }
 
 // Start orders a run.
