pool: a test of workers that come back under their ID, failing

The model's instances may be given new lives under the ID that they had: nothing is known there of before, the numbers of ends and the clock start anew, the birth may lie before the one of the life before, and nobody answers between.

--- a/pool/crashload_test.go
+++ b/pool/crashload_test.go
@@ -54,7 +54,7 @@
 
 // playTurn plays one turn and returns which share of the jobs without culprits was in time, how many lives were lost, and how many culprits there were.
 func playTurn(t *testing.T, seed uint64, every int) (inTime float64, lives, culprits int) {
-	_, wrong := playWith(t, seed, turnWorkers, turnRoom, func(h *history) {
+	_, wrong := playWith(t, seed, turnWorkers, turnRoom, 0, func(h *history) {
 		h.longest = 1500 * time.Millisecond
 		handed := make(map[string]time.Time)
 		hopeless := make(map[string]bool)
--- a/pool/load.go
+++ b/pool/load.go
@@ -180,7 +180,7 @@
 	for _, k := range earlier {
 		w := c.workers[k.Life]
 		if w == nil {
-			w = newWorker(work.Worker{Life: k.Life, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
+			w = newWorker(work.Worker{Life: k.Life, ID: k.Life, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
 			w.listed = false
 			c.addWorker(w)
 		}
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -61,17 +61,22 @@
 
 // play runs a history on fake time; it returns the number of calls and what was wrong.
 func play(t *testing.T, seed uint64, script func(h *history)) (int, []string) {
-	return playWith(t, seed, historyWorkers, modelRoom, script)
+	return playWith(t, seed, historyWorkers, modelRoom, 0, script)
 }
 
-// playWith plays a history with that many instances in each zone, of the room given.
-func playWith(t *testing.T, seed uint64, workers, room int, script func(h *history)) (int, []string) {
+// playReborn plays a history in which all new lives bear the ID that their instance had.
+func playReborn(t *testing.T, seed uint64, script func(h *history)) (int, []string) {
+	return playWith(t, seed, historyWorkers, modelRoom, 1, script)
+}
+
+// playWith plays a history with that many instances in each zone, of the room given, in which a share of new lives bears the ID that was there.
+func playWith(t *testing.T, seed uint64, workers, room int, reborn float64, script func(h *history)) (int, []string) {
 	var steps int
 	var wrong []string
 	runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		h := &history{world: newWorld(ctx, rand.New(rand.NewPCG(seed, 7)), historyZones, workers), c: quicktest.New(t)}
+		h := &history{world: newWorld(ctx, rand.New(rand.NewPCG(seed, 7)), historyZones, workers, reborn), c: quicktest.New(t)}
 		h.room = room
 		for i := range historyZones {
 			h.entries = append(h.entries, h.start(fmt.Sprint("e", i), fmt.Sprint("z", i), 0))
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -85,6 +85,8 @@
 	unguarded bool
 	// longest is what a task takes at the most, beyond 200 ms.
 	longest time.Duration
+	// reborn is the share of new lives that bear the ID that their instance had; lives tell their births then, and a birth may be before the one of the life before.
+	reborn float64
 	// lateShare is the share of orders that workers carry out late and do not answer.
 	lateShare float64
 	events    *event.Ring
@@ -110,8 +112,10 @@
 	life             *life
 	fence            int64
 	busy             bool
-	wave             map[int64]bool
-	upkeepOf         int64
+	// bore is the ID of its latest life.
+	bore     string
+	wave     map[int64]bool
+	upkeepOf int64
 }
 
 // life is one life of a worker, with its own clock.
@@ -120,6 +124,7 @@
 	machine  *machine
 	pool     string
 	world    *world
+	birth    work.Birth
 	began    time.Time
 	rate     float64
 	dead     bool
@@ -133,6 +138,8 @@
 	stopped  map[string]int64
 	beatAt   time.Time
 	listed   bool
+	// left says that the entry of the life before it stands in the list.
+	left bool
 	// less is by how much its room has shrunk, shown what the list tells of that since shownAt, and before what it told until then.
 	less, shown, before int
 	shownAt             time.Time
@@ -157,11 +164,11 @@
 	timer            *time.Timer
 }
 
-func newWorld(ctx context.Context, r *rand.Rand, zones, workers int) *world {
+func newWorld(ctx context.Context, r *rand.Rand, zones, workers int, reborn float64) *world {
 	w := &world{
 		r: r, ctx: ctx, topics: make(map[string]*topic), zones: make(map[string]string), frozen: make(map[string]time.Time), naps: make(map[string]*naps), outOfTouch: make(map[string]time.Time), since: time.Now(),
 		killed: make(map[string]bool), lives: make(map[string]*life), machines: make(map[string]*machine), asked: make(map[string]*job.Spec),
-		room: modelRoom, longest: 2500 * time.Millisecond, byTask: make(map[string][]*ran), waves: make(map[int64]int), crashers: make(map[string]time.Duration), cancels: make(map[string]time.Time), events: new(event.Ring),
+		room: modelRoom, reborn: reborn, longest: 2500 * time.Millisecond, byTask: make(map[string][]*ran), waves: make(map[int64]int), crashers: make(map[string]time.Duration), cancels: make(map[string]time.Time), events: new(event.Ring),
 	}
 	for i := range zones * workers {
 		m := &machine{name: fmt.Sprintf("m%02d", i), pool: fmt.Sprint("p", i%2), zone: fmt.Sprint("z", i%zones), wave: make(map[int64]bool)}
@@ -189,15 +196,32 @@
 		return
 	}
 	w.born++
+	name := fmt.Sprintf("i-%04d", w.born)
+	before := w.lives[m.bore]
+	if before != nil && w.chance(w.reborn) {
+		name = m.bore
+	}
 	l := &life{
-		name: fmt.Sprintf("i-%04d", w.born), machine: m, pool: m.pool, world: w, began: time.Now(), rate: slowest + 0.025*w.r.Float64(),
+		name: name, machine: m, pool: m.pool, world: w, began: time.Now(), rate: slowest + 0.025*w.r.Float64(),
 		ended: make(chan struct{}), stopped: make(map[string]int64),
 	}
-	m.life = l
+	if w.reborn > 0 {
+		l.birth = w.birth()
+	}
+	if before != nil && before.name == name {
+		l.left, l.beatAt = before.listed || before.left, before.beatAt
+	}
+	m.life, m.bore = l, name
 	w.lives[l.name] = l
 	w.zones[l.name] = m.zone
 }
 
+// birth returns a birth that no life has had; the time of day jumps by up to an hour either way.
+func (w *world) birth() work.Birth {
+	jump := time.Duration(w.r.Int64N(int64(2*time.Hour))) - time.Hour
+	return work.Birth(time.Now().Add(jump).UnixMilli()/1000*1000 + int64(w.born))
+}
+
 // beat has every life that reaches the store listed there, and drops those that are silent.
 func (w *world) beat() {
 	for w.ctx.Err() == nil {
@@ -208,15 +232,15 @@
 			switch {
 			case now.Before(w.storeDown):
 			case !l.dead && !closed && (!l.listed || now.Sub(l.beatAt) >= modelBeat):
-				b, _ := json.Marshal(map[string]string{"machine": l.machine.name, "pool": l.pool, "zone": l.machine.zone, "room": strconv.Itoa(w.room - l.less)})
+				b, _ := json.Marshal(map[string]string{"machine": l.machine.name, "pool": l.pool, "zone": l.machine.zone, "room": strconv.Itoa(w.room - l.less), "born": strconv.FormatInt(int64(l.birth), 10)})
 				if w.spoils != nil && w.spoils(l) {
 					b = b[:len(b)/2]
 				}
-				l.listed, l.beatAt = true, now
+				l.listed, l.left, l.beatAt = true, false, now
 				l.show(now)
 				w.topic("servers").add(feed.KeyedRecord{Key: l.name, Value: b})
-			case l.listed && now.Sub(l.beatAt) > 3*modelBeat:
-				l.listed = false
+			case (l.listed || l.left) && now.Sub(l.beatAt) > 3*modelBeat:
+				l.listed, l.left = false, false
 				w.topic("servers").add(feed.KeyedRecord{Key: l.name})
 			}
 		}
@@ -234,8 +258,12 @@
 	if err != nil {
 		return work.Worker{}, err
 	}
+	born, err := strconv.ParseInt(x["born"], 10, 64)
+	if err != nil {
+		return work.Worker{}, err
+	}
 	return work.Worker{
-		Life: name, Machine: x["machine"], Pool: x["pool"], DataCentre: x["zone"], Address: name,
+		Life: name, ID: name, Birth: work.Birth(born), Machine: x["machine"], Pool: x["pool"], DataCentre: x["zone"], Address: name,
 		Room: job.Need{MilliCPU: room, MemoryMB: room},
 	}, nil
 }
--- a/pool/worldworkers_test.go
+++ b/pool/worldworkers_test.go
@@ -17,14 +17,14 @@
 // calls returns the calls to workers as an entry makes them.
 func (w *world) calls(entry string) work.Calls {
 	order := func(ctx context.Context, x *work.Worker, exec func(l *life, heldUp bool) work.Answer) (work.Answer, error) {
-		answers := make(chan work.Answer, 1)
+		answers := make(chan *work.Answer, 1)
 		w.mu.Lock()
 		late := w.lateShare
 		w.mu.Unlock()
-		err := w.call(ctx, entry, x.Life, late, 0, func(heldUp bool) {
+		err := w.callWorker(ctx, entry, x, late, func(heldUp bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			answers <- w.toLife(x.Life, func(l *life) work.Answer { return exec(l, heldUp) })
+			answers <- w.toLife(x.ID, func(l *life) work.Answer { return exec(l, heldUp) })
 		})
 		switch {
 		case errors.Is(err, errUnsent):
@@ -32,7 +32,10 @@
 		case err != nil:
 			return work.Answer{}, work.ErrNoAnswer
 		}
-		return <-answers, nil
+		if a := <-answers; a != nil {
+			return *a, nil
+		}
+		return work.Answer{}, work.ErrNoAnswer
 	}
 	return work.Calls{
 		Start: func(ctx context.Context, x *work.Worker, o work.Start) (work.Answer, error) {
@@ -43,29 +46,50 @@
 		},
 		Pace: func(context.Context, *work.Worker, work.Pace) (work.Answer, error) { return work.Answer{}, nil },
 		Hold: func(ctx context.Context, x *work.Worker, o work.Hold) (work.Report, error) {
-			reports := make(chan work.Report, 1)
-			err := w.call(ctx, entry, x.Life, 0, 0, func(bool) { reports <- w.hold(x.Life, o) })
+			reports := make(chan *work.Report, 1)
+			err := w.callWorker(ctx, entry, x, 0, func(bool) { reports <- w.hold(x.ID, o) })
 			switch {
 			case errors.Is(err, errUnsent):
 				return work.Report{}, work.ErrNotSent
 			case err != nil:
 				return work.Report{}, work.ErrNoAnswer
 			}
-			return <-reports, nil
+			if rep := <-reports; rep != nil {
+				return *rep, nil
+			}
+			return work.Report{}, work.ErrNoAnswer
 		},
 		Forget: func(*work.Worker) {},
 	}
 }
 
-// toLife hands an order to a life if it lives; the lock is held.
-func (w *world) toLife(name string, exec func(l *life) work.Answer) work.Answer {
-	l := w.lives[name]
-	if l == nil || l.dead {
-		return work.Answer{Refusal: work.OtherLife}
+// callWorker makes a call to a worker; while it is down there is nobody to connect to.
+func (w *world) callWorker(ctx context.Context, entry string, x *work.Worker, late float64, exec func(heldUp bool)) error {
+	w.mu.Lock()
+	down := w.down(w.lives[x.ID])
+	w.mu.Unlock()
+	if down {
+		return errUnsent
 	}
-	return exec(l)
+	return w.call(ctx, entry, x.ID, late, 0, exec)
 }
 
+// toLife hands an order to the life that bears the ID; it returns nil if that breaks off. The lock is held.
+func (w *world) toLife(id string, exec func(l *life) work.Answer) *work.Answer {
+	l := w.lives[id]
+	switch {
+	case w.down(l):
+		return nil
+	case l == nil || l.dead:
+		return &work.Answer{Refusal: work.OtherLife}
+	}
+	a := exec(l)
+	return &a
+}
+
+// down says whether a life has crashed and nobody answers in its place: the next one may bear the same ID. The lock is held.
+func (w *world) down(l *life) bool { return w.reborn > 0 && l != nil && l.dead && w.lives[l.name] == l }
+
 func (l *life) clock() work.Clock {
 	return work.Clock(float64(time.Since(l.began).Microseconds())*l.rate/1000) + 1
 }
@@ -233,16 +257,20 @@
 	return l.answer(work.Done)
 }
 
-func (w *world) hold(name string, o work.Hold) work.Report {
+func (w *world) hold(name string, o work.Hold) *work.Report {
 	w.mu.Lock()
 	l := w.lives[name]
+	if w.down(l) {
+		w.mu.Unlock()
+		return nil
+	}
 	if l == nil || l.dead {
 		w.mu.Unlock()
-		return work.Report{Answer: work.Answer{Refusal: work.OtherLife}}
+		return &work.Report{Answer: work.Answer{Refusal: work.OtherLife}}
 	}
 	if l.fenced(o.Fence) {
 		defer w.mu.Unlock()
-		return work.Report{Answer: l.answer(work.Fenced)}
+		return &work.Report{Answer: l.answer(work.Fenced)}
 	}
 	l.extend(o.Deadline)
 	l.acked = max(l.acked, o.Acked)
@@ -264,10 +292,14 @@
 		w.mu.Lock()
 	}
 	defer w.mu.Unlock()
-	if l.dead {
-		return work.Report{Answer: work.Answer{Refusal: work.OtherLife}}
+	switch {
+	case l.dead && w.reborn > 0:
+		return nil // its connections break
+	case l.dead:
+		return &work.Report{Answer: work.Answer{Refusal: work.OtherLife}}
 	}
-	rep := work.Report{Answer: l.answer(work.Done)}
+	rep := &work.Report{Answer: l.answer(work.Done)}
+	rep.Birth = l.birth
 	for _, x := range l.runs {
 		switch {
 		case x.to.IsZero():
