pool, platform: a life is an ID and a birth

Callers saw tasks run again after they were done, and lasting tasks that stayed away as long as their worker's life before had lasted.

Cause: a worker may start again under the ID that it had, and the tables, the kept records and the calls knew a worker by its ID alone. What was learned of the life before was believed of the next: the numbers of ends that had been taken in and acknowledged, the clock that had confirmed a run, deadlines and leases. Change: a life is (ID, birth), decoded once in the adapter. Rows, kept records, tickets, connections and events go by its name. A call names its worker by the ID alone, so each new connection first asks who answers and is used only for that life: no order, lease or acknowledgement reaches another one on a connection. Who answers a call that was made after a life was known, and is not that life, came later: births are compared for being the same and never for which is larger. A list ends no life. A life that is over hands what it never said it had on to the next under its ID, which settles it with its first report; so does a leader that reads such a record. A record without a birth names whichever life bears the ID; an entry without one, where the worker has told one, is another writer's. Where no births are told nothing changes and nothing is asked. Why it holds: nothing is carried from row to row, so there is nothing of the life before to believe.

--- a/pool/desk_test.go
+++ b/pool/desk_test.go
@@ -71,7 +71,7 @@
 		Queues: map[string]job.Queue{"q": {Name: "q", Pool: "p"}, "o": {Name: "o", Pool: "other"}},
 		Pools:  map[string]job.Pool{"p": {}, "other": {}, "spare": {Headroom: true}},
 	}
-	b.machines["m-w1"] = Machine{Name: "m-w1", Pool: "p", Life: "w1"}
+	b.machines["m-w1"] = Machine{Name: "m-w1", Pool: "p", ID: "w1"}
 	for i := range off {
 		name := fmt.Sprintf("off%03d", i)
 		b.machines[name] = Machine{Name: name, Pool: "spare"}
--- a/pool/load.go
+++ b/pool/load.go
@@ -109,13 +109,15 @@
 			continue
 		}
 		t := &j.Tasks[r.Ordinal]
-		w := c.workers[r.Life]
-		if w == nil {
+		w, over := c.restoredOn(r.Life)
+		if over {
 			ended[r.Life] = append(ended[r.Life], endedRun{task: t, run: r.Run})
+		}
+		if w == nil {
 			continue
 		}
-		t.Phase, t.Run, t.Worker, t.Since = job.Starting, r.Run, r.Life, c.now()
-		c.addRun(w, t, &run{number: r.Run, earlier: true, pace: fullPercent})
+		t.Phase, t.Run, t.Worker, t.Since = job.Starting, r.Run, w.Life, c.now()
+		c.addRun(w, t, &run{number: r.Run, earlier: true, handedOn: over, pace: fullPercent})
 	}
 }
 
@@ -178,14 +180,15 @@
 		c.listWorker(r.Key, r.Value)
 	}
 	for _, k := range earlier {
-		w := c.workers[k.Life]
-		if w == nil {
-			w = newWorker(work.Worker{Life: k.Life, ID: k.Life, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
+		l := work.ParseLife(k.Life)
+		w, over := c.restoredOn(k.Life)
+		if w == nil || over {
+			w = newWorker(work.Worker{Life: k.Life, ID: l.ID, Birth: l.Birth, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
 			w.listed = false
 			c.addWorker(w)
 		}
-		c.unheard[k.Life] = w
-		c.workersKept[k.Life] = true
+		c.unheard[w.Life] = w
+		c.workersKept[w.Life] = w.Life == k.Life
 	}
 	c.restoreLong(long)
 	for i, page := range intakes {
--- a/pool/lost.go
+++ b/pool/lost.go
@@ -44,13 +44,13 @@
 	youngest := min(newest+alikeWithin, suspectMost)
 	suspects := 0
 	for _, r := range w.runs {
-		if r.mayRun() && c.ageAt(r, ended) <= youngest {
+		if r.lostWith() && c.ageAt(r, ended) <= youngest {
 			suspects++
 		}
 	}
 	planned := w.Leaving // what this leader moves or maintains has been emptied
 	for t, r := range w.runs {
-		if !r.mayRun() {
+		if !r.lostWith() {
 			continue
 		}
 		age := c.ageAt(r, ended)
@@ -77,7 +77,7 @@
 func (c *session) newestOn(w *worker, at time.Time) (newest time.Duration, count int) {
 	newest = -1
 	for _, r := range w.runs {
-		if !r.mayRun() {
+		if !r.lostWith() {
 			continue
 		}
 		count++
@@ -92,12 +92,12 @@
 // had begun there for alikeWithin when it was decided; half of that is left for orders that were on their way.
 func (c *session) triedAlone(w *worker, newest time.Duration, ended time.Time) bool {
 	r := w.runs[w.trial]
-	if r == nil || r.number != w.trialRun || !r.mayRun() {
+	if r == nil || r.number != w.trialRun || !r.lostWith() {
 		return false
 	}
 	age := c.ageAt(r, ended)
 	for t, o := range w.runs {
-		if t != w.trial && o.mayRun() && c.ageAt(o, ended) <= age+alikeWithin/2 {
+		if t != w.trial && o.lostWith() && c.ageAt(o, ended) <= age+alikeWithin/2 {
 			return false
 		}
 	}
@@ -227,6 +227,9 @@
 // mayRun says whether the run's order has left, so that it may have begun.
 func (r *run) mayRun() bool { return r.sent || r.earlier }
 
+// lostWith says whether the end of its worker's life counts against the run: the life before has counted for one that was handed on.
+func (r *run) lostWith() bool { return r.mayRun() && !r.handedOn }
+
 // endedBy returns by when a life had ended, as far as its connections told.
 func (w *worker) endedBy(now time.Time) time.Time {
 	if w.silentSince.IsZero() || w.brokeAt.IsZero() {
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -135,7 +135,7 @@
 		c.Lost(c.term.Fence)
 	case m.answer.Refusal == work.OtherLife:
 		c.refused(w, t, "its address has another life") // it never was there, so that the life has not ended under it
-		c.lose(w, "its address has another life")
+		c.strangerAnswered(w, m.answer)
 	default:
 		c.refused(w, t, m.answer.Refusal.String())
 		c.learnRefusal(w, t, m.answer.Refusal, now)
@@ -255,7 +255,7 @@
 	case work.Fenced:
 		c.Lost(c.term.Fence)
 	case work.OtherLife:
-		c.lose(w, "its address has another life")
+		c.strangerAnswered(w, m.answer)
 	case work.Done:
 		if r := w.runs[m.task]; r != nil && r.number == m.run {
 			r.stopped = m.answer.Clock
--- a/pool/reborn_test.go
+++ b/pool/reborn_test.go
@@ -16,6 +16,15 @@
 //  1. Workers crashed, and were back within a second under the IDs that they had, at the same address.
 //  2. In the next turn of their queue a task ended there as done, started again there half a second later, and elsewhere after that.
 //  3. The lasting tasks that had been on such a worker did not start anywhere.
+//
+// The cause: a row of the table of workers was found by the ID alone, so that what was learned of the life before was believed of the next. Ends of the
+// new life are numbered from 1; up to the number that the life before had reached they were passed over and acknowledged, and a run
+// that is neither listed nor told of counts as missing. A run counted as missing only once the worker's clock was past the reading that had
+// confirmed it, and the new clock took as long to get there as the life before had lasted.
+//
+// The evidence: the repeats were on workers that had started again under their IDs, and stopped once the numbers of ends had passed those of the
+// life before; lives of 20 s had their lasting tasks back after 22 to 24 s; and this test, with 374 to 988 repeats in each of its histories. What was
+// ruled out: a takeover (all runs of one term) and starts that were carried out twice (each run ordered once).
 func TestAWorkerThatComesBackUnderItsIDIsAnotherLife(t *testing.T) {
 	for _, x := range [...]struct {
 		name   string
@@ -44,6 +53,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			for seed := range uint64(6) {
 				_, wrong := playReborn(t, seed, func(h *history) {
+					h.settled = func() { h.forgiveUnlucky() }
 					x.script(h)
 					h.settle()
 				})
--- a/pool/report.go
+++ b/pool/report.go
@@ -35,27 +35,17 @@
 	case m.err != nil:
 		c.silent(w, m.err, m.failedAt, now)
 	case m.report.Refusal == work.OtherLife:
-		c.lose(w, "its address has another life")
+		c.strangerAnswered(w, m.report.Answer)
 	case m.report.Refusal == work.Fenced:
 		c.Lost(c.term.Fence)
 	case m.report.Refusal != work.Done:
 		w.asked = m.asked
 	default:
 		w.asked, w.told = m.asked, m.told(now)
-		c.tellBirth(w, m.report)
 		c.report(w, m.report, now)
 	}
 }
 
-// tellBirth tells when a worker answers with another birth than before, and what the tables hold of the time before that.
-func (c *session) tellBirth(w *worker, rep work.Report) {
-	if before := w.answered; before != 0 && rep.Birth != before {
-		c.counts.reborn.Inc(1)
-		c.emit(event.WorkerReborn, event.Subject{Instance: w.Life}, "machine=%s born=%d before=%d clock=%d runs=%d ends=%d acknowledged=%d", w.Machine, rep.Birth, before, rep.Clock, len(w.runs), w.processed, w.acked.Load())
-	}
-	w.answered = rep.Birth
-}
-
 func (c *session) silent(w *worker, err error, at, now time.Time) {
 	if !w.silentSince.IsZero() {
 		return
@@ -220,7 +210,10 @@
 // confirm notes that the worker has the run.
 func (c *session) confirm(w *worker, t *job.Task, r *run, clock work.Clock) {
 	r.confirmed = max(r.confirmed, clock)
-	r.unanswered, r.earlier, r.sent = false, false, true
+	if r.handedOn {
+		c.neverThere(t, r.number) // the life before has ended without it
+	}
+	r.unanswered, r.earlier, r.handedOn, r.sent = false, false, false, true
 	if t.Phase == job.Starting {
 		t.Phase = job.Active
 	}
@@ -232,6 +225,8 @@
 	switch {
 	case r.confirmed > 0 && rep.Clock > r.confirmed && len(rep.Ended) < endsPage:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
+	case r.handedOn:
+		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d of the life before is not there", r.number)
 	case r.earlier:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d of an earlier leader is not there", r.number)
 	case r.unanswered && rep.Clock > r.deadline:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -60,8 +60,8 @@
 // Machine is what the machine interface says of an instance.
 type Machine struct {
 	Name, Pool string
-	// Life is the life of its worker, empty when it has none.
-	Life  string
+	// ID is that of its worker, empty when it has none.
+	ID    string
 	State MachineState
 	// Labels are its kind and its rack, which it keeps wherever it goes.
 	Labels []string
--- a/pool/session.go
+++ b/pool/session.go
@@ -46,6 +46,8 @@
 	// lives are the same by instance; heard counts those that have answered this leader.
 	lives map[string][]*worker
 	heard int
+	// bearers are the same by the ID that they bear.
+	bearers map[string][]*worker
 	// foreign are the entries of the list of workers that name no worker to use.
 	foreign foreign
 	// over are the lives that have ended.
@@ -144,7 +146,7 @@
 func newSession(s *Scheduler, t lead.Term) *session {
 	c := &session{
 		Scheduler: s, term: t, began: s.now(), inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
-		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), lives: make(map[string][]*worker), over: make(map[string]bool),
+		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), lives: make(map[string][]*worker), bearers: make(map[string][]*worker), over: make(map[string]bool),
 		unkept: make(map[*job.Job]int64), unacked: make(map[*worker]bool), batchMost: cmp.Or(s.BatchMost, batchMost), later: make(map[string]*job.Job), restored: make(map[string]bool), unread: make(map[string]time.Time), readUnsure: make(map[string]bool),
 		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
 		keepsOf: make(map[job.Owned]uint64), cancelled: make(map[job.Owned]bool), taken: make(map[job.Owned]*takenID),
--- a/pool/session_test.go
+++ b/pool/session_test.go
@@ -44,6 +44,10 @@
 			Stop: func(context.Context, *work.Worker, work.Stop) (work.Answer, error) {
 				return work.Answer{}, work.ErrNoAnswer
 			},
+			Hold: func(ctx context.Context, _ *work.Worker, _ work.Hold) (work.Report, error) {
+				<-ctx.Done()
+				return work.Report{}, work.ErrNoAnswer
+			},
 			Forget: func(*work.Worker) {},
 		},
 	}
--- a/pool/size.go
+++ b/pool/size.go
@@ -241,7 +241,7 @@
 		c.fenced[m.machine] = true
 		x := c.machines[m.machine]
 		from := x.Pool
-		x.Pool, x.State, x.Life = s.to, MachineUp, ""
+		x.Pool, x.State, x.ID = s.to, MachineUp, ""
 		c.machines[m.machine] = x
 		c.ownWord[m.machine] = now
 		if w := c.workers[s.life]; w != nil {
--- a/pool/size_test.go
+++ b/pool/size_test.go
@@ -23,7 +23,7 @@
 				c := quicktest.New(t)
 				b := newBench(c, nil, "w1")
 				b.config.Pools = map[string]job.Pool{"p": {}, "spare": {Headroom: true}}
-				b.machines["m-w1"] = Machine{Name: "m-w1", Pool: "p", Life: "w1"}
+				b.machines["m-w1"] = Machine{Name: "m-w1", Pool: "p", ID: "w1"}
 				var moved, maintained atomic.Int64 // calls are made at the same time
 				wave := Wave{Number: 1, Most: 1, Within: time.Minute}
 				for i := range 4 {
--- /dev/null
+++ b/pool/succession_test.go
@@ -0,0 +1,201 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/feed"
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+// bornBench returns a session whose list tells births: the value of an entry is its one byte.
+func bornBench(c *quicktest.C, j *job.Job) *bench {
+	b := newBench(c, []*job.Job{j})
+	b.ParseWorker = func(id string, value []byte) (work.Worker, error) {
+		if value[0] == 255 {
+			return work.Worker{}, errors.New("not to be read")
+		}
+		return work.Worker{Birth: work.Birth(value[0]), Machine: "m-" + id, Pool: "p", Room: job.Need{MilliCPU: 4000, MemoryMB: 4000}}, nil
+	}
+	return b
+}
+
+func (b *bench) lists(id string, birth byte) { b.listWorker(id, []byte{birth}) }
+
+// stranger has another life under the ID answer a call to a life.
+func (b *bench) stranger(life string, birth work.Birth) {
+	holdEnded{worker: b.workers[life], asked: time.Now(), report: work.Report{Answer: work.Answer{Refusal: work.OtherLife, Birth: birth}}}.apply(b.session)
+}
+
+func TestNothingOfALifeIsBelievedOfTheNextUnderItsID(t *testing.T) {
+	c := quicktest.New(t)
+	b := bornBench(c, one(3))
+	b.lists("w", 9)
+	b.reports("w@9", 60_000, []work.Row{{Task: taskName, Run: 5}, {Task: "00000000000000a1.0.0.1", Run: 6}}, work.End{N: 40, Task: "00000000000000a1.0.0.2", Run: 4, How: work.Failed})
+	b.workers["w@9"].ack(40)
+	b.stranger("w@9", 4) // born before, by its clock
+	c.Assert(b.workers["w@9"], quicktest.IsNil)
+	next := b.workers["w@4"]
+	c.Assert(next.usable(time.Now()), quicktest.IsFalse, quicktest.Commentf("it is not listed yet"))
+	c.Assert(next.acked.Load(), quicktest.Equals, int64(0))
+	c.Assert(next.processed, quicktest.Equals, int64(0))
+	c.Assert(next.leasedUntil().IsZero(), quicktest.IsTrue)
+	for i := range 2 {
+		c.Assert(b.task(i).Phase, quicktest.Equals, job.Waiting, quicktest.Commentf("what the life had, has ended with it"))
+		c.Assert(b.task(i).Lost, quicktest.HasLen, 1)
+	}
+	b.lists("w", 9) // an entry that was held up
+	c.Assert(b.workers, quicktest.HasLen, 1)
+	b.lists("w", 4)
+	b.reports("w@4", 3, []work.Row{{Task: taskName, Run: 7}}, work.End{N: 1, Task: "00000000000000a1.0.0.2", Run: 8, How: work.Succeeded})
+	c.Assert(b.task(2).Phase, quicktest.Equals, job.Finished, quicktest.Commentf("the first end of this life"))
+	c.Assert(b.task(0).Worker, quicktest.Equals, "w@4")
+	c.Assert(next.usable(time.Now()), quicktest.IsTrue)
+}
+
+// TestAListEndsNoLife has entries of two lives under one ID overtake each other: who answers lives.
+func TestAListEndsNoLife(t *testing.T) {
+	c := quicktest.New(t)
+	b := bornBench(c, one(1))
+	b.lists("w", 9)
+	b.reports("w@9", 50, []work.Row{{Task: taskName, Run: 5}})
+	b.lists("w", 4)
+	c.Assert(b.task(0).Worker, quicktest.Equals, "w@9")
+	b.lists("w", 9)
+	c.Assert(b.workers, quicktest.HasLen, 2)
+	b.stranger("w@4", 9) // an earlier one, whose entry came late
+	c.Assert(b.workers, quicktest.HasLen, 1)
+	c.Assert(b.task(0).Phase, quicktest.Equals, job.Active)
+	b.listWorker("w", nil)
+	c.Assert(b.workers["w@9"].listed, quicktest.IsFalse)
+}
+
+func TestTheFirstAnswerOfALifeEndsTheOneBeforeUnderItsID(t *testing.T) {
+	c := quicktest.New(t)
+	b := bornBench(c, one(1))
+	b.lists("w", 9)
+	b.reports("w@9", 50, []work.Row{{Task: taskName, Run: 5}})
+	b.lists("w", 4)
+	b.reports("w@4", 3, nil)
+	c.Assert(b.workers["w@9"], quicktest.IsNil)
+	c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
+}
+
+// TestAnOrderWithoutAnAnswerIsLookedForAtTheNextLife has a life end with a start under way: nothing says whether it was carried out
+// there, or will be by the next life, which it names as well.
+func TestAnOrderWithoutAnAnswerIsLookedForAtTheNextLife(t *testing.T) {
+	for _, x := range [...]struct {
+		name    string
+		running []work.Row
+		ended   []work.End
+		phase   job.Phase
+		lost    int
+	}{
+		{"it is not there", nil, nil, job.Waiting, 1},
+		{"it is there", []work.Row{{Task: taskName, Run: 100}}, nil, job.Active, 0},
+		{"it is done there", nil, []work.End{{N: 1, Task: taskName, Run: 100, How: work.Succeeded}}, job.Finished, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := bornBench(c, one(1))
+			b.lists("w", 9)
+			b.lists("v", 9)
+			b.reports("w@9", 50, nil)
+			b.reports("v@9", 50, nil)
+			b.runningOn([]time.Duration{100 * time.Millisecond}, "w@9")
+			b.stranger("w@9", 4)
+			c.Assert(b.task(0).Worker, quicktest.Equals, "w@4")
+			c.Assert(b.ordered(), quicktest.Equals, 0, quicktest.Commentf("it may be at the next life"))
+			b.reports("w@4", 3, x.running, x.ended...)
+			c.Assert(b.task(0).Phase, quicktest.Equals, x.phase)
+			c.Assert(b.task(0).Lost, quicktest.HasLen, x.lost)
+		})
+	}
+}
+
+// TestWhatIsKeptNamesLives has a leader read runs of lives that are over, that go on, and that are named without a birth.
+func TestWhatIsKeptNamesLives(t *testing.T) {
+	for _, x := range [...]struct {
+		name, kept string
+		// known says that the life is kept as one that may be given work.
+		known bool
+		lost  int
+	}{
+		{"the life that is listed", "w@9", true, 0},
+		{"a life that is over, and may be reborn as the one listed", "w@4", false, 1},
+		{"a record without a birth", "w", true, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			j := one(1)
+			j.Tasks[0].Phase, j.Tasks[0].Run, j.Tasks[0].Worker = job.Active, 5, x.kept
+			b := bornBench(c, j)
+			state := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, stateKey+j.Spec.ID, j.Keep())}}
+			if x.known {
+				state.Records = append(state.Records, record(c, workersKey, []keptWorker{{Life: x.kept, Machine: "m-w", Pool: "p", Address: "a"}}))
+			}
+			intake := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, j.Spec.Owner().HandedInKey(), j.Spec)}}
+			b.take(state, []feed.KeyedPage{intake}, feed.KeyedPage{Records: []feed.KeyedRecord{{Key: "w", Value: []byte{9}}}})
+			c.Assert(b.workers, quicktest.HasLen, 1)
+			c.Assert(b.task(0).Worker, quicktest.Equals, "w@9")
+			c.Assert(b.ordered(), quicktest.Equals, 0)
+			c.Assert(b.task(0).Lost, quicktest.HasLen, x.lost)
+			b.reports("w@9", 3, nil)
+			c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
+		})
+	}
+}
+
+// TestALifeWithoutABirthIsNamedByWhoAnswers has a record of before births were told name a worker that is listed no longer.
+func TestALifeWithoutABirthIsNamedByWhoAnswers(t *testing.T) {
+	c := quicktest.New(t)
+	j := one(1)
+	j.Tasks[0].Phase, j.Tasks[0].Run, j.Tasks[0].Worker = job.Active, 5, "w"
+	b := bornBench(c, j)
+	state := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, stateKey+j.Spec.ID, j.Keep()), record(c, workersKey, []keptWorker{{Life: "w", Machine: "m-w", Pool: "p", Address: "a"}})}}
+	intake := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, j.Spec.Owner().HandedInKey(), j.Spec)}}
+	b.take(state, []feed.KeyedPage{intake}, feed.KeyedPage{})
+	b.stranger("w", 9)
+	c.Assert(b.task(0).Lost, quicktest.HasLen, 0)
+	b.reports("w@9", 3, []work.Row{{Task: taskName, Run: 5}})
+	c.Assert(b.task(0).Phase, quicktest.Equals, job.Active)
+}
+
+func TestAnEntryThatLacksItsWorkersBirthIsAnotherWriters(t *testing.T) {
+	c := quicktest.New(t)
+	b := bornBench(c, one(1))
+	b.lists("w", 9)
+	b.reports("w@9", 50, nil)
+	b.lists("w", 0)
+	c.Assert(b.workers, quicktest.HasLen, 1)
+	c.Assert(b.workers["w@9"].usable(time.Now()), quicktest.IsFalse)
+	b.lists("w", 255)
+	b.lists("w", 9)
+	c.Assert(b.workers["w@9"].usable(time.Now()), quicktest.IsTrue)
+}
+
+// TestALifeThatEndsWithoutTheStoresWordWaitsForIt has a life begin anew while the store confirms nothing.
+func TestALifeThatEndsWithoutTheStoresWordWaitsForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := bornBench(c, one(1))
+		b.lists("w", 9)
+		b.reports("w@9", 50, []work.Row{{Task: taskName, Run: 5}})
+		confirmed := time.Now()
+		b.ConfirmedAt = func() time.Time { return confirmed }
+		time.Sleep(5 * time.Second)
+		b.stranger("w@9", 4)
+		c.Assert(b.task(0).Phase, quicktest.Equals, job.Active, quicktest.Commentf("another leader may have heard its end"))
+		c.Assert(b.workers["w@9"].usable(time.Now()), quicktest.IsFalse)
+		confirmed = time.Now()
+		b.watchLeases(time.Now())
+		c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
+	})
+}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -72,8 +72,8 @@
 	unnamed int
 	// lost says why its life has ended, until the store confirms the lead; empty while it lives.
 	lost string
-	// answered is the birth that its latest report told.
-	answered work.Birth
+	// heir is the life that has followed under its ID, nil while it is not known to be over.
+	heir *worker
 	// unread counts the runs it lists whose jobs may still be read.
 	unread int
 	// failures counts failed runs in a row.
@@ -103,7 +103,9 @@
 	deadline work.Clock
 	// sent says that the order has left; earlier that an earlier leader ordered the run, or meant to.
 	sent, earlier bool
-	ticket        string
+	// handedOn says that it was ordered under the life before, which never said that it had it.
+	handedOn bool
+	ticket   string
 	// slack is what the job had left to be on time when the run was planned; it is for the log.
 	slack time.Duration
 	// unanswered says that the start got no answer.
@@ -245,6 +247,7 @@
 func (c *session) addWorker(w *worker) {
 	c.workers[w.Life] = w
 	c.lives[w.Machine] = append(c.lives[w.Machine], w)
+	c.bearers[w.ID] = append(c.bearers[w.ID], w)
 }
 
 // removeWorker takes a life out of the tables.
@@ -253,12 +256,18 @@
 	if w.heard {
 		c.heard--
 	}
-	rest := slices.DeleteFunc(c.lives[w.Machine], func(o *worker) bool { return o == w })
+	dropRow(c.lives, w.Machine, w)
+	dropRow(c.bearers, w.ID, w)
+}
+
+// dropRow takes a row out of those under a key.
+func dropRow(rows map[string][]*worker, key string, w *worker) {
+	rest := slices.DeleteFunc(rows[key], func(o *worker) bool { return o == w })
 	if len(rest) == 0 {
-		delete(c.lives, w.Machine)
+		delete(rows, key)
 		return
 	}
-	c.lives[w.Machine] = rest
+	rows[key] = rest
 }
 
 // groupKey names the tasks of one step of one time.
--- a/pool/turn_bench_test.go
+++ b/pool/turn_bench_test.go
@@ -184,7 +184,7 @@
 	t.PutWave = func(context.Context, int64, bool) error { return nil }
 	wave := Wave{Number: 1, Most: 1, Within: time.Hour}
 	for life, w := range t.workers {
-		t.machines[w.Machine] = Machine{Name: w.Machine, Pool: w.Pool, Life: life, Labels: []string{"kind", "rack"}}
+		t.machines[w.Machine] = Machine{Name: w.Machine, Pool: w.Pool, ID: life, Labels: []string{"kind", "rack"}}
 		if len(wave.Machines) < workers/2 {
 			wave.Machines = append(wave.Machines, w.Machine)
 		}
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -340,7 +340,7 @@
 // has is known to have ended, or all that an earlier leader leased is over.
 func (c *session) nothingRuns(machine string, now time.Time) bool {
 	x := c.machines[machine]
-	return x.Life == "" || c.over[x.Life] || c.term.Number == 1 || c.doubtOver(now)
+	return x.ID == "" || c.over[x.ID] || c.term.Number == 1 || c.doubtOver(now)
 }
 
 // emptied says whether nothing runs on the instance that its upkeep would end without leave; it stops what it may.
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -11,6 +11,7 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
+	"rackstep.dev/job"
 	"rackstep.dev/work"
 )
 
@@ -97,41 +98,45 @@
 	if !m.whole {
 		return
 	}
-	for life, w := range c.workers {
-		if !named[life] && w.listed {
+	for _, w := range c.workers {
+		if !named[w.ID] && w.listed {
 			c.unlist(w)
 		}
 	}
 }
 
 // listWorker takes in a record of the list and returns the worker if it is new.
-func (c *session) listWorker(life string, value []byte) *worker {
-	w := c.workers[life]
+//
+// An entry of another life under the ID ends none that is listed: which of them lives is told by who answers.
+func (c *session) listWorker(id string, value []byte) *worker {
 	if len(value) == 0 {
-		c.foreign.drop(life)
-		if w != nil && w.listed {
-			c.unlist(w)
+		c.foreign.drop(id)
+		for _, w := range c.bearing(id) {
+			if w.listed {
+				c.unlist(w)
+			}
 		}
 		return nil
 	}
-	row, err := c.readEntry(life, value, w)
+	row, err := c.readEntry(id, value)
 	if err != nil {
-		c.misread(life, value, w, err)
+		c.misread(id, value, err)
 		return nil
 	}
-	c.readAgain(life, w)
+	c.readAgain(id)
+	w := c.workers[row.Life]
 	if w == nil {
-		if c.over[life] {
+		if c.over[row.Life] {
 			return nil // its record is older than the proof that it has ended
 		}
 		w = newWorker(row, c.Clock, &c.ledger)
 		c.addWorker(w)
 		c.workersDirty = true
-		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s room=%d leaving=%t born=%d", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving, row.Birth)
+		c.emit(event.WorkerSeen, event.Subject{Instance: row.Life}, "machine=%s pool=%s room=%d leaving=%t", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving)
 		return w
 	}
 	if w.Leaving != row.Leaving || !w.listed {
-		c.emit(event.WorkerSeen, event.Subject{Instance: life}, "machine=%s pool=%s leaving=%t", row.Machine, row.Pool, row.Leaving)
+		c.emit(event.WorkerSeen, event.Subject{Instance: w.Life}, "machine=%s pool=%s leaving=%t", row.Machine, row.Pool, row.Leaving)
 	}
 	c.updateWorker(w, row)
 	return nil
@@ -171,7 +176,11 @@
 // instance has one life at a time. A list alone proves nothing, since it may name lives that have ended.
 func (c *session) endOtherLives(w *worker) {
 	for _, o := range slices.Clone(c.lives[w.Machine]) {
-		if o != w && o.Machine != "" {
+		switch {
+		case o == w || o.Machine == "":
+		case o.ID == w.ID:
+			c.succeed(o, w)
+		default:
 			c.lose(o, "the instance has a new life "+w.Life)
 		}
 	}
@@ -371,7 +380,7 @@
 func (c *session) leaveOut(w *worker, why string) {
 	c.emit(event.WorkerLost, event.Subject{Instance: w.Life}, "%s runs=%d", why, len(w.runs))
 	c.counts.lost.Inc(1)
-	if c.over[w.Life] {
+	if c.over[w.Life] && (w.heir == nil || w.Birth != 0) { // else it may be the very life that goes on
 		c.endedUnder(w, c.now())
 	}
 	c.giveUpRuns(w)
@@ -388,10 +397,17 @@
 
 // giveUpRuns lets the tasks of a worker start elsewhere; nothing of them counts as an attempt. What a life that ended tells of them is taken
 // note of before, by endedUnder: a lease that is over tells nothing.
+//
+// What the life never said that it had may be at the one that bears its ID now: the order named that ID, and may be carried out late.
 func (c *session) giveUpRuns(w *worker) {
+	heir := c.heirOf(w)
 	for t, r := range w.runs {
 		w.drop(t)
-		if t.Run == r.number {
+		switch {
+		case t.Run != r.number:
+		case heir != nil && w.unsettled(r) && t.Phase != job.Finished && !t.Job.State.Ended():
+			c.handOn(heir, t, r)
+		default:
 			c.requeue(t)
 		}
 	}
@@ -451,7 +467,7 @@
 	}
 	x, ok := c.machines[w.Machine]
 	switch {
-	case ok && (x.Life != w.Life || x.Pool != w.Pool):
+	case ok && (x.ID != w.ID || x.Pool != w.Pool):
 		c.lose(w, "the machine interface knows its instance by another life")
 	case ok:
 		w.unnamed = 0
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -322,7 +322,7 @@
 }
 
 // call makes a call; what was sent may be carried out long after the caller has given up.
-func (w *world) call(ctx context.Context, from, to string, late, loses float64, exec func(heldUp bool)) error {
+func (w *world) call(ctx context.Context, from, to string, late, loses float64, exec func(heldUp, late bool)) error {
 	w.thaw(from)
 	w.mu.Lock()
 	w.steps++
@@ -352,7 +352,7 @@
 			}
 		default:
 		}
-		exec(time.Since(sent) > modelHeldUp)
+		exec(time.Since(sent) > modelHeldUp, isLate)
 		if !isLate && !isLost && w.pass(to, from) {
 			done <- nil
 		}
--- a/pool/worldmachines_test.go
+++ b/pool/worldmachines_test.go
@@ -22,7 +22,7 @@
 	}
 	change := func(ctx context.Context, name string, fence int64, do func(m *machine, heldUp bool) error) error {
 		answers := make(chan error, 1)
-		err := w.call(ctx, entry, modelControl, 0, 0, func(heldUp bool) {
+		err := w.call(ctx, entry, modelControl, 0, 0, func(heldUp, _ bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			m := w.machines[name]
@@ -44,7 +44,7 @@
 	return pool.Machines{
 		List: func(ctx context.Context) ([]pool.Machine, error) {
 			lists := make(chan []pool.Machine, 1)
-			err := w.call(ctx, entry, modelControl, 0, 0, func(bool) { lists <- w.list() })
+			err := w.call(ctx, entry, modelControl, 0, 0, func(bool, bool) { lists <- w.list() })
 			if err != nil {
 				return nil, errOf(err)
 			}
@@ -89,7 +89,7 @@
 	for _, m := range w.machines {
 		x := pool.Machine{Name: m.name, Pool: m.pool}
 		if m.life != nil {
-			x.Life = m.life.name
+			x.ID = m.life.name
 		}
 		switch {
 		case m.upkeepOf > 0:
--- a/pool/worldstore_test.go
+++ b/pool/worldstore_test.go
@@ -89,7 +89,7 @@
 			time.Sleep(min(down, time.Until(d)))
 			return feed.ErrUncertain
 		}
-		err := w.call(ctx, entry, modelStore, 0, loses, func(bool) { exec() })
+		err := w.call(ctx, entry, modelStore, 0, loses, func(bool, bool) { exec() })
 		if err != nil {
 			w.mu.Lock()
 			w.outOfTouch[entry] = time.Now()
--- a/pool/worldworkers_test.go
+++ b/pool/worldworkers_test.go
@@ -21,12 +21,14 @@
 		w.mu.Lock()
 		late := w.lateShare
 		w.mu.Unlock()
-		err := w.callWorker(ctx, entry, x, late, func(heldUp bool) {
+		stranger, err := w.callWorker(ctx, entry, x, late, func(to *life, heldUp bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			answers <- w.toLife(x.ID, func(l *life) work.Answer { return exec(l, heldUp) })
+			answers <- w.toLife(x.ID, to, func(l *life) work.Answer { return exec(l, heldUp) })
 		})
 		switch {
+		case stranger != nil:
+			return *stranger, nil
 		case errors.Is(err, errUnsent):
 			return work.Answer{}, work.ErrNotSent
 		case err != nil:
@@ -47,8 +49,10 @@
 		Pace: func(context.Context, *work.Worker, work.Pace) (work.Answer, error) { return work.Answer{}, nil },
 		Hold: func(ctx context.Context, x *work.Worker, o work.Hold) (work.Report, error) {
 			reports := make(chan *work.Report, 1)
-			err := w.callWorker(ctx, entry, x, 0, func(bool) { reports <- w.hold(x.ID, o) })
+			stranger, err := w.callWorker(ctx, entry, x, 0, func(to *life, _ bool) { reports <- w.hold(x.ID, to, o) })
 			switch {
+			case stranger != nil:
+				return work.Report{Answer: *stranger}, nil
 			case errors.Is(err, errUnsent):
 				return work.Report{}, work.ErrNotSent
 			case err != nil:
@@ -63,22 +67,37 @@
 	}
 }
 
-// callWorker makes a call to a worker; while it is down there is nobody to connect to.
-func (w *world) callWorker(ctx context.Context, entry string, x *work.Worker, late float64, exec func(heldUp bool)) error {
+// callWorker makes a call to a worker as the adapter does: on a connection to one process, which must be the life that is meant. While the
+// worker is down there is nobody to connect to. A call that is carried out late is so by whoever bears the ID then: exec gets no process.
+func (w *world) callWorker(ctx context.Context, entry string, x *work.Worker, late float64, exec func(to *life, heldUp bool)) (stranger *work.Answer, err error) {
 	w.mu.Lock()
-	down := w.down(w.lives[x.ID])
+	to := w.lives[x.ID]
+	_, cut := w.closed(entry, x.ID)
+	down := w.down(to)
 	w.mu.Unlock()
-	if down {
-		return errUnsent
-	}
-	return w.call(ctx, entry, x.ID, late, 0, exec)
+	switch {
+	case down:
+		return nil, errUnsent
+	case x.Birth == 0 || to == nil || to.birth == x.Birth:
+	case cut:
+		to = new(life) // a connection of before, or one that comes about when the cut ends: nobody else gets the call
+	default:
+		return &work.Answer{Refusal: work.OtherLife, Birth: to.birth}, nil
+	}
+	return nil, w.call(ctx, entry, x.ID, late, 0, func(heldUp, late bool) {
+		if late || w.reborn == 0 {
+			exec(nil, heldUp)
+			return
+		}
+		exec(to, heldUp)
+	})
 }
 
-// toLife hands an order to the life that bears the ID; it returns nil if that breaks off. The lock is held.
-func (w *world) toLife(id string, exec func(l *life) work.Answer) *work.Answer {
+// toLife hands an order to the life that bears the ID; it returns nil if the connection to another one has broken, or nobody is there. The lock is held.
+func (w *world) toLife(id string, to *life, exec func(l *life) work.Answer) *work.Answer {
 	l := w.lives[id]
 	switch {
-	case w.down(l):
+	case w.down(l), to != nil && to != l:
 		return nil
 	case l == nil || l.dead:
 		return &work.Answer{Refusal: work.OtherLife}
@@ -257,10 +276,10 @@
 	return l.answer(work.Done)
 }
 
-func (w *world) hold(name string, o work.Hold) *work.Report {
+func (w *world) hold(id string, to *life, o work.Hold) *work.Report {
 	w.mu.Lock()
-	l := w.lives[name]
-	if w.down(l) {
+	l := w.lives[id]
+	if w.down(l) || (to != nil && to != l) {
 		w.mu.Unlock()
 		return nil
 	}
