pool: what the advice service said of a job goes with the job

Cause: found by looking for names that outlive what they stand for: tickets, and refusals, of a step stayed under its name for as long as the lead lasted, also after the job's record was gone; another job with its ID would have been kept from workers that were refused to the first, and the table grew with every job on such a queue. Change: they are dropped with the job. The test without the change: one row was left.

--- a/pool/advice.go
+++ b/pool/advice.go
@@ -127,3 +127,10 @@
 		delete(s.tickets, life)
 	}
 }
+
+// forgetTickets drops what the advice service has said of a job's steps: another job may come to bear its ID.
+func (c *session) forgetTickets(j *job.Job) {
+	for i := range j.Tasks {
+		delete(c.tickets, stepName(&j.Tasks[i]))
+	}
+}
--- a/pool/session.go
+++ b/pool/session.go
@@ -285,6 +285,7 @@
 			delete(c.jobs, id)
 			delete(c.restored, id)
 			c.gone = append(c.gone, id)
+			c.forgetTickets(j)
 			name := j.Spec.Owner()
 			c.dropRecords(name, c.keepsOf[name])
 			delete(c.keepsOf, name)
