standin, soak, entry: workers that come back under their IDs

The stand-in's workers tell their births where it is asked to, and one that has crashed comes back under its ID at its address: its connections break, nobody answers meanwhile, each birth lies before the one of the life before, and what is carried out late is so by whoever is there then.

--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -105,13 +105,23 @@
 func TestRandomTroubleKeepsEveryPromise(t *testing.T) {
 	for seed := range uint64(fuzzRuns) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			onFakeTime(t, func(c *quicktest.C) { randomTrouble(c, rand.New(rand.NewPCG(seed, 1))) })
+			onFakeTime(t, func(c *quicktest.C) { randomTrouble(c, rand.New(rand.NewPCG(seed, 1)), false) })
 		})
 	}
 }
 
-func randomTrouble(c *quicktest.C, r *rand.Rand) {
+// TestRandomTroubleWhereWorkersComeBackKeepsEveryPromise plays the same with workers that come back under their IDs.
+func TestRandomTroubleWhereWorkersComeBackKeepsEveryPromise(t *testing.T) {
+	for seed := range uint64(fuzzRuns) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			onFakeTime(t, func(c *quicktest.C) { randomTrouble(c, rand.New(rand.NewPCG(seed, 2)), true) })
+		})
+	}
+}
+
+func randomTrouble(c *quicktest.C, r *rand.Rand, reborn bool) {
 	d := deploy(c, 3, 4, func(p *platformtest.Platform) {
+		p.Reborn = reborn
 		p.Takes = func(task string) time.Duration {
 			return 300*time.Millisecond + time.Duration(task[15])*30*time.Millisecond
 		}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -341,8 +341,17 @@
 }
 
 func TestACrashedWorkersTasksStartElsewhereOnce(t *testing.T) {
+	for _, reborn := range [...]bool{false, true} {
+		t.Run(fmt.Sprintf("back under its ID %t", reborn), func(t *testing.T) { crashOnce(t, reborn) })
+	}
+}
+
+func crashOnce(t *testing.T, reborn bool) {
 	onFakeTime(t, func(c *quicktest.C) {
-		d := deploy(c, 2, 3, func(p *platformtest.Platform) { p.Takes = func(string) time.Duration { return 3 * time.Second } })
+		d := deploy(c, 2, 3, func(p *platformtest.Platform) {
+			p.Reborn = reborn
+			p.Takes = func(string) time.Duration { return 3 * time.Second }
+		})
 		c.Assert(d.submit(0, "00000000000000a1", step{Count: 9, Cpu: 1000, MemMb: 100}), quicktest.Equals, 200)
 		time.Sleep(time.Second)
 		machine := d.platform.MachineOf(d.platform.Runs()[0].Life)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,7 +105,7 @@
 	s := &site{c: c, program: program, dir: c.TempDir(), random: rand.New(rand.NewPCG(seed, 7))}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.platform = &platformtest.Platform{
-		Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }, At: local, Off: "spare", Lease: 6 * time.Second,
+		Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }, At: local, Off: "spare", Lease: 6 * time.Second, Reborn: seed%2 == 1,
 		Takes: func(task string) time.Duration {
 			return 200*time.Millisecond + time.Duration(task[15]%16)*60*time.Millisecond
 		},
--- a/internal/standin/platformtest/platform.go
+++ b/internal/standin/platformtest/platform.go
@@ -63,6 +63,9 @@
 	// Crashes returns how long after its start a task crashes its worker, 0 for a task that does not; none does when nil. The instance is back
 	// a second later.
 	Crashes func(task string) time.Duration
+	// Reborn says that workers tell their births, and that one which has crashed comes back under its ID, at its address; each birth is before
+	// the one of the life before, as after a step of the clock.
+	Reborn bool
 
 	Store Store
 
@@ -89,10 +92,10 @@
 	if p.At == nil {
 		p.At = func(address string) string { return address }
 	}
-	if err := p.serve(p.At(StoreAddress), &p.Store); err != nil {
+	if _, err := p.serve(p.At(StoreAddress), &p.Store); err != nil {
 		return err
 	}
-	if err := p.serve(p.At(MachinesAddress), http.HandlerFunc(p.machines)); err != nil {
+	if _, err := p.serve(p.At(MachinesAddress), http.HandlerFunc(p.machines)); err != nil {
 		return err
 	}
 	p.work.Go(p.beat)
@@ -134,17 +137,17 @@
 	p.history = append(p.history, x)
 }
 
-func (p *Platform) serve(address string, h http.Handler) error {
+func (p *Platform) serve(address string, h http.Handler) (*http.Server, error) {
 	ln, err := p.Listen(address)
 	if err != nil {
-		return fmt.Errorf("stand-in: %w", err)
+		return nil, fmt.Errorf("stand-in: %w", err)
 	}
 	s := &http.Server{Handler: p.faulty(address, h)}
 	p.mu.Lock()
 	p.servers = append(p.servers, s)
 	p.mu.Unlock()
 	go func() { _ = s.Serve(ln) }() // it ends with Stop
-	return nil
+	return s, nil
 }
 
 // faulty lets the faults decide before the handler.
@@ -175,7 +178,7 @@
 			p.work.Go(func() {
 				time.Sleep(lateBy)
 				late.Body = readCloser{strings.NewReader(body.String())}
-				unheard(h, late)
+				unheard(p.whoAnswers(address, h), late)
 			})
 		}
 		select { // no answer
@@ -186,6 +189,18 @@
 	})
 }
 
+// whoAnswers returns the worker that has an address now, or else the handler.
+func (p *Platform) whoAnswers(address string, h http.Handler) http.Handler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		if w.Address == address && w.Life != "" {
+			return w
+		}
+	}
+	return h
+}
+
 // unheard has the handler do what it is asked and throws its answer away, also one that it breaks off.
 func unheard(h http.Handler, r *http.Request) {
 	defer func() {
@@ -227,12 +242,23 @@
 
 // AddWorker starts a worker on an instance of its own.
 func (p *Platform) AddWorker(machine, pool string, milliCPU, memoryMB int) *Worker {
+	return p.addWorker(nil, machine, pool, milliCPU, memoryMB)
+}
+
+// addWorker starts a worker, under the ID and at the address of the one before unless that is nil.
+func (p *Platform) addWorker(before *Worker, machine, pool string, milliCPU, memoryMB int) *Worker {
 	p.mu.Lock()
 	p.lives++
 	w := &Worker{
 		Life: fmt.Sprintf("i-%04d", p.lives), Machine: machine, Pool: pool, Address: p.At(fmt.Sprintf("10.100.%d.%d:80", p.lives/250, p.lives%250+1)),
 		MilliCPU: milliCPU, MemoryMB: memoryMB, platform: p, began: time.Now(), ended: make(chan struct{}), stopped: make(map[string]int64),
 	}
+	if p.Reborn {
+		w.Birth = time.Now().UnixMilli() - int64(p.lives)*time.Hour.Milliseconds()
+	}
+	if before != nil {
+		w.Life, w.Address = before.Life, before.Address
+	}
 	p.workers[machine] = w
 	off := pool == p.Off
 	if off {
@@ -242,9 +268,13 @@
 	if off {
 		return w
 	}
-	if err := p.serve(w.Address, w); err != nil {
+	s, err := p.serve(w.Address, w)
+	if err != nil {
 		panic(err) // the addresses are the stand-in's own
 	}
+	p.mu.Lock()
+	w.server = s
+	p.mu.Unlock()
 	p.tell(w)
 	return w
 }
@@ -254,8 +284,12 @@
 	p.mu.Lock()
 	w := p.workers[machine]
 	p.down[machine] = true
+	s := w.server
 	p.mu.Unlock()
 	w.die()
+	if p.Reborn && s != nil {
+		_ = s.Close() // its connections break, and nobody answers there until it is back
+	}
 }
 
 // crashedBy crashes a worker because of a run there, if that goes on; the instance is back soon.
@@ -279,10 +313,12 @@
 	if w.draining {
 		state = "draining"
 	}
-	b, _ := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"Service": w.Pool, "Address": w.Address, "Zone": "z", "State": state, "Machine": w.Machine, "Seq": w.seq,
 		"Capacity": map[string]int{"Cpu": w.MilliCPU, "MemMb": w.MemoryMB}, "Labels": []string{"a", "r1-1"},
-	})
+	}
+	w.tellBirth(entry)
+	b, _ := json.Marshal(entry)
 	p.Store.Put("keyed.servers", w.Life, b)
 }
 
@@ -349,7 +385,7 @@
 		reply(w, http.StatusConflict, map[string]string{"Reason": "busy"})
 	default:
 		x.die()
-		p.work.Go(func() { p.revive(x, o.Pool) })
+		p.work.Go(func() { p.revive(x, o.Pool, false) })
 		reply(w, http.StatusOK, nil)
 	}
 }
@@ -369,7 +405,7 @@
 }
 
 // revive brings an instance back as another life.
-func (p *Platform) revive(x *Worker, pool string) {
+func (p *Platform) revive(x *Worker, pool string, crashed bool) {
 	select {
 	case <-p.ctx.Done():
 		return
@@ -384,8 +420,12 @@
 	if pool == "" {
 		pool = x.Pool
 	}
-	p.Store.Put("keyed.servers", x.Life, nil)
-	p.AddWorker(x.Machine, pool, x.MilliCPU, x.MemoryMB)
+	if p.Reborn && crashed {
+		p.addWorker(x, x.Machine, pool, x.MilliCPU, x.MemoryMB)
+	} else {
+		p.Store.Put("keyed.servers", x.Life, nil)
+		p.AddWorker(x.Machine, pool, x.MilliCPU, x.MemoryMB)
+	}
 	p.mu.Lock()
 	delete(p.down, x.Machine)
 	p.mu.Unlock()
@@ -408,7 +448,7 @@
 	p.mu.Lock()
 	x := p.workers[machine]
 	p.mu.Unlock()
-	p.work.Go(func() { p.revive(x, "") })
+	p.work.Go(func() { p.revive(x, "", true) })
 }
 
 // Runs returns a copy of the history.
--- a/internal/standin/platformtest/worker.go
+++ b/internal/standin/platformtest/worker.go
@@ -35,7 +35,10 @@
 type Worker struct {
 	Life, Machine, Pool, Address string
 	MilliCPU, MemoryMB           int
-	platform                     *Platform
+	// Birth tells its lives apart that bear one ID, 0 where the stand-in tells none.
+	Birth    int64
+	platform *Platform
+	server   *http.Server
 
 	mu       sync.Mutex
 	dead     bool
@@ -77,6 +80,8 @@
 		reply(rw, http.StatusConflict, map[string]any{"ClockMs": w.clock(), "Reason": reason})
 	}
 	switch {
+	case w.dead && w.platform.Reborn:
+		panic(http.ErrAbortHandler) // its connections break
 	case w.dead || r.Header.Get("X-Expect-Instance") != w.Life:
 		reply(rw, http.StatusMisdirectedRequest, nil)
 		return
@@ -224,7 +229,16 @@
 		}
 	}
 	slices.SortFunc(ends, func(a, b []any) int { return int(a[0].(int64) - b[0].(int64)) })
-	reply(rw, http.StatusOK, map[string]any{"ClockMs": w.clock(), "Running": running, "Ended": ends})
+	list := map[string]any{"ClockMs": w.clock(), "Running": running, "Ended": ends}
+	w.tellBirth(list)
+	reply(rw, http.StatusOK, list)
+}
+
+// tellBirth adds the birth to what the worker says of itself, or of what runs there.
+func (w *Worker) tellBirth(said map[string]any) {
+	if w.Birth != 0 {
+		said["born"] = w.Birth
+	}
 }
 
 // die ends the life and all that runs there.
