pool: a leader that hears no half of its workers tells the next one of orders that are not kept

Callers see a task started again after it was done, over two takeovers in a row. Cause: whether an earlier leader may have ordered what is not kept was judged by how late half of the workers were heard, so never by a leader that was lost before that; the next one judges by the newest renewal of the one in between, and heard half of the workers 15 ms after it had read the tables. Change: it is judged by time, whether half of them are heard or not, and told with the next renewal. Test first: it told nothing. Why it holds: a leader without the store begins with such orders 2.2 s after its newest renewal at the earliest; the one after it says so 0.55 s before that at the latest, and renews each 0.35 s.

--- a/pool/proof.go
+++ b/pool/proof.go
@@ -121,15 +121,16 @@
 	// Lives that the earlier leader kept count whether they are listed or not: entries lapse while the store is away, and a
 	// leader that took over just then counted half of none as enough.
 	instances := c.instances(len(c.lives))
+	now = c.exact(now)
+	// Also while half of them are not heard: this leader may be lost before they are, and the next one knows nothing of the leader before this one.
+	if now.After(c.term.Renewed.Add(raisedWithin(instances))) {
+		c.beCoarse("half of the workers were not heard in time")
+	}
 	if 2*c.heard < instances || !c.heardOfEarlier() {
 		return
 	}
-	now = c.exact(now)
 	c.raised = now
 	c.takeoverStep("fenced", now)
-	if now.After(c.term.Renewed.Add(raisedWithin(instances))) {
-		c.beCoarse("half of the workers were heard late")
-	}
 }
 
 // heardOfEarlier says whether half of the lives that the earlier leader may have counted have this leader's token. Lives that began
