--- a/pool/workers.go
+++ b/pool/workers.go
@@ -36,7 +36,7 @@
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
 	// bornWithin is how long after its last answer a worker that may begin anew under its ID is asked each retryFirst.
-	bornWithin = 5 * time.Second
+	bornWithin = 3 * time.Second
 	// unsureWait is how long a hold waits while the store has confirmed nothing for unsureAfter, two renewals: the proof
 	// that the workers' answers give is then needed, and is as old as the wait.
 	unsureWait  = 500 * time.Millisecond
