--- a/pool/succession.go
+++ b/pool/succession.go
@@ -94,12 +94,14 @@
 	c.succeed(w, heir)
 }
 
-// succeed ends a life that another one under its ID has followed.
+// succeed ends a life that another one under its ID has followed. It may be told so again and again until the store confirms the lead; the token
+// rises once, or each answer of the heir would have been asked under a lower one.
 func (c *session) succeed(w, heir *worker) {
-	if w.heir == nil {
-		c.counts.reborn.Inc(1)
-		c.emit(event.WorkerReborn, event.Subject{Instance: heir.Life}, "machine=%s before=%s runs=%d ends=%d acknowledged=%d", w.Machine, w.Life, len(w.runs), w.processed, w.acked.Load())
+	if w.heir == heir {
+		return
 	}
+	c.counts.reborn.Inc(1)
+	c.emit(event.WorkerReborn, event.Subject{Instance: heir.Life}, "machine=%s before=%s runs=%d ends=%d acknowledged=%d", w.Machine, w.Life, len(w.runs), w.processed, w.acked.Load())
 	w.heir = heir
 	c.raise(heir) // what the life before was told since the heir's row was made, too, is refused by whoever answers now
 	c.lose(w, "it has begun anew as "+heir.Life)
--- a/pool/succession_test.go
+++ b/pool/succession_test.go
@@ -192,6 +192,9 @@
 		b.ConfirmedAt = func() time.Time { return confirmed }
 		time.Sleep(5 * time.Second)
 		b.stranger("w@9", 4)
+		token := b.workers["w@4"].token.Load()
+		b.stranger("w@9", 4)
+		c.Assert(b.workers["w@4"].token.Load(), quicktest.Equals, token, quicktest.Commentf("the next life's answers would never count"))
 		c.Assert(b.task(0).Phase, quicktest.Equals, job.Active, quicktest.Commentf("another leader may have heard its end"))
 		c.Assert(b.workers["w@9"].usable(time.Now()), quicktest.IsFalse)
 		confirmed = time.Now()
