--- a/pool/succession_test.go
+++ b/pool/succession_test.go
@@ -153,6 +153,26 @@
 	}
 }
 
+// TestALostRunThatWasHandedOnCountsOnceOverATakeover has a leader read an order that the life before never said that it had: its end was counted
+// by the leader before, and the next life's end says nothing of it.
+func TestALostRunThatWasHandedOnCountsOnceOverATakeover(t *testing.T) {
+	c := quicktest.New(t)
+	j := one(1)
+	j.Tasks[0].Phase, j.Tasks[0].Run, j.Tasks[0].Worker = job.Starting, 5, "w@9"
+	j.Lose(&j.Tasks[0], job.LostRun{Run: 5, Life: "w@4", Suspects: 2})
+	b := bornBench(c, j)
+	state := feed.KeyedPage{Records: []feed.KeyedRecord{
+		record(c, stateKey+j.Spec.ID, j.Keep()), record(c, lostKey+j.Spec.ID, j.KeepLost()),
+		record(c, workersKey, []keptWorker{{Life: "w@9", Machine: "m-w", Pool: "p", Address: "a"}}),
+	}}
+	intake := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, j.Spec.Owner().HandedInKey(), j.Spec)}}
+	b.take(state, []feed.KeyedPage{intake}, feed.KeyedPage{Records: []feed.KeyedRecord{{Key: "w", Value: []byte{9}}}})
+	c.Assert(b.task(0).Lost, quicktest.HasLen, 1)
+	b.stranger("w@9", 2)
+	c.Assert(b.task(0).Lost, quicktest.HasLen, 1)
+	c.Assert(b.task(0).Worker, quicktest.Equals, "w@2")
+}
+
 // TestALifeWithoutABirthIsNamedByWhoAnswers has a record of before births were told name a worker that is listed no longer.
 func TestALifeWithoutABirthIsNamedByWhoAnswers(t *testing.T) {
 	c := quicktest.New(t)
