--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -11,8 +11,8 @@
 Signals stop, pause, kill and restart the processes; a proxy before the store
 delays, resets or silences what an entry says to it, one way or both; the
 platform refuses calls, loses answers or carries orders out late, and its
-workers crash; one job in 64 holds a task that crashes whatever worker starts
-it. Clients keep their connections open. While it runs and at its end the
+workers crash, with odd seeds to come back under the IDs that they had; one job
+in 64 holds a task that crashes whatever worker starts it. Clients keep their connections open. While it runs and at its end the
 workers' own history must show no task run twice at a time or again after an
 acknowledged success, and none started three times more after three workers
 have crashed under it; once the faults are over every accepted job must succeed,
