--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -232,7 +232,7 @@
 			switch {
 			case now.Before(w.storeDown):
 			case !l.dead && !closed && (!l.listed || now.Sub(l.beatAt) >= modelBeat):
-				b, _ := json.Marshal(map[string]string{"machine": l.machine.name, "pool": l.pool, "zone": l.machine.zone, "room": strconv.Itoa(w.room - l.less), "born": strconv.FormatInt(int64(l.birth), 10)})
+				b, _ := json.Marshal(map[string]string{"machine": l.machine.name, "pool": l.pool, "zone": l.machine.zone, "room": strconv.Itoa(w.room - l.less), "birth": strconv.FormatInt(int64(l.birth), 10)})
 				if w.spoils != nil && w.spoils(l) {
 					b = b[:len(b)/2]
 				}
@@ -258,7 +258,7 @@
 	if err != nil {
 		return work.Worker{}, err
 	}
-	born, err := strconv.ParseInt(x["born"], 10, 64)
+	born, err := strconv.ParseInt(x["birth"], 10, 64)
 	if err != nil {
 		return work.Worker{}, err
 	}
