keep, pool: workers are kept row by row, and a record that is refused costs itself alone

Cause: the list of all workers was kept as one record. The record of lives with long leases was built the same way, and nothing in force read it. Change: package keep appends the batches. A life is a row under its own key, written when it comes and dropped when it leaves; an earlier version's one record is read and taken apart. Answers come in three kinds: not done or unknown is tried again, a record that is too long or that the store refuses goes aside alone, fenced ends the term. What rests on a record aside waits (mode records-aside, counter records_aside, event record-refused); all else goes on. The record of long leases is gone. Entries of this version and of earlier ones must not run side by side: the earlier do not read the rows.

--- a/entry/node.go
+++ b/entry/node.go
@@ -182,7 +182,8 @@
 		Entry: s.Entry, Intake: intakes, State: store.Own(stateTopic, 0), Workers: store.Workers(),
 		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s, n.Dial).Calls(),
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
-		BatchMost: s.Store.MaxCallBytes / 2, // far under what the store takes in one call
+		BatchMost:  s.Store.MaxCallBytes / 2, // far under what the store takes in one call
+		RecordMost: s.Store.MaxRecordBytes,
 	}
 	n.scheduler.SetBounds(boundsOf(s))
 	if n.metrics.scope != nil {
--- a/feed/topic.go
+++ b/feed/topic.go
@@ -44,7 +44,8 @@
 // Topic is one keyed topic of a log service, as functions that an adapter or a test fills in.
 //
 // All may be called by several goroutines. Errors are ErrUnavailable (nothing was done), ErrUncertain (an append may
-// have been done, or may still be done), *TrimmedError, *ConditionError and *FencedError.
+// have been done, or may still be done), *TrimmedError, *ConditionError, *FencedError and
+// *RefusedError.
 type Topic struct {
 	// Append returns the offset at which the topic ends after the batch.
 	Append func(ctx context.Context, b Batch) (int64, error)
@@ -73,6 +74,17 @@
 	return "a writer with a higher epoch has taken over; stop writing"
 }
 
+// RefusedError says that the store will never take these records as they are; nothing was appended.
+type RefusedError struct {
+	// Answer is the store's own word.
+	Answer string
+}
+
+// Error returns the store's word and the remedy.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the store refuses the records themselves (%s); change them, the same again is refused again", e.Answer)
+}
+
 // SequenceError says that a batch's sequence number does not follow the last; nothing was appended.
 type SequenceError struct {
 	// Want is the number that would follow.
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/keep"
 )
 
 // Figures of a commit.
@@ -18,17 +18,16 @@
 	// batchMost bounds the bytes of one batch where the adapter names no other bound: half of the 2 MB that the users' store
 	// takes in one call. A bound of 400 jobs let 50 of 15,000 runs leave at 5,000 jobs a second and a store of 200 ms.
 	batchMost = 1 << 20
-	// commitPause is the pause after a batch that was not taken.
-	commitPause = 150 * time.Millisecond
 )
 
 // commitEnded tells what is kept now.
 type commitEnded struct {
 	versions map[*job.Job]int64
-	workers  []keptWorker
-	long     []string      // the lives that may have long leases
+	lives    []string      // those that may be given work
 	waves    map[int64]int // the versions of what is kept of them
 	starts   []plannedStart
+	// aside are the records that the store surely never takes; the call's goroutine sets them before answeredAt.
+	aside []keep.Aside
 	// answeredAt is when the store had taken the batch, nil before; the call's goroutine sets it.
 	answeredAt atomic.Pointer[time.Time]
 }
@@ -38,13 +37,12 @@
 	if c.committing {
 		return
 	}
-	if c.dirty.empty() && len(c.gone) == 0 && !c.takenDirty && len(c.takenGone) == 0 && !c.workersDirty && !c.longDirty && !c.wavesDirty() {
+	if c.dirty.Empty() && len(c.gone) == 0 && !c.takenDirty && len(c.takenGone) == 0 && c.livesDirty.Empty() && !c.wavesDirty() {
 		return
 	}
 	done := &commitEnded{versions: make(map[*job.Job]int64), waves: make(map[int64]int)}
 	var records []feed.KeyedRecord
-	records = c.keepWorkers(done, records)
-	records = c.keepLong(done, records)
+	records = c.keepLives(done, records)
 	records = c.keepWaves(done, records)
 	records = c.keepLessons(c.now(), records)
 	records = c.keepTaken(records)
@@ -60,26 +58,21 @@
 	done.starts, c.planned = c.keptStarts(c.planned)
 	c.committing, c.inFlight = true, done
 	c.commitSince = c.now()
-	sequence := c.sequence
-	c.sequence++
-	c.work.Go(func() { c.append(records, sequence, done) })
+	c.work.Go(func() { c.append(records, done) })
 }
 
 // keepJobs adds what has changed of jobs, as far as the batch has room.
 func (c *session) keepJobs(done *commitEnded, records []feed.KeyedRecord) []feed.KeyedRecord {
-	size := 0
-	for _, r := range records {
-		size += len(r.Key) + len(r.Value)
-	}
+	size := sizeOf(records)
 	var refused []*job.Job // no start and no acknowledgement that rests on them leaves
 	defer func() {
 		for _, j := range refused {
-			c.dirty.add(j)
+			c.dirty.Add(j.Spec.ID, j)
 		}
 	}()
 	for size < c.batchMost {
-		j := c.dirty.next()
-		if j == nil {
+		_, j, ok := c.dirty.Next()
+		if !ok {
 			break
 		}
 		value, err := job.Encode(j.Keep())
@@ -126,7 +119,7 @@
 // keptStarts parts the planned runs into those that the batch made now holds, and those whose jobs wait for the next.
 func (c *session) keptStarts(planned []plannedStart) (now, later []plannedStart) {
 	for _, p := range planned {
-		if c.dirty.has(p.task.Job.Spec.ID) {
+		if c.dirty.Has(p.task.Job.Spec.ID) {
 			later = append(later, p)
 			continue
 		}
@@ -135,35 +128,39 @@
 	return now, later
 }
 
-// append tries until the store has taken the batch; the same sequence number again is taken once.
-func (c *session) append(records []feed.KeyedRecord, sequence int64, done *commitEnded) {
-	b := feed.Batch{Records: records, At: -1, Writer: feed.Writer{Name: writer, Epoch: c.term.Fence, Sequence: sequence + 1}}
-	failed := false
-	for c.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-		_, err := c.State.Append(ctx, b)
-		cancel()
-		if err == nil {
-			now := c.now()
-			done.answeredAt.Store(&now)
-			if failed {
-				c.emit(event.StoreReachable, event.Subject{Entry: c.Entry}, "state kept again")
-			}
-			c.post(commitAnswered{done})
-			return
-		}
-		var fenced *feed.FencedError
-		var outOfStep *feed.SequenceError
-		if errors.As(err, &fenced) || errors.As(err, &outOfStep) {
-			c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "state not kept, the lead ends: %v", err)
-			c.Lost(c.term.Fence)
-			return
-		}
-		if !failed {
+// sizeOf returns the bytes of the records.
+func sizeOf(records []feed.KeyedRecord) int {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
+// newWriter returns the writer of the term's state.
+func (c *session) newWriter() *keep.Writer {
+	return &keep.Writer{
+		Call: func(ctx context.Context, b feed.Batch) (int64, error) { return c.State.Append(ctx, b) },
+		Name: writer, Epoch: c.term.Fence, RecordMost: c.RecordMost,
+		Failing: func(err error) {
 			c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "state not kept: %v", err)
-		}
-		failed = true
-		sleep(c.ctx, commitPause)
+		},
+		Again: func() { c.emit(event.StoreReachable, event.Subject{Entry: c.Entry}, "state kept again") },
+	}
+}
+
+// append tries until the store has taken the batch, but for the records that it surely never takes.
+func (c *session) append(records []feed.KeyedRecord, done *commitEnded) {
+	aside, err := c.writer.Append(c.ctx, records)
+	switch {
+	case err == nil:
+		done.aside = aside
+		now := c.now()
+		done.answeredAt.Store(&now)
+		c.post(commitAnswered{done})
+	case c.ctx.Err() == nil:
+		c.emit(event.StoreUnreachable, event.Subject{Entry: c.Entry}, "state not kept, the lead ends: %v", err)
+		c.Lost(c.term.Fence)
 	}
 }
 
@@ -175,6 +172,7 @@
 	took := m.answeredAt.Load().Sub(c.commitSince)
 	c.counts.batch.RecordDuration(took)
 	c.tookBatch(took)
+	c.setAside(m.commitEnded)
 	for j, v := range m.versions {
 		j.KeptVersion = max(j.KeptVersion, v)
 		c.noteKept(j)
@@ -189,11 +187,7 @@
 	for w := range c.unacked {
 		c.ackKept(w)
 	}
-	for _, k := range m.workers {
-		c.workersKept[k.Life] = true
-		c.dirtyPool(k.Pool)
-	}
-	c.longKept(m.long)
+	c.keptLives(m.lives)
 	c.held = append(c.held, m.starts...)
 	c.sendHeld(c.now())
 	for n, version := range m.waves {
@@ -226,29 +220,6 @@
 	c.unacked[w] = true
 }
 
-// keepWorkers adds the record of the lives that may be given work, if it has changed.
-func (c *session) keepWorkers(done *commitEnded, records []feed.KeyedRecord) []feed.KeyedRecord {
-	if !c.workersDirty {
-		return records
-	}
-	c.workersDirty = false
-	for _, w := range c.workers {
-		done.workers = append(done.workers, keptWorker{Life: w.Life, Machine: w.Machine, Pool: w.Pool, Address: w.Address})
-	}
-	value, err := job.Encode(done.workers)
-	if err != nil {
-		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "workers not kept: %v", err)
-		return records
-	}
-	records = append(records, feed.KeyedRecord{Key: workersKey, Value: value})
-	count, err := job.Encode(max(c.sure, c.instances(len(c.lives))))
-	if err != nil {
-		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "number of instances not kept: %v", err)
-		return records
-	}
-	return append(records, feed.KeyedRecord{Key: instancesKey, Value: count})
-}
-
 // dropRecords takes what is kept of a job out of partitions of the intake; a failure leaves records that the next leader drops.
 func (c *session) dropRecords(name job.Owned, parts uint64) {
 	_, id := name.Parts()
--- a/pool/load.go
+++ b/pool/load.go
@@ -15,19 +15,19 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
-	"rackstep.dev/work"
 )
 
 // Keys of what is kept besides what clients handed in.
 const (
-	stateKey   = "s/"
-	lostKey    = "l/"
-	waveKey    = "wave/"
+	stateKey = "s/"
+	lostKey  = "l/"
+	waveKey  = "wave/"
+	// lifeKey is for lives that may have been given work; workersKey held all of them in one record in earlier versions.
+	lifeKey    = "w/"
 	workersKey = "workers"
 	// instancesKey holds how many instances the leader last counted "most" of, see session.instances.
 	instancesKey = "instances"
 	lessonsKey   = "lessons"
-	longKey      = "long"
 	// takenKey is for jobs that can't run because another organisation's job has their ID.
 	takenKey = "t/"
 )
@@ -47,12 +47,6 @@
 	handover = 1100 * time.Millisecond
 )
 
-// keptWorker is what is kept of a life that may have been given work.
-type keptWorker struct {
-	_                            struct{} `cbor:",toarray"`
-	Life, Machine, Pool, Address string
-}
-
 // load shuts out the earlier leader's writes and reads all that is kept; it tries until the context ends.
 func (c *session) load(ctx context.Context) error {
 	for {
@@ -139,8 +133,7 @@
 	clear(c.jobs)
 	kept := make(map[string]job.Kept)
 	lost := make(map[string][]job.KeptLost)
-	var earlier []keptWorker
-	var long keptLong
+	earlier := make(map[string]keptLife)
 	for _, r := range state.Records {
 		switch {
 		case strings.HasPrefix(r.Key, stateKey):
@@ -154,16 +147,23 @@
 				lost[r.Key[len(lostKey):]] = k
 				c.keepsLost[r.Key[len(lostKey):]] = true
 			}
+		case strings.HasPrefix(r.Key, lifeKey):
+			var k keptLife
+			if c.read(r, &k) {
+				earlier[r.Key[len(lifeKey):]] = k
+			}
 		case r.Key == workersKey:
-			c.read(r, &earlier)
+			var all []keptWorker
+			c.oneRecord = c.read(r, &all)
+			for _, k := range all {
+				earlier[k.Life] = keptLife{Machine: k.Machine, Pool: k.Pool, Address: k.Address}
+			}
 		case r.Key == instancesKey:
 			c.read(r, &c.keptInstances)
 		case strings.HasPrefix(r.Key, waveKey):
 			c.restoreWave(r)
 		case r.Key == lessonsKey:
 			c.restoreLessons(r, now)
-		case r.Key == longKey:
-			c.read(r, &long)
 		case strings.HasPrefix(r.Key, takenKey):
 			c.restoreTaken(r, now)
 		}
@@ -179,18 +179,10 @@
 	for _, r := range list.Records {
 		c.listWorker(r.Key, r.Value)
 	}
-	for _, k := range earlier {
-		l := work.ParseLife(k.Life)
-		w, over := c.restoredOn(k.Life)
-		if w == nil || over {
-			w = newWorker(work.Worker{Life: k.Life, ID: l.ID, Birth: l.Birth, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
-			w.listed = false
-			c.addWorker(w)
-		}
-		c.unheard[w.Life] = w
-		c.workersKept[w.Life] = w.Life == k.Life
+	c.restoreLives(earlier)
+	for _, w := range c.workers {
+		w.before = true
 	}
-	c.restoreLong(long)
 	for i, page := range intakes {
 		for _, r := range page.Records {
 			c.readIntake(i, r, now)
@@ -203,7 +195,7 @@
 			j.Restore(k, now)
 			j.RestoreLost(lost[id])
 			c.restoreRuns(j, k, ended)
-			c.dirty.drop(id)
+			c.dirty.Drop(id)
 		}
 		c.restored[id] = true
 		j.From = now.Add(-ageOf(j.Spec.Taken, timeOfDay()))
@@ -361,7 +353,7 @@
 // changed marks a job for the next commit, and settles one that has ended.
 func (c *session) changed(j *job.Job) {
 	if j.Version > j.KeptVersion {
-		c.dirty.add(j)
+		c.dirty.Add(j.Spec.ID, j)
 	}
 	if !j.State.Ended() {
 		return
--- a/pool/lost.go
+++ b/pool/lost.go
@@ -133,7 +133,7 @@
 	if !t.Job.Lose(t, l) {
 		return
 	}
-	c.dirty.add(t.Job)
+	c.dirty.Add(t.Job.Spec.ID, t.Job)
 	c.giveUpHopeless(t)
 }
 
@@ -142,7 +142,7 @@
 	before := len(t.Lost)
 	t.Job.NeverThere(t, run)
 	if len(t.Lost) < before && !t.Job.State.Ended() {
-		c.dirty.add(t.Job)
+		c.dirty.Add(t.Job.Spec.ID, t.Job)
 		c.dirtyPool(c.queue(t.Job).Pool)
 	}
 }
--- a/pool/lost_test.go
+++ b/pool/lost_test.go
@@ -159,7 +159,7 @@
 	startEnded{worker: w, task: b.task(1), run: 101, answer: gone}.apply(b.session)
 	c.Assert(b.task(1).Lost, quicktest.HasLen, 0)
 	c.Assert(b.task(1).Suspect, quicktest.IsFalse)
-	c.Assert(b.dirty.has(b.task(1).Job.Spec.ID), quicktest.IsTrue)
+	c.Assert(b.dirty.Has(b.task(1).Job.Spec.ID), quicktest.IsTrue)
 }
 
 // runsBeside has a task at work on a worker since long ago.
@@ -198,7 +198,7 @@
 		c.Assert(b.task(i).Lost, quicktest.DeepEquals, []job.LostRun{{Run: int64(5 + i), Life: "w9", Age: job.AgeUnknown, Suspects: 2}})
 		c.Assert(b.task(i).Suspect, quicktest.IsTrue)
 	}
-	c.Assert(b.dirty.has(j.Spec.ID), quicktest.IsTrue)
+	c.Assert(b.dirty.Has(j.Spec.ID), quicktest.IsTrue)
 }
 
 func TestALastingTaskThatHasRunForLongIsNoCulprit(t *testing.T) {
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -22,6 +22,8 @@
 	silent, doubted tally.Gauge
 	// reborn counts the workers that began anew under the ID that they had.
 	reborn tally.Counter
+	// aside counts the records that the store never takes.
+	aside tally.Counter
 	// misread are the entries of the list of workers that name none.
 	misread tally.Gauge
 }
@@ -39,7 +41,7 @@
 		batch: scope.Histogram("state_batch", buckets), ordered: scope.Counter("runs_ordered"), lost: scope.Counter("workers_lost"),
 		runsLost: scope.Counter("runs_lost"), givenUp: scope.Counter("jobs_given_up"),
 		moves: scope.Counter("instances_moved"), upkeeps: scope.Counter("upkeeps_begun"), looseStarts: scope.Counter("runs_ordered_unkept"),
-		capped: scope.Counter("steps_capped"), reborn: scope.Counter("workers_reborn"), misread: scope.Gauge("entries_misread"), silent: scope.Gauge("workers_silent"), doubted: scope.Gauge("runs_on_silent_workers"),
+		capped: scope.Counter("steps_capped"), reborn: scope.Counter("workers_reborn"), aside: scope.Counter("records_aside"), misread: scope.Gauge("entries_misread"), silent: scope.Gauge("workers_silent"), doubted: scope.Gauge("runs_on_silent_workers"),
 	}
 }
 
--- a/pool/modes.go
+++ b/pool/modes.go
@@ -26,12 +26,14 @@
 	// modeOrphans: an earlier leader may have started what is not kept, so that earlier jobs wait for all workers of their
 	// pool. It ends when they have answered, or when the last lease of that leader is over.
 	modeOrphans
+	// modeAside: records are aside that the store never takes, and what rests on them waits. It ends when they have changed and are kept, or are gone.
+	modeAside
 	modes
 )
 
 // String returns the mode's name as logs and metrics have it.
 func (m mode) String() string {
-	return [modes]string{"store-slow", "unkept-orders", "unconfirmed", "hearing", "orphans"}[m]
+	return [modes]string{"store-slow", "unkept-orders", "unconfirmed", "hearing", "orphans", "records-aside"}[m]
 }
 
 // is says whether the leader is in the mode.
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -38,7 +38,7 @@
 	c.addRun(w, t, r)
 	w.newestAt = now
 	t.Job.Version++
-	c.dirty.add(t.Job)
+	c.dirty.Add(t.Job.Spec.ID, t.Job)
 	c.planned = append(c.planned, plannedStart{worker: w, task: t, run: r})
 }
 
@@ -270,6 +270,9 @@
 // settleUnanswered stops runs whose start got no answer, and stops again what goes on after a stop.
 func (c *session) settleUnanswered(now time.Time) {
 	for _, w := range c.workers {
+		if len(w.runs) == 0 {
+			continue
+		}
 		for t, r := range w.runs {
 			lost := r.unanswered && now.Sub(r.sentAt) > orderTimeout && !t.Spec().Lasting // its deadline settles what lasts
 			if (lost || t.Stopping) && r.stopped == 0 {
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -207,7 +207,7 @@
 	sure := c.confirmed(now)
 	groups := make([]*place.Group, 0, len(p.open))
 	for _, g := range p.open {
-		if blocked && c.restored[g.Job.Spec.ID] {
+		if (blocked && c.restored[g.Job.Spec.ID]) || c.jobIsAside(g.Job) {
 			continue
 		}
 		if !sure && c.readUnsure[g.Job.Spec.ID] {
--- a/pool/report.go
+++ b/pool/report.go
@@ -208,7 +208,7 @@
 	t.Phase, t.Run, t.Worker, t.Since = job.Active, row.Run, w.Life, c.now()
 	t.Job.Began = true
 	t.Job.Version++
-	c.dirty.add(t.Job)
+	c.dirty.Add(t.Job.Spec.ID, t.Job)
 	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true})
 	if row.Run>>runBits < c.term.Number {
 		c.beCoarse("a worker runs what was not kept")
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -63,6 +63,8 @@
 	// ID is that of its worker, empty when it has none.
 	ID    string
 	State MachineState
+	// DataCentre is where it stands, for good.
+	DataCentre string
 	// Labels are its kind and its rack, which it keeps wherever it goes.
 	Labels []string
 }
@@ -113,6 +115,8 @@
 	Events  *event.Ring
 	// BatchMost bounds the bytes of one batch to State; batchMost when 0.
 	BatchMost int
+	// RecordMost bounds the bytes of one record of State, its key included; a longer one is kept aside. No bound when 0.
+	RecordMost int
 	// Metrics receives counters and histograms; none when nil.
 	Metrics tally.Scope
 	// ConfirmedAt returns when the newest renewal that the store took was first sent; Lost is told of a higher fencing
--- a/pool/session.go
+++ b/pool/session.go
@@ -12,6 +12,7 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/job"
+	"rackstep.dev/keep"
 	"rackstep.dev/lead"
 	"rackstep.dev/org"
 	"rackstep.dev/place"
@@ -54,8 +55,14 @@
 	foreign foreign
 	// over are the lives that have ended.
 	over map[string]bool
-	// dirty are the jobs with changes that are not kept.
-	dirty changes
+	// dirty are the jobs with changes that are not kept, livesDirty the lives; oneRecord says that an earlier version's record of all lives is still there.
+	dirty      keep.Rows[*job.Job]
+	livesDirty keep.Rows[struct{}]
+	oneRecord  bool
+	// writer appends what is to be kept; it belongs to the call that is on its way.
+	writer *keep.Writer
+	// aside are the records that the store never takes.
+	aside asideRecords
 	// unkept are jobs of which runs were ordered that are not kept, with the version that holds them; unacked are the workers
 	// with ends that are not kept.
 	unkept  map[*job.Job]int64
@@ -95,15 +102,12 @@
 	keptInstances int
 
 	starts     int64
-	sequence   int64
 	committing bool
 	// inFlight is the batch on its way, commitSince when it left.
-	inFlight     *commitEnded
-	commitSince  time.Time
-	usualBatch   time.Duration // what the store lately took for one
-	workersKept  map[string]bool
-	workersDirty bool
-	longDirty    bool // the record of long leases has changed
+	inFlight    *commitEnded
+	commitSince time.Time
+	usualBatch  time.Duration // what the store lately took for one
+	workersKept map[string]bool
 	// fresh is, by partition of the intake, the time before which all that was handed in has been read.
 	fresh      []time.Time
 	intakeEnd  []int64
@@ -124,6 +128,7 @@
 	machinesAsk  bool
 	machines     map[string]Machine
 	tickets      map[string]*stepTickets
+	names        []string // of the machines, see instanceNames
 	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
 	desk         desk
@@ -157,6 +162,8 @@
 		moves: make(map[string]*moveStep), keepsLost: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
 	c.ledger.SetDirectory(s.organisations.Load())
+	c.aside = make(asideRecords)
+	c.writer = c.newWriter()
 	return c
 }
 
@@ -289,6 +296,8 @@
 			name := j.Spec.Owner()
 			c.dropRecords(name, c.keepsOf[name])
 			delete(c.keepsOf, name)
+			delete(c.aside, stateKey+id)
+			delete(c.aside, lostKey+id)
 			delete(c.cancelled, name)
 		}
 	}
--- a/pool/size.go
+++ b/pool/size.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"rackstep.dev/event"
@@ -60,7 +62,8 @@
 	}
 	c.countLoads()
 	var instances []upkeep.Instance
-	for name, m := range c.machines {
+	for _, name := range c.instanceNames() {
+		m := c.machines[name]
 		if c.inWave(name) {
 			continue // it serves nobody until its upkeep is over
 		}
@@ -97,6 +100,14 @@
 	return pools, instances
 }
 
+// instanceNames returns the names of all instances in their order, by which equal ones are told apart: the same one is chosen with each look.
+func (c *session) instanceNames() []string {
+	if len(c.names) != len(c.machines) {
+		c.names = slices.Sorted(maps.Keys(c.machines))
+	}
+	return c.names
+}
+
 // fixed says whether an instance is on its way, or could lately not be moved.
 func (c *session) fixed(machine string, now time.Time) bool {
 	if s := c.moves[machine]; s != nil {
--- a/pool/succession.go
+++ b/pool/succession.go
@@ -136,7 +136,7 @@
 	t.Phase, t.Worker = job.Starting, heir.Life
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
 	t.Job.Version++
-	c.dirty.add(t.Job)
+	c.dirty.Add(t.Job.Spec.ID, t.Job)
 	c.addRun(heir, t, &run{number: r.number, sent: true, earlier: true, handedOn: true, began: r.began, sentAt: r.sentAt, ticket: r.ticket, pace: fullPercent})
 }
 
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -35,8 +35,6 @@
 	listed bool
 	// before says that it was known when the tables were read, so that the earlier leader may have counted and leased it.
 	before bool
-	// long says that it has or had lasting tasks, longBefore that it may have had some under an earlier leader.
-	long, longBefore bool
 	// misread says that its entry in the list can't be read: it gets no starts, and what runs there goes on.
 	misread bool
 	// sure says that it was listed when the store last confirmed the lead.
@@ -91,8 +89,6 @@
 	brief atomic.Int32
 	// mixed says that filling tasks run beside serving ones, whose figures must be read often.
 	mixed atomic.Bool
-	// mayLong says that long leases may be given: the next leader would know.
-	mayLong atomic.Bool
 
 	mu    sync.Mutex
 	lease work.Lease
--- a/pool/turn_bench_test.go
+++ b/pool/turn_bench_test.go
@@ -172,9 +172,12 @@
 // that wait and a wave over half of the instances.
 func BenchmarkTickAtAThousandWorkers(b *testing.B) { benchTick(b, 1100, 1000) }
 
-// BenchmarkTickAtThreeThousandWorkers is the same at the size that is weighed by slope.
+// BenchmarkTickAtThreeThousandWorkers, of the whole fleet and of twice the fleet are the same at the sizes that are weighed by slope.
 func BenchmarkTickAtThreeThousandWorkers(b *testing.B) { benchTick(b, 3000, 3000) }
 
+func BenchmarkTickOfTheFleet(b *testing.B)      { benchTick(b, 6000, 1000) }
+func BenchmarkTickOfTwiceTheFleet(b *testing.B) { benchTick(b, 12000, 1000) }
+
 func benchTick(b *testing.B, workers, backlog int) {
 	t := newTurn(quicktest.New(b), workers, backlog)
 	t.config = &job.Catalog{
--- a/pool/upkeep.go
+++ b/pool/upkeep.go
@@ -161,12 +161,15 @@
 			c.emit(event.RecordRefused, event.Subject{}, "wave=%d not kept: %v", n, err)
 			continue
 		}
-		records = append(records, feed.KeyedRecord{Key: waveKey + strconv.FormatInt(n, 10), Value: value})
+		records = append(records, feed.KeyedRecord{Key: waveKeyOf(n), Value: value})
 		done.waves[n] = row.version
 	}
 	return records
 }
 
+// waveKeyOf returns the key of what is kept of a wave.
+func waveKeyOf(n int64) string { return waveKey + strconv.FormatInt(n, 10) }
+
 func (c *session) waveKept(n int64, version int) {
 	c.waveRows[n].keptVersion = max(c.waveRows[n].keptVersion, version)
 }
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -133,7 +133,7 @@
 		}
 		w = newWorker(row, c.Clock, &c.ledger)
 		c.addWorker(w)
-		c.workersDirty = true
+		c.lifeChanged(row.Life)
 		c.emit(event.WorkerSeen, event.Subject{Instance: row.Life}, "machine=%s pool=%s room=%d leaving=%t", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving)
 		return w
 	}
@@ -402,9 +402,10 @@
 		w.cancel()
 	}
 	c.removeWorker(w)
-	c.workersDirty = true
+	c.lifeChanged(w.Life)
 	delete(c.workersKept, w.Life)
 	c.dirtyPool(w.Pool) // also for earlier jobs that waited for it
+	delete(c.aside, lifeKey+w.Life)
 	delete(c.unheard, w.Life)
 	go c.Calls.Forget(&w.Worker)
 }
@@ -472,6 +473,7 @@
 		}
 	}
 	for _, w := range c.workers {
+	c.names = nil // one may have come for each that has gone
 		c.judge(w, now)
 	}
 }
