pool, platform: a drained data centre gets no work until that is taken back

Change: the follower of the operator's topic tells which data centres are drained, before the configuration that it finds with them, so that whoever may lead knows them before its first start; a whole look replaces what was known, for a drain that was taken back while the history was forgotten. The scheduler keeps it by data centre: workers there are not usable, so planned starts do not leave either; lasting tasks are taken out as fast as others of their step may be missed and places are found; tasks that end are left to; the instances count in no pool, so that room is bought elsewhere, and rest where nothing runs. drain-changed tells what is left and what holds it; the gauge runs_in_drained counts it.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -85,6 +85,7 @@
 	UpkeepRefused        Number = 841
 	WaveChanged          Number = 842
 	MachineMoved         Number = 843
+	DrainChanged         Number = 844
 	ModeBegun            Number = 850
 	ModeEnded            Number = 851
 	TakeoverStep         Number = 852
@@ -178,6 +179,7 @@
 	{UpkeepRefused, "upkeep-refused", "The machine interface refused an upkeep or a move, or gave no answer.", nothing},
 	{WaveChanged, "wave-changed", "A wave of upkeep was read, or its state was written.", nothing},
 	{MachineMoved, "instance-moved", "An instance was moved to another pool.", nothing},
+	{DrainChanged, "drain-changed", "A data centre was drained, so that its instances get no work, or that was taken back; the text says what is left there and what holds it.", "If it does not become empty, see docs/operations/maintenance.md."},
 	{ModeBegun, "mode-begun", "The leader has begun to work in a degraded mode; the text names it and why.", "If it lasts, see docs/OPERATIONS.md."},
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", nothing},
 	{TakeoverStep, "takeover-step", "A new leader has reached a step of taking over; the text says how long after its term.", nothing},
--- /dev/null
+++ b/pool/drain_test.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+// drainBench is a leader with workers in the data centre that their name begins with.
+func drainBench(c *quicktest.C, jobs []*job.Job, lives ...string) *bench {
+	b := newBench(c, jobs, lives...)
+	b.ParseWorker = func(life string, _ []byte) (work.Worker, error) {
+		return work.Worker{Life: life, Machine: "m-" + life, Pool: "p", DataCentre: life[:1], Room: job.Need{MilliCPU: 4000, MemoryMB: 4000}}, nil
+	}
+	for _, w := range b.workers {
+		w.DataCentre = w.Life[:1]
+		b.machines[w.Machine] = Machine{Name: w.Machine, Pool: "p", ID: w.Life, DataCentre: w.DataCentre}
+	}
+	for _, life := range lives {
+		b.reports(life, 10, nil)
+	}
+	return b
+}
+
+// starts returns on how many workers of each data centre tasks were placed.
+func (b *bench) startsIn() map[string]int {
+	in := make(map[string]int)
+	for _, p := range b.planned {
+		in[p.worker.DataCentre]++
+	}
+	return in
+}
+
+func TestNothingStartsInADrainedDataCentre(t *testing.T) {
+	for _, x := range [...]struct {
+		name    string
+		drained []string
+		want    map[string]int
+	}{
+		{"none is drained", nil, map[string]int{"a": 4, "b": 2}},
+		{"one of two", []string{"a"}, map[string]int{"b": 4}},
+		{"the last one that has room", []string{"a", "b"}, map[string]int{}},
+		{"another one", []string{"z"}, map[string]int{"a": 4, "b": 2}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := drainBench(c, []*job.Job{one(6)}, "a1", "b1")
+			drainsChanged{x.drained}.apply(b.session)
+			b.ordered()
+			c.Assert(len(b.startsIn()), quicktest.Equals, len(x.want))
+			if len(x.want) == 1 {
+				c.Assert(b.startsIn(), quicktest.DeepEquals, x.want)
+			}
+		})
+	}
+}
+
+// TestAStartThatWasPlannedBeforeADrainDoesNotLeave has the drain come between the decision and the answer that the run is kept.
+func TestAStartThatWasPlannedBeforeADrainDoesNotLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := drainBench(c, []*job.Job{one(1)}, "a1")
+		started := 0
+		b.Calls.Start = func(context.Context, *work.Worker, work.Start) (work.Answer, error) {
+			started++
+			return work.Answer{Clock: 20}, nil
+		}
+		c.Assert(b.ordered(), quicktest.Equals, 1)
+		drainsChanged{[]string{"a"}}.apply(b.session)
+		b.keeps()
+		c.Assert(started, quicktest.Equals, 0)
+		c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
+		drainsChanged{nil}.apply(b.session)
+		c.Assert(b.ordered(), quicktest.Equals, 1)
+	})
+}
+
+// TestADrainIsOfTheDataCentreAndOutlivesItsLeader has workers be listed there later, and the next leader know before its first start.
+func TestADrainIsOfTheDataCentreAndOutlivesItsLeader(t *testing.T) {
+	c := quicktest.New(t)
+	b := drainBench(c, []*job.Job{one(1)}, "b1")
+	drainsChanged{[]string{"a"}}.apply(b.session)
+	c.Assert(b.listWorker("a9", []byte{1}).drained, quicktest.IsTrue)
+	b.Scheduler.SetDrains([]string{"b"})
+	next := newSession(b.Scheduler, b.term)
+	c.Assert(next.drains["b"], quicktest.IsNotNil)
+}
+
+// TestLastingTasksLeaveADrainedDataCentreAsFastAsTheyMayBeMissed has four of a step there that may miss one, and then room elsewhere for three.
+func TestLastingTasksLeaveADrainedDataCentreAsFastAsTheyMayBeMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		j := job.New(&job.Spec{ID: "00000000000000a1", Queue: "q", Pool: "p", Steps: []job.Step{{Count: 4, Lasting: true, MayMiss: 1, Need: job.Need{MilliCPU: 1000}}}}, time.Now())
+		b := drainBench(c, []*job.Job{j}, "a1", "b1")
+		b.term.Number = 1
+		b.aloneFrom = time.Now()
+		b.Machines.Move = func(context.Context, string, string, int64) error { return nil }
+		time.Sleep(time.Minute)
+		b.workers["b1"].room.Free.MilliCPU = 3000
+		var rows []work.Row
+		for i := range 4 {
+			rows = append(rows, work.Row{Task: fmt.Sprintf("00000000000000a1.0.0.%d", i), Run: int64(i + 1), Percent: 100})
+		}
+		for i := range 4 {
+			tt := b.task(i)
+			tt.Phase, tt.Run, tt.Worker, tt.AtWork = job.Active, int64(i+1), "a1", true
+			b.addRun(b.workers["a1"], tt, &run{number: int64(i + 1), sent: true, confirmed: 10})
+		}
+		b.reports("a1", 1000, rows)
+		drainsChanged{[]string{"a"}}.apply(b.session)
+		stopping := func() int {
+			n := 0
+			for i := range 4 {
+				if b.task(i).Stopping {
+					n++
+				}
+			}
+			return n
+		}
+		b.emptyDrained(time.Now())
+		c.Assert(stopping(), quicktest.Equals, 1, quicktest.Commentf("one may be missed"))
+		b.emptyDrained(time.Now())
+		c.Assert(stopping(), quicktest.Equals, 1)
+		last := ""
+		for _, e := range b.Events.Since(0) {
+			if e.Number == event.DrainChanged {
+				last = e.Text
+			}
+		}
+		c.Assert(strings.Contains(last, "state=emptying"), quicktest.IsTrue, quicktest.Commentf("%s", last))
+		c.Assert(strings.Contains(last, "lasting=4 others-of-its-step-are-away=3"), quicktest.IsTrue, quicktest.Commentf("%s", last))
+	})
+}
+
+// TestRoomThatADrainTakesIsBoughtElsewhere has a pool all of whose instances stand in the data centre that is drained.
+func TestRoomThatADrainTakesIsBoughtElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := drainBench(c, nil, "a1", "a2")
+		b.config.Pools = map[string]job.Pool{"p": {}, "spare": {Headroom: true}}
+		for _, name := range []string{"a-off", "b-off"} {
+			b.machines[name] = Machine{Name: name, Pool: "spare", DataCentre: name[:1]}
+		}
+		moved := make(chan string, 10)
+		b.Machines.Move = func(_ context.Context, machine, to string, _ int64) error { moved <- machine + " " + to; return nil }
+		b.machinesRead = time.Now()
+		b.pool("p").handed = []handed{{at: time.Now(), work: 3}}
+		drainsChanged{[]string{"a"}}.apply(b.session)
+		b.sizePools(time.Now())
+		synctest.Wait()
+		got := make(map[string]bool)
+		for range len(moved) {
+			got[<-moved] = true
+		}
+		c.Assert(got, quicktest.DeepEquals, map[string]bool{"b-off p": true, "m-a1 spare": true, "m-a2 spare": true})
+	})
+}
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -60,6 +60,11 @@
 	m.scope.Tagged(map[string]string{"why": why}).Counter("orders_refused").Inc(1)
 }
 
+// drainLeft tells how many runs are left in a drained data centre.
+func (m *metrics) drainLeft(dataCentre string, runs int) {
+	m.scope.Tagged(map[string]string{"datacentre": dataCentre}).Gauge("runs_in_drained").Update(float64(runs))
+}
+
 // takeover records how long after its term a new leader reached a step of taking over.
 func (m *metrics) takeover(step string, after time.Duration) {
 	m.scope.Tagged(map[string]string{"step": step}).Histogram("takeover", buckets).RecordDuration(after)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,6 +144,7 @@
 	bounds        atomic.Pointer[Bounds]
 	mu            sync.Mutex
 	waves         map[int64]Wave
+	drained       []string // the data centres that are drained
 	current       *session
 	counts        *metrics
 }
@@ -224,6 +227,9 @@
 	if x := s.catalog.Load(); x != c.config {
 		c.post(catalogChanged{x})
 	}
+	if !slices.Equal(s.drained, slices.Sorted(maps.Keys(c.drains))) {
+		c.post(drainsChanged{s.drained})
+	}
 	for _, w := range s.waves {
 		c.post(waveRead{w})
 	}
--- a/pool/session.go
+++ b/pool/session.go
@@ -122,13 +122,14 @@
 	takenDirty   bool
 	takenGone    []job.Owned
 	waveRows     map[int64]*waveRow
+	drains       drains
 	gone         []string  // jobs whose state is to be dropped from the store
 	machinesAt   time.Time // when the machine interface was last asked
 	machinesRead time.Time // when it was asked for the list that is in the table
 	machinesAsk  bool
 	machines     map[string]Machine
-	tickets      map[string]*stepTickets
 	names        []string // of the machines, see instanceNames
+	tickets      map[string]*stepTickets
 	advising     bool // a question to the advice service is on its way; it answers one at a time
 	moves        map[string]*moveStep
 	desk         desk
@@ -157,13 +158,16 @@
 		unkept: make(map[*job.Job]int64), unacked: make(map[*worker]bool), batchMost: cmp.Or(s.BatchMost, batchMost), later: make(map[string]*job.Job), restored: make(map[string]bool), unread: make(map[string]time.Time), readUnsure: make(map[string]bool),
 		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
 		keepsOf: make(map[job.Owned]uint64), cancelled: make(map[job.Owned]bool), taken: make(map[job.Owned]*takenID),
-		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow),
+		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow), drains: make(drains),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*moveStep), keepsLost: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
-	c.ledger.SetDirectory(s.organisations.Load())
 	c.aside = make(asideRecords)
 	c.writer = c.newWriter()
+	c.ledger.SetDirectory(s.organisations.Load())
+	s.mu.Lock()
+	drainsChanged{s.drained}.apply(c) // before the first start
+	s.mu.Unlock()
 	return c
 }
 
@@ -215,6 +219,7 @@
 	c.watchModes(now)
 	c.handOverIfStrained(now)
 	c.emptyLeaving(now)
+	c.emptyDrained(now)
 	c.runWaves(now)
 	c.sizePools(now)
 	c.forget(now)
@@ -291,13 +296,13 @@
 		if j.State.Ended() && j.KeptVersion >= j.Version && now.Sub(j.Ended) > c.Bounds().Status+forgetAfter {
 			delete(c.jobs, id)
 			delete(c.restored, id)
+			delete(c.aside, stateKey+id)
+			delete(c.aside, lostKey+id)
 			c.gone = append(c.gone, id)
 			c.forgetTickets(j)
 			name := j.Spec.Owner()
 			c.dropRecords(name, c.keepsOf[name])
 			delete(c.keepsOf, name)
-			delete(c.aside, stateKey+id)
-			delete(c.aside, lostKey+id)
 			delete(c.cancelled, name)
 		}
 	}
--- a/pool/size.go
+++ b/pool/size.go
@@ -67,7 +67,7 @@
 		if c.inWave(name) {
 			continue // it serves nobody until its upkeep is over
 		}
-		x := upkeep.Instance{Name: name, Pool: m.Pool, Labels: m.Labels, Fixed: m.State != MachineUp || c.fixed(name, now)}
+		x := upkeep.Instance{Name: name, Pool: m.Pool, Labels: m.Labels, Fixed: m.State != MachineUp || c.fixed(name, now), Drained: c.drains[m.DataCentre] != nil}
 		if s := c.moves[name]; s != nil {
 			x.Pool = s.to
 		}
@@ -85,7 +85,7 @@
 			continue
 		}
 		instances = append(instances, x)
-		if row := rows[x.Pool]; row != nil {
+		if row := rows[x.Pool]; row != nil && !x.Drained {
 			row.Have++
 			c.pool(x.Pool).load.able += c.able(name, now)
 		}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -61,6 +61,8 @@
 	leftAt time.Time
 	// out says that it is to be emptied for its upkeep or a move.
 	out bool
+	// drained says that its data centre is drained.
+	drained bool
 	// trial is the suspect that is tried here, nil for none, and trialRun its run: nothing else starts meanwhile. newestAt is when a run was
 	// last planned or ordered here.
 	trial    *job.Task
@@ -178,7 +180,7 @@
 
 // usable says whether the worker may get starts.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.misread && w.lost == "" && w.heard && !w.Leaving && !w.out && w.silentSince.IsZero() && !now.Before(w.restUntil)
+	return w.listed && !w.misread && w.lost == "" && w.heard && !w.Leaving && !w.out && !w.drained && w.silentSince.IsZero() && !now.Before(w.restUntil)
 }
 
 // empty says whether nothing runs there by its own word.
@@ -246,6 +248,7 @@
 // addWorker adds a life to the tables.
 func (c *session) addWorker(w *worker) {
 	c.workers[w.Life] = w
+	w.drained = c.drains[w.DataCentre] != nil
 	c.giveToken(w)
 	c.lives[w.Machine] = append(c.lives[w.Machine], w)
 	c.bearers[w.ID] = append(c.bearers[w.ID], w)
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -161,6 +161,7 @@
 		}
 	}
 	w.Worker = row
+	w.drained = c.drains[w.DataCentre] != nil
 	w.listed = true
 	c.dirtyPool(w.Pool)
 	if left {
@@ -404,8 +405,8 @@
 	c.removeWorker(w)
 	c.lifeChanged(w.Life)
 	delete(c.workersKept, w.Life)
-	c.dirtyPool(w.Pool) // also for earlier jobs that waited for it
 	delete(c.aside, lifeKey+w.Life)
+	c.dirtyPool(w.Pool) // also for earlier jobs that waited for it
 	delete(c.unheard, w.Life)
 	go c.Calls.Forget(&w.Worker)
 }
@@ -472,8 +473,8 @@
 			delete(c.machines, name)
 		}
 	}
-	for _, w := range c.workers {
 	c.names = nil // one may have come for each that has gone
+	for _, w := range c.workers {
 		c.judge(w, now)
 	}
 }
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -92,6 +92,9 @@
 	events    *event.Ring
 	// caps are what organisations may have running, in tasks, by the configurations so far; no job has one when there are none.
 	caps []modelCaps
+	// drains are when data centres were drained that are so still, drainedNow their names as entries are told them.
+	drains     map[string]time.Time
+	drainedNow []string
 	// debug traces what happens; nil when nothing does.
 	debug func(text string, args ...any)
 	// waveRequests are what the operator has asked for.
@@ -168,7 +171,7 @@
 	w := &world{
 		r: r, ctx: ctx, topics: make(map[string]*topic), zones: make(map[string]string), frozen: make(map[string]time.Time), naps: make(map[string]*naps), outOfTouch: make(map[string]time.Time), since: time.Now(),
 		killed: make(map[string]bool), lives: make(map[string]*life), machines: make(map[string]*machine), asked: make(map[string]*job.Spec),
-		room: modelRoom, reborn: reborn, longest: 2500 * time.Millisecond, byTask: make(map[string][]*ran), waves: make(map[int64]int), crashers: make(map[string]time.Duration), cancels: make(map[string]time.Time), events: new(event.Ring),
+		room: modelRoom, reborn: reborn, longest: 2500 * time.Millisecond, byTask: make(map[string][]*ran), waves: make(map[int64]int), crashers: make(map[string]time.Duration), cancels: make(map[string]time.Time), drains: make(map[string]time.Time), events: new(event.Ring),
 	}
 	for i := range zones * workers {
 		m := &machine{name: fmt.Sprintf("m%02d", i), pool: fmt.Sprint("p", i%2), zone: fmt.Sprint("z", i%zones), wave: make(map[int64]bool)}
@@ -407,6 +410,7 @@
 	if len(w.caps) > 0 {
 		s.SetOrganisations(w.caps[len(w.caps)-1].directory)
 	}
+	s.SetDrains(w.drainedNow)
 	w.mu.Unlock()
 	e.elector = &lead.Elector{Entry: name, Address: name, Boot: fmt.Sprint(boot), Topic: w.of(name, "lead"), Weight: 1, Events: w.events, Serve: s.Serve, Clock: machine}
 	e.scheduler = s
--- a/pool/worldworkers_test.go
+++ b/pool/worldworkers_test.go
@@ -216,6 +216,7 @@
 		w.fail("LIMIT %s run=%d on %s by %s: %d in use of %d", o.Task, o.Run, l.name, by, used, w.room-l.counted())
 	}
 	w.judgeStart(l, by, o)
+	w.judgeDrain(l, by, o)
 	if w.debug != nil {
 		w.debug("START %s run=%d on %s (%s) by %s", o.Task, o.Run, l.name, l.machine.zone, by)
 	}
