pool: a pool's need is bounded by what its tasks could use

Cause: the need was told in instance-seconds to be worked off in a second. Tasks of 2.1 s asked for twice the instances that they could run on, a backlog after a takeover for thousands: on the fleet 3,000 instances were moved into one pool and out again. Change: the need is at most the room that tasks take which run, wait and come until a move has brought an instance. The test's loads tell the room of what waits as well; two rows are new.

--- a/pool/demand.go
+++ b/pool/demand.go
@@ -55,8 +55,8 @@
 type load struct {
 	// lasting is held by tasks that last, running by others.
 	lasting, running float64
-	// waitingWork is what tasks bring that wait, in instance-seconds.
-	waitingWork float64
+	// waitingWork is what tasks bring that wait, in instance-seconds, waitingRoom what they take if all of them run at once.
+	waitingWork, waitingRoom float64
 	// able is for how long its instances will serve it, together, in the time that a move takes, in instance-seconds.
 	able float64
 }
@@ -143,6 +143,7 @@
 			p.load.lasting += float64(n) * each
 			continue
 		}
+		p.load.waitingRoom += float64(n) * each
 		p.load.waitingWork += float64(n) * each * c.runTime(step, g.Job.Spec.Queue).Seconds()
 	}
 }
@@ -173,14 +174,16 @@
 // demand returns how many instances the pool needs by the time that a move begun now has brought one.
 //
 // What runs and waits now is worked off meanwhile as far as the pool's instances reach; what is left then, and what
-// comes in as it does now, is what more instances are for.
+// comes in as it does now, is what more instances are for. It is never more than the tasks could use that run, wait and come
+// until then: no instance runs a part of a task.
 func (c *session) demand(p *poolRow, now time.Time) float64 {
 	l := &p.load
 	ahead := (c.Bounds().Move + arrives).Seconds()
 	rate := p.rate(now)
 	work := l.running*p.meanRun()*leftOfRuns + l.waitingWork + rate*ahead
 	left := work - max(l.able-l.lasting*ahead, 0)
-	return l.lasting + rate + max(left, 0)/clearIn.Seconds()
+	usable := l.running + l.waitingRoom + rate*max(1, ahead/p.meanRun())
+	return l.lasting + min(rate+max(left, 0)/clearIn.Seconds(), usable)
 }
 
 // able returns how long of the time that a move takes an instance serves its pool.
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -52,10 +52,12 @@
 	}{
 		{"nothing runs", load{able: 3 * ahead}, 0, 0, 0},
 		{"what lasts is needed", load{lasting: 2, able: 2 * ahead}, 0, 2, 2},
-		{"a short backlog goes by itself", load{running: 4, waitingWork: 4, able: 4 * ahead}, 0, 0, 0},
-		{"a long one does not", load{running: 4, waitingWork: 20, able: 4 * ahead}, 0, 15, 16},
-		{"instances on their way count in part", load{running: 4, waitingWork: 20, able: 4*ahead + 4*ahead/2}, 0, 12, 13},
-		{"what lasts works nothing off", load{lasting: 4, running: 4, waitingWork: 20, able: 4 * ahead}, 0, 25, 27},
+		{"a short backlog goes by itself", load{running: 4, waitingWork: 4, waitingRoom: 4, able: 4 * ahead}, 0, 0, 0},
+		{"a long one does not", load{running: 4, waitingWork: 20, waitingRoom: 20, able: 4 * ahead}, 0, 15, 16},
+		{"instances on their way count in part", load{running: 4, waitingWork: 20, waitingRoom: 20, able: 4*ahead + 4*ahead/2}, 0, 12, 13},
+		{"what lasts works nothing off", load{lasting: 4, running: 4, waitingWork: 20, waitingRoom: 20, able: 4 * ahead}, 0, 25, 27},
+		{"no more than the tasks could use at once", load{running: 4, waitingWork: 20, waitingRoom: 10, able: 4 * ahead}, 0, 14, 14},
+		{"of long tasks half as many instances are of use", load{waitingWork: 20, waitingRoom: 10}, 0, 10, 10},
 		{"what comes in is needed for good", load{able: 10 * ahead}, 6, 6, 6},
 	} {
 		t.Run(test.name, func(t *testing.T) {
