pool, upkeep: with room for all turns at once each pool keeps what its turn needs

Change: if the instances suffice for the turns of all pools at once, each pool keeps what its last turn needed (twice what others needed if its own is not known) and parks the rest once. With less, what decided before decides. The need of a turn counts once it is over.

--- a/pool/demand.go
+++ b/pool/demand.go
@@ -19,6 +19,8 @@
 	idleFor = 2 * time.Second
 	// unknownFor is how long instances of a pool that had no load yet are not parked.
 	unknownFor = 30 * time.Second
+	// unknownMargin is how many times the need of the other pools' turns a pool keeps whose turn is not known.
+	unknownMargin = 2
 	// spareShare is what a pool keeps beyond its need, since tasks do not pack without gaps.
 	spareShare = 0.08
 	// spareInstances is the least that a pool keeps idle for what comes next.
@@ -223,6 +225,39 @@
 	}
 }
 
+// keepTurns has each pool keep what its turn needs, and no more, if there are instances for the turns of all pools at once: then no turn has to wait
+// for instances of another pool, and they need not go round. A pool whose turn is not known yet keeps unknownMargin times what others needed. With
+// fewer instances they go round as the turns do, which wants and expect decide.
+func (c *session) keepTurns(rows map[string]*upkeep.Pool) {
+	keep := make(map[string]float64, len(rows))
+	need, have := 0.0, 0
+	for name, row := range rows {
+		have += row.Have
+		if row.Headroom {
+			continue
+		}
+		turn, known := c.turns.Need(name)
+		if turn == 0 && !known {
+			return
+		}
+		if !known {
+			turn *= unknownMargin
+		}
+		keep[name] = (c.pool(name).load.lasting+turn)*(1+spareShare) + spareInstances
+		need += keep[name]
+	}
+	if need > float64(have) {
+		return
+	}
+	for name, n := range keep {
+		row := rows[name]
+		if c.turns.Fresh(name) {
+			row.Idle = 0 // not all that it has
+		}
+		row.Idle = max(row.Idle, n)
+	}
+}
+
 // expect sets what pools will want whose turn is about to come.
 func (c *session) expect(rows map[string]*upkeep.Pool, now time.Time) {
 	for _, e := range c.turns.Next(c.Bounds().Move+2*arrives, now) {
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
 	"rackstep.dev/job"
+	"rackstep.dev/upkeep"
 	"rackstep.dev/work"
 )
 
@@ -140,3 +142,41 @@
 		})
 	}
 }
+
+// TestPoolsKeepWhatTheirTurnsNeedIfThereIsRoomForAllOfThem: with many times the room that is needed most instances leave their pools once and stay
+// away, and none goes to and fro; with less than all turns need, what decided before decides.
+func TestPoolsKeepWhatTheirTurnsNeedIfThereIsRoomForAllOfThem(t *testing.T) {
+	const turn = 100.0
+	keep := math.Ceil(turn*(1+spareShare) + spareInstances)
+	for _, test := range [...]struct {
+		name string
+		have int
+		// over are the pools whose first turn is over, of three.
+		over int
+		idle float64
+		want float64
+	}{
+		{"much room", 1000, 3, 2, keep},
+		{"just enough", int(keep), 3, 2, keep},
+		{"less than all need", int(keep) - 1, 3, 2, 2},
+		{"what it lately needed goes before", 1000, 3, 300, 300},
+		{"a turn that is not known yet", 1000, 1, 0, math.Ceil(unknownMargin*turn*(1+spareShare) + spareInstances)},
+		{"no turn is over", 1000, 0, 5, 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(quicktest.New(t), nil)
+			rows := make(map[string]*upkeep.Pool)
+			b.turns.Pools = make(map[string]*upkeep.Turn)
+			for i := range 3 {
+				name := fmt.Sprint("p", i)
+				rows[name] = &upkeep.Pool{Name: name, Have: test.have, Idle: test.idle}
+				b.turns.Pools[name] = new(upkeep.Turn)
+				if i < test.over {
+					*b.turns.Pools[name] = upkeep.Turn{Began: time.Now(), Need: turn}
+				}
+			}
+			b.keepTurns(rows)
+			b.c.Assert(math.Ceil(rows["p2"].Idle), quicktest.Equals, test.want)
+		})
+	}
+}
--- a/pool/size.go
+++ b/pool/size.go
@@ -95,6 +95,7 @@
 			c.wants(row, now)
 		}
 	}
+	c.keepTurns(rows)
 	c.expect(rows, now)
 	c.lack(rows, instances, now)
 	return pools, instances
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -130,6 +130,28 @@
 	return sum / float64(n)
 }
 
+// Need returns what a turn of the pool brings, in instances: what its latest one did that is over, else the mean of the others' that are; known says
+// that it is its own, or that it has none. 0 and not known means that no turn is over yet.
+func (t *Turns) Need(pool string) (need float64, known bool) {
+	if p := t.Pools[pool]; p != nil && !p.Began.IsZero() && !p.Loaded {
+		return p.Need, true
+	}
+	if p := t.Pools[pool]; t.Round && (p == nil || p.Began.IsZero()) {
+		return 0, true
+	}
+	sum, n := 0.0, 0
+	for _, o := range t.Pools {
+		if !o.Began.IsZero() && !o.Loaded {
+			sum += o.Need
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, false
+	}
+	return sum / float64(n), false
+}
+
 // due returns the pools whose turn may be next: those that had none yet, else the one whose turn is longest ago.
 func (t *Turns) due() []string {
 	var fresh []string
