upkeep, pool: what a pool always has at work is no turn, and a turn's need is known once it is over

Cause: a turn was told from 1.5 instances on, whatever the pool's size. On the fleet a pool has some twelve at work at any time: that was its first turn, whose need was taken to be hardly anything. Change: the onset is a share of the pool's instances where that is more, and a pool counts as unknown until a turn of its is over. pool-sized tells what a pool wants and keeps, and the load behind it.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -86,6 +86,7 @@
 	WaveChanged          Number = 842
 	MachineMoved         Number = 843
 	DrainChanged         Number = 844
+	PoolSized            Number = 845
 	ModeBegun            Number = 850
 	ModeEnded            Number = 851
 	TakeoverStep         Number = 852
@@ -179,6 +180,7 @@
 	{UpkeepRefused, "upkeep-refused", "The machine interface refused an upkeep or a move, or gave no answer.", nothing},
 	{WaveChanged, "wave-changed", "A wave of upkeep was read, or its state was written.", nothing},
 	{MachineMoved, "instance-moved", "An instance was moved to another pool.", nothing},
+	{PoolSized, "pool-sized", "What a pool wants and keeps has changed; the text has the load that decided it, in instances.", nothing},
 	{DrainChanged, "drain-changed", "A data centre was drained, so that its instances get no work, or that was taken back; the text says what is left there and what holds it.", "If it does not become empty, see docs/operations/maintenance.md."},
 	{ModeBegun, "mode-begun", "The leader has begun to work in a degraded mode; the text names it and why.", "If it lasts, see docs/OPERATIONS.md."},
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", nothing},
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -205,7 +205,7 @@
 func (c *session) wants(row *upkeep.Pool, now time.Time) {
 	p := c.pool(row.Name)
 	instances := c.demand(p, now)
-	c.turns.See(p.name, instances-p.load.lasting, now)
+	c.turns.See(p.name, instances-p.load.lasting, row.Have, now)
 	p.needs = append(p.needs, need{at: now, instances: max(instances, p.load.lasting+p.load.running)})
 	for len(p.needs) > 0 && now.Sub(p.needs[0].at) > idleFor {
 		p.needs = p.needs[1:]
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -172,7 +172,7 @@
 				rows[name] = &upkeep.Pool{Name: name, Have: test.have, Idle: test.idle}
 				b.turns.Pools[name] = new(upkeep.Turn)
 				if i < test.over {
-					*b.turns.Pools[name] = upkeep.Turn{Began: time.Now(), Need: turn}
+					*b.turns.Pools[name] = upkeep.Turn{Began: time.Now(), Need: turn, Ended: true}
 				}
 			}
 			b.keepTurns(rows)
--- a/pool/lessons.go
+++ b/pool/lessons.go
@@ -45,6 +45,7 @@
 	Need   float64       `cbor:"2,keyasint,omitempty"`
 	Loaded bool          `cbor:"3,keyasint,omitempty"`
 	Missed bool          `cbor:"4,keyasint,omitempty"`
+	Ended  bool          `cbor:"5,keyasint,omitempty"`
 }
 
 // keepLessons adds what is learned to a batch, now and then.
@@ -75,7 +76,7 @@
 		}
 	}
 	for name, t := range c.turns.Pools {
-		kept := keptTurn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed}
+		kept := keptTurn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed, Ended: t.Ended}
 		if !t.Began.IsZero() {
 			kept.Ago = now.Sub(t.Began)
 		}
@@ -98,7 +99,7 @@
 	}
 	c.turns = upkeep.Turns{Pools: make(map[string]*upkeep.Turn, len(k.Turns)), Gap: k.Gap, Last: k.Last, Round: k.Round}
 	for name, t := range k.Turns {
-		row := &upkeep.Turn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed}
+		row := &upkeep.Turn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed, Ended: t.Ended}
 		if t.Ago > 0 {
 			row.Began = now.Add(-t.Ago - lessonsLate)
 		}
--- a/pool/lessons_test.go
+++ b/pool/lessons_test.go
@@ -22,7 +22,7 @@
 			if int(at/(4*time.Second))%3 == i {
 				load = 9
 			}
-			earlier.turns.See(name, load, now.Add(at))
+			earlier.turns.See(name, load, 10, now.Add(at))
 		}
 	}
 	now = now.Add(14 * time.Second)
--- a/pool/size.go
+++ b/pool/size.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -98,9 +99,37 @@
 	c.keepTurns(rows)
 	c.expect(rows, now)
 	c.lack(rows, instances, now)
+	c.tellSizes(rows, now)
 	return pools, instances
 }
 
+// sizeToldEvery bounds how often a pool's size is told.
+const sizeToldEvery = time.Second
+
+// tellSizes tells what each pool wants and why, once it has changed by more than it moves all the time.
+func (c *session) tellSizes(rows map[string]*upkeep.Pool, now time.Time) {
+	for name, row := range rows {
+		p := c.pool(name)
+		if row.Headroom || now.Sub(p.toldAt) < sizeToldEvery || !changedMuch(p.told, *row) {
+			continue
+		}
+		p.told, p.toldAt = *row, now
+		need, known := c.turns.Need(name)
+		c.emit(event.PoolSized, event.Subject{Entry: c.Entry}, "pool=%s have=%d want=%.0f keep=%.0f idle=%.0f soon=%.0f lasting=%.0f running=%.0f waiting=%.0f turn=%.0f known=%t",
+			name, row.Have, row.Want, row.Keep, row.Idle, row.Soon, p.load.lasting, p.load.running, p.load.waitingRoom, need, known)
+	}
+}
+
+// changedMuch says whether a pool's size has changed by an eighth and by two instances.
+func changedMuch(before, now upkeep.Pool) bool {
+	for _, x := range [...][2]float64{{before.Want, now.Want}, {before.Idle, now.Idle}, {before.Soon, now.Soon}, {float64(before.Have), float64(now.Have)}} {
+		if d := math.Abs(x[0] - x[1]); d >= 2 && d > max(x[0], x[1])/8 {
+			return true
+		}
+	}
+	return false
+}
+
 // instanceNames returns the names of all instances in their order, by which equal ones are told apart: the same one is chosen with each look.
 func (c *session) instanceNames() []string {
 	if len(c.names) != len(c.machines) {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -13,6 +13,7 @@
 	"rackstep.dev/job"
 	"rackstep.dev/org"
 	"rackstep.dev/place"
+	"rackstep.dev/upkeep"
 	"rackstep.dev/work"
 )
 
@@ -294,6 +295,9 @@
 	ran  float64
 	// needs are what it lately needed, oldest first.
 	needs []need
+	// told is its size as the log last had it, at toldAt.
+	told   upkeep.Pool
+	toldAt time.Time
 	// handed is the work handed in of late, oldest first.
 	handed []handed
 }
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -9,9 +9,10 @@
 
 // Figures of how turns are told from noise.
 const (
-	// onsetLeast is the load, in instances, from which a pool may be at its turn; onsetPart the part of what its turns
-	// usually bring.
+	// onsetLeast is the load, in instances, from which a pool may be at its turn; onsetShare is the same as a share of its instances, since what
+	// is always there goes with the size of the pool; onsetPart the part of what its turns usually bring.
 	onsetLeast = 1.5
+	onsetShare = 0.02
 	onsetPart  = 0.25
 	// calmFor is how long a pool must be under half of that before its turn is over.
 	calmFor = time.Second
@@ -38,6 +39,8 @@
 	calm   time.Time
 	// Missed says that its turn did not come when it was expected.
 	Missed bool
+	// Ended says that a turn of its is over, so that Need is what a whole turn brought.
+	Ended bool
 }
 
 // Turns learns how load goes round the pools: one after the other is at its turn, for about as long each time. The zero
@@ -58,8 +61,8 @@
 	Need float64
 }
 
-// See takes note of a pool's load beyond what lasts, in instances.
-func (t *Turns) See(pool string, load float64, now time.Time) {
+// See takes note of a pool's load beyond what lasts, in instances, of those that it has.
+func (t *Turns) See(pool string, load float64, have int, now time.Time) {
 	if t.Pools == nil {
 		t.Pools = make(map[string]*Turn)
 	}
@@ -74,7 +77,7 @@
 	}
 	p.seen = now
 	load = p.load
-	from := max(onsetLeast, onsetPart*t.need(p))
+	from := max(onsetLeast, onsetShare*float64(have), onsetPart*t.need(p))
 	switch {
 	case load >= from && !p.Loaded:
 		t.begin(pool, p, now)
@@ -84,7 +87,7 @@
 			p.calm = now
 		}
 		if now.Sub(p.calm) >= calmFor {
-			p.Loaded = false
+			p.Loaded, p.Ended = false, true
 		}
 	default:
 		p.calm = time.Time{}
@@ -133,15 +136,16 @@
 // Need returns what a turn of the pool brings, in instances: what its latest one did that is over, else the mean of the others' that are; known says
 // that it is its own, or that it has none. 0 and not known means that no turn is over yet.
 func (t *Turns) Need(pool string) (need float64, known bool) {
-	if p := t.Pools[pool]; p != nil && !p.Began.IsZero() && !p.Loaded {
+	p := t.Pools[pool]
+	switch {
+	case p != nil && p.Ended:
 		return p.Need, true
-	}
-	if p := t.Pools[pool]; t.Round && (p == nil || p.Began.IsZero()) {
+	case t.Round && (p == nil || p.Began.IsZero()):
 		return 0, true
 	}
 	sum, n := 0.0, 0
 	for _, o := range t.Pools {
-		if !o.Began.IsZero() && !o.Loaded {
+		if o.Ended {
 			sum += o.Need
 			n++
 		}
@@ -192,8 +196,8 @@
 	return out
 }
 
-// Fresh says whether a pool may still come to its first turn: its load is not known yet.
+// Fresh says whether a pool may still come to its first turn, or is at it: its load is not known yet.
 func (t *Turns) Fresh(pool string) bool {
 	p := t.Pools[pool]
-	return !t.Round && (p == nil || p.Began.IsZero())
+	return !t.Round && (p == nil || !p.Ended)
 }
--- a/upkeep/turns_test.go
+++ b/upkeep/turns_test.go
@@ -23,7 +23,7 @@
 				if k == (i+len(pools)-1)%len(pools) && i > 0 && at < time.Second {
 					load = 4 // the end of the turn before
 				}
-				t.See(p, load, now)
+				t.See(p, load, 20, now)
 			}
 			now = now.Add(tick)
 		}
@@ -47,7 +47,7 @@
 func TestAPoolWithoutTurnsIsExpectedInTheFirstRoundOnly(t *testing.T) {
 	c := quicktest.New(t)
 	turns := new(Turns)
-	turns.See("idle", 0, start)
+	turns.See("idle", 0, 20, start)
 	c.Assert(turns.Fresh("idle"), quicktest.IsTrue)
 	got := round(turns, start, []string{"a", "b"}, 6, 4*time.Second)
 	c.Assert(got[1], quicktest.Equals, "idle:12")
@@ -68,3 +68,30 @@
 	round(turns, start, []string{"a", "b", "c"}, 6, 4*time.Second)
 	quicktest.Assert(t, turns.Next(2*time.Second, start.Add(time.Minute)), quicktest.HasLen, 0)
 }
+
+// TestWhatIsAlwaysThereIsNoTurn: a pool of a thousand instances has some at work at any time. Taken for its first turn that taught that turns need
+// hardly anything: a fleet parked a pool in the first second of its real one.
+func TestWhatIsAlwaysThereIsNoTurn(t *testing.T) {
+	c := quicktest.New(t)
+	turns := new(Turns)
+	now := start
+	for range 50 {
+		turns.See("a", 12, 1000, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(turns.Fresh("a"), quicktest.IsTrue)
+	c.Assert(turns.Last, quicktest.Equals, "")
+	for range 20 {
+		turns.See("a", 250, 1000, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(turns.Last, quicktest.Equals, "a")
+	c.Assert(turns.Fresh("a"), quicktest.IsTrue, quicktest.Commentf("what its turn needs is known once that is over"))
+	for range 40 {
+		turns.See("a", 12, 1000, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Assert(turns.Fresh("a"), quicktest.IsFalse)
+	need, known := turns.Need("a")
+	c.Assert(known && need > 200, quicktest.IsTrue, quicktest.Commentf("%.0f", need))
+}
