--- a/pool/demand.go
+++ b/pool/demand.go
@@ -19,8 +19,10 @@
 	idleFor = 2 * time.Second
 	// unknownFor is how long instances of a pool that had no load yet are not parked.
 	unknownFor = 30 * time.Second
-	// unknownMargin is how many times the need of the other pools' turns a pool keeps whose turn is not known.
-	unknownMargin = 2
+	// unknownMargin is how many times what the other pools' turns used a pool keeps whose turn is not known, turnsDiffer what a pool keeps beyond
+	// what its last turn used.
+	unknownMargin = 1.5
+	turnsDiffer   = 0.15
 	// spareShare is what a pool keeps beyond its need, since tasks do not pack without gaps.
 	spareShare = 0.08
 	// spareInstances is the least that a pool keeps idle for what comes next.
@@ -205,7 +207,7 @@
 func (c *session) wants(row *upkeep.Pool, now time.Time) {
 	p := c.pool(row.Name)
 	instances := c.demand(p, now)
-	c.turns.See(p.name, instances-p.load.lasting, row.Have, now)
+	c.turns.See(p.name, upkeep.Load{Need: instances - p.load.lasting, Used: p.load.running, Have: row.Have}, now)
 	p.needs = append(p.needs, need{at: now, instances: max(instances, p.load.lasting+p.load.running)})
 	for len(p.needs) > 0 && now.Sub(p.needs[0].at) > idleFor {
 		p.needs = p.needs[1:]
@@ -225,28 +227,29 @@
 	}
 }
 
-// keepTurns has each pool keep what its turn needs, and no more, if there are instances for the turns of all pools at once: then no turn has to wait
-// for instances of another pool, and they need not go round. A pool whose turn is not known yet keeps unknownMargin times what others needed. With
+// keepTurns has each pool keep what its turn has at work, and no more, if there are instances for the turns of all pools at once: then no turn has to
+// wait for instances of another pool, and they need not go round. A pool whose turn is not known yet keeps unknownMargin times what others used. With
 // fewer instances they go round as the turns do, which wants and expect decide.
 func (c *session) keepTurns(rows map[string]*upkeep.Pool) {
 	keep := make(map[string]float64, len(rows))
-	need, have := 0.0, 0
+	needed, have := 0.0, 0
 	for name, row := range rows {
 		have += row.Have
 		if row.Headroom {
 			continue
 		}
-		turn, known := c.turns.Need(name)
-		if turn == 0 && !known {
+		need, used, known := c.turns.Whole(name)
+		if need == 0 && !known {
 			return
 		}
 		if !known {
-			turn *= unknownMargin
+			used *= unknownMargin
 		}
-		keep[name] = (c.pool(name).load.lasting+turn)*(1+spareShare) + spareInstances
-		need += keep[name]
+		lasting := c.pool(name).load.lasting
+		needed += (lasting+need)*(1+spareShare) + spareInstances
+		keep[name] = (lasting+used*(1+turnsDiffer))*(1+spareShare) + spareInstances
 	}
-	if need > float64(have) {
+	if needed > float64(have) {
 		return
 	}
 	for name, n := range keep {
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -147,7 +147,7 @@
 // away, and none goes to and fro; with less than all turns need, what decided before decides.
 func TestPoolsKeepWhatTheirTurnsNeedIfThereIsRoomForAllOfThem(t *testing.T) {
 	const turn = 100.0
-	keep := math.Ceil(turn*(1+spareShare) + spareInstances)
+	keep, need := math.Ceil(turn*(1+turnsDiffer)*(1+spareShare)+spareInstances), math.Ceil(2*turn*(1+spareShare)+spareInstances)
 	for _, test := range [...]struct {
 		name string
 		have int
@@ -157,10 +157,10 @@
 		want float64
 	}{
 		{"much room", 1000, 3, 2, keep},
-		{"just enough", int(keep), 3, 2, keep},
-		{"less than all need", int(keep) - 1, 3, 2, 2},
+		{"just enough", int(need), 3, 2, keep},
+		{"less than all need", int(need) - 1, 3, 2, 2},
 		{"what it lately needed goes before", 1000, 3, 300, 300},
-		{"a turn that is not known yet", 1000, 1, 0, math.Ceil(unknownMargin*turn*(1+spareShare) + spareInstances)},
+		{"a turn that is not known yet", 1000, 1, 0, math.Ceil(unknownMargin*turn*(1+turnsDiffer)*(1+spareShare) + spareInstances)},
 		{"no turn is over", 1000, 0, 5, 5},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -172,7 +172,7 @@
 				rows[name] = &upkeep.Pool{Name: name, Have: test.have, Idle: test.idle}
 				b.turns.Pools[name] = new(upkeep.Turn)
 				if i < test.over {
-					*b.turns.Pools[name] = upkeep.Turn{Began: time.Now(), Need: turn, Ended: true}
+					*b.turns.Pools[name] = upkeep.Turn{Began: time.Now(), Need: 2 * turn, Used: turn, Ended: true}
 				}
 			}
 			b.keepTurns(rows)
--- a/pool/keepsize_test.go
+++ b/pool/keepsize_test.go
@@ -17,6 +17,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/upkeep"
 )
 
 // Sizes of the largest fleet, twice, and what the users' store takes.
@@ -93,7 +94,7 @@
 		q := fmt.Sprintf("r-%07d", i)
 		x.learned(q).runs = 1
 		x.pool(fmt.Sprintf("pool-%04d", i)).ran = 1.5
-		x.turns.See(fmt.Sprintf("pool-%04d", i), 1, 1, x.now())
+		x.turns.See(fmt.Sprintf("pool-%04d", i), upkeep.Load{Need: 1, Used: 1, Have: 1}, x.now())
 	}
 	j := job.New(&job.Spec{ID: "00000000000000a1", Queue: "q", Pool: "p", Steps: []job.Step{{Count: widestStep, Need: job.Need{MilliCPU: 1}}}}, x.now())
 	x.jobs[j.Spec.ID] = j
--- a/pool/lessons.go
+++ b/pool/lessons.go
@@ -46,6 +46,7 @@
 	Loaded bool          `cbor:"3,keyasint,omitempty"`
 	Missed bool          `cbor:"4,keyasint,omitempty"`
 	Ended  bool          `cbor:"5,keyasint,omitempty"`
+	Used   float64       `cbor:"6,keyasint,omitempty"`
 }
 
 // keepLessons adds what is learned to a batch, now and then.
@@ -76,7 +77,7 @@
 		}
 	}
 	for name, t := range c.turns.Pools {
-		kept := keptTurn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed, Ended: t.Ended}
+		kept := keptTurn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed, Ended: t.Ended, Used: t.Used}
 		if !t.Began.IsZero() {
 			kept.Ago = now.Sub(t.Began)
 		}
@@ -99,7 +100,7 @@
 	}
 	c.turns = upkeep.Turns{Pools: make(map[string]*upkeep.Turn, len(k.Turns)), Gap: k.Gap, Last: k.Last, Round: k.Round}
 	for name, t := range k.Turns {
-		row := &upkeep.Turn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed, Ended: t.Ended}
+		row := &upkeep.Turn{Need: t.Need, Loaded: t.Loaded, Missed: t.Missed, Ended: t.Ended, Used: t.Used}
 		if t.Ago > 0 {
 			row.Began = now.Add(-t.Ago - lessonsLate)
 		}
--- a/pool/size.go
+++ b/pool/size.go
@@ -114,9 +114,9 @@
 			continue
 		}
 		p.told, p.toldAt = *row, now
-		need, known := c.turns.Need(name)
-		c.emit(event.PoolSized, event.Subject{Entry: c.Entry}, "pool=%s have=%d want=%.0f keep=%.0f idle=%.0f soon=%.0f lasting=%.0f running=%.0f waiting=%.0f turn=%.0f known=%t",
-			name, row.Have, row.Want, row.Keep, row.Idle, row.Soon, p.load.lasting, p.load.running, p.load.waitingRoom, need, known)
+		need, used, known := c.turns.Whole(name)
+		c.emit(event.PoolSized, event.Subject{Entry: c.Entry}, "pool=%s have=%d want=%.0f keep=%.0f idle=%.0f soon=%.0f lasting=%.0f running=%.0f waiting=%.0f turn=%.0f used=%.0f known=%t",
+			name, row.Have, row.Want, row.Keep, row.Idle, row.Soon, p.load.lasting, p.load.running, p.load.waitingRoom, need, used, known)
 	}
 }
 
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -31,6 +31,8 @@
 	Began time.Time
 	// Need is the most that its latest turn brought, in instances, smoothed over smoothOver.
 	Need float64
+	// Used is the most that it had at work of what its latest turn brought.
+	Used float64
 	// load is its smoothed load, seen when it was last looked at.
 	load float64
 	seen time.Time
@@ -61,8 +63,15 @@
 	Need float64
 }
 
-// See takes note of a pool's load beyond what lasts, in instances, of those that it has.
-func (t *Turns) See(pool string, load float64, have int, now time.Time) {
+// Load is a pool's load beyond what lasts, in instances.
+type Load struct {
+	// Need is how many would serve it, Used how many are at work, Have how many the pool has.
+	Need, Used float64
+	Have       int
+}
+
+// See takes note of a pool's load.
+func (t *Turns) See(pool string, l Load, now time.Time) {
 	if t.Pools == nil {
 		t.Pools = make(map[string]*Turn)
 	}
@@ -73,15 +82,15 @@
 	}
 	if !p.seen.IsZero() {
 		part := 1 - math.Exp(-now.Sub(p.seen).Seconds()/smoothOver.Seconds())
-		p.load += part * (load - p.load)
+		p.load += part * (l.Need - p.load)
 	}
 	p.seen = now
-	load = p.load
-	from := max(onsetLeast, onsetShare*float64(have), onsetPart*t.need(p))
+	load := p.load
+	from := max(onsetLeast, onsetShare*float64(l.Have), onsetPart*t.need(p))
 	switch {
 	case load >= from && !p.Loaded:
 		t.begin(pool, p, now)
-		p.Need = load
+		p.Need, p.Used = load, 0
 	case load < from/2 && p.Loaded:
 		if p.calm.IsZero() {
 			p.calm = now
@@ -94,6 +103,7 @@
 	}
 	if p.Loaded {
 		p.Need = max(p.Need, load)
+		p.Used = max(p.Used, l.Used)
 	}
 }
 
@@ -133,27 +143,28 @@
 	return sum / float64(n)
 }
 
-// Need returns what a turn of the pool brings, in instances: what its latest one did that is over, else the mean of the others' that are; known says
-// that it is its own, or that it has none. 0 and not known means that no turn is over yet.
-func (t *Turns) Need(pool string) (need float64, known bool) {
+// Whole returns what a whole turn of the pool needs and what it has at work, in instances: what its latest one did that is over, else the mean of the
+// others' that are; known says that it is its own, or that it has none. Nothing and not known means that no turn is over yet.
+func (t *Turns) Whole(pool string) (need, used float64, known bool) {
 	p := t.Pools[pool]
 	switch {
 	case p != nil && p.Ended:
-		return p.Need, true
+		return p.Need, p.Used, true
 	case t.Round && (p == nil || p.Began.IsZero()):
-		return 0, true
+		return 0, 0, true
 	}
-	sum, n := 0.0, 0
+	n := 0
 	for _, o := range t.Pools {
 		if o.Ended {
-			sum += o.Need
+			need += o.Need
+			used += o.Used
 			n++
 		}
 	}
 	if n == 0 {
-		return 0, false
+		return 0, 0, false
 	}
-	return sum / float64(n), false
+	return need / float64(n), used / float64(n), false
 }
 
 // due returns the pools whose turn may be next: those that had none yet, else the one whose turn is longest ago.
--- a/upkeep/turns_test.go
+++ b/upkeep/turns_test.go
@@ -23,7 +23,7 @@
 				if k == (i+len(pools)-1)%len(pools) && i > 0 && at < time.Second {
 					load = 4 // the end of the turn before
 				}
-				t.See(p, load, 20, now)
+				t.See(p, Load{Need: load, Used: load, Have: 20}, now)
 			}
 			now = now.Add(tick)
 		}
@@ -47,7 +47,7 @@
 func TestAPoolWithoutTurnsIsExpectedInTheFirstRoundOnly(t *testing.T) {
 	c := quicktest.New(t)
 	turns := new(Turns)
-	turns.See("idle", 0, 20, start)
+	turns.See("idle", Load{Have: 20}, start)
 	c.Assert(turns.Fresh("idle"), quicktest.IsTrue)
 	got := round(turns, start, []string{"a", "b"}, 6, 4*time.Second)
 	c.Assert(got[1], quicktest.Equals, "idle:12")
@@ -76,22 +76,22 @@
 	turns := new(Turns)
 	now := start
 	for range 50 {
-		turns.See("a", 12, 1000, now)
+		turns.See("a", Load{Need: 12, Used: 12, Have: 1000}, now)
 		now = now.Add(100 * time.Millisecond)
 	}
 	c.Assert(turns.Fresh("a"), quicktest.IsTrue)
 	c.Assert(turns.Last, quicktest.Equals, "")
 	for range 20 {
-		turns.See("a", 250, 1000, now)
+		turns.See("a", Load{Need: 250, Used: 200, Have: 1000}, now)
 		now = now.Add(100 * time.Millisecond)
 	}
 	c.Assert(turns.Last, quicktest.Equals, "a")
 	c.Assert(turns.Fresh("a"), quicktest.IsTrue, quicktest.Commentf("what its turn needs is known once that is over"))
 	for range 40 {
-		turns.See("a", 12, 1000, now)
+		turns.See("a", Load{Need: 12, Used: 12, Have: 1000}, now)
 		now = now.Add(100 * time.Millisecond)
 	}
 	c.Assert(turns.Fresh("a"), quicktest.IsFalse)
-	need, known := turns.Need("a")
-	c.Assert(known && need > 200, quicktest.IsTrue, quicktest.Commentf("%.0f", need))
+	need, used, known := turns.Whole("a")
+	c.Assert(known && need > 200 && used == 200, quicktest.IsTrue, quicktest.Commentf("%.0f %.0f", need, used))
 }
