platform, entry: what an entry's calls take on its link is told by kind

Cause: nothing said what fills a thin link; the small twins of the fleet (2 Mbit/s) collapse without a line that tells why. Change: calls and their bytes are counted by kind, kept among the metrics (calls, call_bytes, link_share) and told as link-used every 5 s by the entry that schedules, and by others from a tenth of their link on.

--- a/entry/node.go
+++ b/entry/node.go
@@ -74,6 +74,7 @@
 	ingress   *platform.Ingress
 	clients   *http.Server
 	follower  *platform.Follower
+	traffic   platform.Traffic
 }
 
 // unreadyAfter is how long the store must not have answered, on any way, for the entry to call itself not ready: it can
@@ -105,7 +106,7 @@
 	var g run.Group
 	end := make(chan struct{})
 	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
-	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.countDropped} {
+	for _, part := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.countDropped, n.tellTraffic} {
 		ctx, cancel := context.WithCancel(parts)
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -163,9 +164,11 @@
 func (n *Node) assemble(peers net.Listener) {
 	s := n.Settings
 	store := platform.NewStore(s, n.Dial)
-	store.Relay = n.relay
+	store.Relay, store.Traffic = n.relay, &n.traffic
 	n.store = store
-	workers := &platform.Workers{Dial: n.Dial}
+	workers := &platform.Workers{Dial: n.Dial, Traffic: &n.traffic}
+	machines := platform.NewMachines(s, n.Dial)
+	machines.Traffic = &n.traffic
 	intakes := make([]feed.Topic, max(1, min(intakeParts, s.Store.Partitions)))
 	for i := range intakes {
 		intakes[i] = store.Own(intakeTopic, i)
@@ -180,7 +183,7 @@
 	n.scheduler = &pool.Scheduler{
 		Clock: n.Clock,
 		Entry: s.Entry, Intake: intakes, State: store.Own(stateTopic, 0), Workers: store.Workers(),
-		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: platform.NewMachines(s, n.Dial).Calls(),
+		ParseWorker: platform.ParseWorker, Calls: workers.Calls(), Machines: machines.Calls(),
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
 		BatchMost:  s.Store.MaxCallBytes / 2, // far under what the store takes in one call
 		RecordMost: s.Store.MaxRecordBytes,
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -91,6 +91,7 @@
 	ModeEnded            Number = 851
 	TakeoverStep         Number = 852
 	LeadHandedOver       Number = 853
+	LinkUsed             Number = 854
 )
 
 // Kind describes one Number for the catalogue.
@@ -186,6 +187,7 @@
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", nothing},
 	{TakeoverStep, "takeover-step", "A new leader has reached a step of taking over; the text says how long after its term.", nothing},
 	{LeadHandedOver, "lead-handed-over", "A leader that is short of processor gives up the lead, so that another entry takes it.", "If it is often, look at the instance's processor share."},
+	{LinkUsed, "link-used", "What this entry's calls to the platform and to workers took on its link, by kind.", "If the share stays over 0.7, give the entry a wider link, or the lead to one that has it."},
 }
 
 // Name returns the event's name, or its number for one that is not in the catalogue.
