lead: entries that leave the lead to larger ones read two renewals at a time

Change: an entry smaller than the largest that led rests 0.7 s after a renewal before it reads on; a renewal that came in the rest counts as no newer than the rest's begin. Who gets no answer from the leader that it knows looks at once. Entries as large as the largest follow each renewal as before, and take over as fast.

--- a/lead/lead.go
+++ b/lead/lead.go
@@ -27,6 +27,9 @@
 	readWait = time.Second
 	// readLeast is the shortest such wait.
 	readLeast = 30 * time.Millisecond
+	// restFor is how long an entry that leaves the lead to larger ones rests after each renewal that it has read: two renewals then take it one
+	// read. It stays under missedAfter, so that a renewal which does not come is still waited for with a read that is open.
+	restFor = 700 * time.Millisecond
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 700 * time.Millisecond
 	// RenewTimeout is how long a renewal waits for its answer before the same is sent once more: with renewEvery it stays under
@@ -102,6 +105,7 @@
 	// loose is what is to be published, looseKept says that it was; hurry ends the pause before the next renewal.
 	loose, looseKept bool
 	hurry            chan struct{}
+	look             chan struct{} // ends a rest
 	// open and coarse are what is to be published of the leaders before.
 	open, coarse bool
 }
@@ -162,7 +166,7 @@
 func (e *Elector) Run(ctx context.Context) error {
 	e.drawWait()
 	e.mu.Lock()
-	e.hurry = make(chan struct{}, 1)
+	e.hurry, e.look = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.began = e.Clock.Now()
 	e.mu.Unlock()
 	known := false
@@ -224,7 +228,35 @@
 	return nil
 }
 
+// rest waits before the next read, if this entry need not know of each renewal at once; it returns since when one may have come unread.
+func (e *Elector) rest(ctx context.Context) time.Time {
+	since := e.Clock.Sure()
+	e.mu.Lock()
+	rests := e.lost == nil && !e.resigned && e.latest.Term > 0 && !e.latest.Released && e.leave() > 0 && e.failing.IsZero() && e.Clock.Since(e.changed) < renewEvery
+	e.mu.Unlock()
+	if !rests {
+		return since
+	}
+	t := time.NewTimer(restFor)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.look:
+	case <-t.C:
+	}
+	return since
+}
+
+// Look ends a rest: the leader that is known does not answer, and another one may have been published.
+func (e *Elector) Look() {
+	select {
+	case e.look <- struct{}{}:
+	default:
+	}
+}
+
 func (e *Elector) follow(ctx context.Context) error {
+	since := e.rest(ctx)
 	wait := e.untilVacant()
 	asked := e.Clock.Sure()
 	defer func() {
@@ -243,9 +275,9 @@
 	if len(page.Records) == 0 {
 		e.cameLate(e.Clock.Since(asked) - wait)
 	}
-	// What comes was not there when it was asked for, and the leader renews each renewEvery. An answer that took longer may have waited here,
+	// What comes was not there before the rest, and the leader renews each renewEvery. An answer that took longer may have waited here,
 	// for a process that stood still: counted from when it is read, it would hide what the leader may have done since.
-	e.took(page, asked.Add(renewEvery+answerWay))
+	e.took(page, since.Add(renewEvery+answerWay))
 	return nil
 }
 
--- /dev/null
+++ b/lead/rest_test.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+
+//go:build !race
+
+package lead
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/event"
+	"rackstep.dev/feed"
+)
+
+// TestSmallEntriesReadLessAndStillTakeOver has a large leader among small entries: those that would leave the lead to larger ones need not read each
+// renewal at once. On 586 entries such reads were most of all calls to the store. When the large one is gone one of them leads in time, and one that is told
+// that the leader does not answer looks at once.
+func TestSmallEntriesReadLessAndStillTakeOver(t *testing.T) {
+	bubble(t, func(t *testing.T, c *quicktest.C) {
+		tp := newTopic()
+		var mu sync.Mutex
+		reads := make(map[string]int)
+		led := make(chan string, 10)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		electors := make(map[string]*Elector)
+		start := func(ctx context.Context, name string, weight float64) {
+			of := tp.of(name)
+			read := of.Read
+			of.Read = func(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
+				mu.Lock()
+				reads[name]++
+				mu.Unlock()
+				return read(ctx, from, wait)
+			}
+			e := &Elector{Entry: name, Address: name, Boot: "1", Topic: of, Weight: weight, Events: new(event.Ring), Serve: func(ctx context.Context, _ Term) { led <- name; <-ctx.Done() }}
+			electors[name] = e
+			go func() { _ = e.Run(ctx) }()
+		}
+		large, kill := context.WithCancel(ctx)
+		start(large, "large", 0.8)
+		start(ctx, "same", 0.8)
+		start(ctx, "small", 0.2)
+		start(ctx, "tiny", 0.1)
+		first := <-led
+		c.Assert(first == "large" || first == "same", quicktest.IsTrue)
+		time.Sleep(time.Second)
+		mu.Lock()
+		clear(reads)
+		mu.Unlock()
+		time.Sleep(35 * time.Second)
+		mu.Lock()
+		other := map[string]string{"large": "same", "same": "large"}[first]
+		c.Check(reads[other] >= 95, quicktest.IsTrue, quicktest.Commentf("one as large follows each renewal: %v", reads))
+		c.Check(reads["small"] <= 55, quicktest.IsTrue, quicktest.Commentf("%v", reads))
+		mu.Unlock()
+
+		kill()
+		tp.setFails("large", true)
+		tp.setFails("same", true)
+		at := time.Now()
+		next := <-led
+		c.Check(next == "small" || next == "tiny", quicktest.IsTrue, quicktest.Commentf("%s leads", next))
+		took := time.Since(at)
+		c.Check(took < missedAfter+restFor+sizeDelay+2*spread+readWait, quicktest.IsTrue, quicktest.Commentf("after %v", took))
+		for range 3 {
+			electors["tiny"].Look() // never waits
+		}
+	})
+}
