pool, platform: a leader with few descriptors asks workers without work seldom, and walks take a tenth of the processor

Cause: a leader held a connection to each worker. And the looks at all instances took 6 ms at 6,000 workers on a whole core, ten times a second: 0.3 of an entry of 0.192 core. Change: from 0.8 of the connections on that the settings leave for workers, one without work is asked without waiting, its connection is closed, and it rests for 8 s or until it gets work; a hold of a worker without work opens none beyond the bound. Orders and holds of workers with work go on. Mode crowded tells it; such a leader has no proof by its workers' answers. Waves and the sizes of pools are looked at again after nine times as long as the last look took.

--- a/entry/node.go
+++ b/entry/node.go
@@ -166,7 +166,7 @@
 	store := platform.NewStore(s, n.Dial)
 	store.Relay, store.Traffic = n.relay, &n.traffic
 	n.store = store
-	workers := &platform.Workers{Dial: n.Dial, Traffic: &n.traffic}
+	workers := &platform.Workers{Dial: n.Dial, Traffic: &n.traffic, Connections: workerConnections(s)}
 	machines := platform.NewMachines(s, n.Dial)
 	machines.Traffic = &n.traffic
 	intakes := make([]feed.Topic, max(1, min(intakeParts, s.Store.Partitions)))
@@ -230,6 +230,19 @@
 	}
 }
 
+// Figures of the connections to workers.
+const (
+	// filesKept of an entry's descriptors are for files, workersShare of the others for connections to workers: the rest is for clients, peers
+	// and the platform.
+	filesKept    = 200
+	workersShare = 0.7
+)
+
+// workerConnections returns how many connections to workers an entry may have open, 0 if the settings state no bound.
+func workerConnections(s *platform.Settings) int {
+	return int(workersShare * float64(max(s.Limits.MaxFiles-filesKept, 0)))
+}
+
 // partOf spreads entries over the partitions of the intake.
 func partOf(entry string, parts int) int {
 	h := fnv.New32a()
--- a/pool/modes.go
+++ b/pool/modes.go
@@ -28,12 +28,14 @@
 	modeOrphans
 	// modeAside: records are aside that the store never takes, and what rests on them waits. It ends when they have changed and are kept, or are gone.
 	modeAside
+	// modeCrowded: connections to workers are short, and those without work are asked seldom.
+	modeCrowded
 	modes
 )
 
 // String returns the mode's name as logs and metrics have it.
 func (m mode) String() string {
-	return [modes]string{"store-slow", "unkept-orders", "unconfirmed", "hearing", "orphans", "records-aside"}[m]
+	return [modes]string{"store-slow", "unkept-orders", "unconfirmed", "hearing", "orphans", "records-aside", "crowded"}[m]
 }
 
 // is says whether the leader is in the mode.
@@ -80,5 +82,6 @@
 	if len(c.unheard) == 0 {
 		c.takeoverStep("all-heard", now)
 	}
+	c.setMode(modeCrowded, c.crowded(), now, "connections to workers")
 	c.setMode(modeOrphans, c.coarse && len(c.unheard) > 0, now, "workers that have not answered")
 }
--- a/pool/session.go
+++ b/pool/session.go
@@ -134,6 +134,7 @@
 	moves        map[string]*moveStep
 	desk         desk
 	strain       strain
+	fleetWalk    walk           // of what looks at all instances: waves and the sizes of pools
 	surplus      map[string]int // how many instances each pool could spare with the last look at its size
 	turns        upkeep.Turns
 	whole        job.Need // the mean room of an instance
@@ -220,8 +221,11 @@
 	c.handOverIfStrained(now)
 	c.emptyLeaving(now)
 	c.emptyDrained(now)
-	c.runWaves(now)
-	c.sizePools(now)
+	if began := c.now(); c.fleetWalk.due(began) {
+		c.runWaves(now)
+		c.sizePools(now)
+		c.fleetWalk.end(began, c.now())
+	}
 	c.forget(now)
 	c.tellOrganisations(now)
 }
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -88,6 +88,9 @@
 	// acked is the newest end that is kept; the hold loop waits for signal after it has seen ends.
 	acked  atomic.Int64
 	signal chan struct{}
+	// held counts all runs there; wake ends the rest of a hold loop once there is one.
+	held atomic.Int32
+	wake chan struct{}
 	// brief counts the runs there that do not last: their ends are waited for.
 	brief atomic.Int32
 	// mixed says that filling tasks run beside serving ones, whose figures must be read often.
@@ -129,7 +132,7 @@
 }
 
 func newWorker(w work.Worker, clock *clock.Clock, ledger *org.Ledger) *worker {
-	row := &worker{Worker: w, clock: clock, ledger: ledger, since: clock.Sure(), strays: make(map[int64]time.Time), runs: make(map[*job.Task]*run), listed: true, signal: make(chan struct{}, 1)}
+	row := &worker{Worker: w, clock: clock, ledger: ledger, since: clock.Sure(), strays: make(map[int64]time.Time), runs: make(map[*job.Task]*run), listed: true, signal: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 	row.room = place.Room{Worker: &row.Worker, Free: w.Room}
 	return row
 }
@@ -202,6 +205,11 @@
 func (w *worker) add(t *job.Task, r *run) {
 	w.runs[t] = r
 	w.count(t, -1)
+	w.held.Add(1)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (w *worker) drop(t *job.Task) {
@@ -210,6 +218,7 @@
 	}
 	delete(w.runs, t)
 	w.count(t, 1)
+	w.held.Add(-1)
 }
 
 // setBesides takes over what runs hold that are no task's latest: it counts until they have ended.
--- a/work/calls.go
+++ b/work/calls.go
@@ -16,6 +16,8 @@
 	ErrNotSent = errors.New("worker was not reached; nothing was done, try again later")
 	// ErrNoAnswer means that the call may have been done, or may still be done.
 	ErrNoAnswer = errors.New("worker gave no answer; look at what it runs before deciding")
+	// ErrCrowded means that nothing was sent, since this entry has no connection to spare for a worker that nothing is asked of.
+	ErrCrowded = errors.New("too many connections are open; ask again when others have been closed")
 )
 
 // Worker is one life of a worker instance, as the platform lists it.
@@ -107,6 +109,8 @@
 	Deadline Clock
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// Idle says that nothing runs there as far as is known, so that the call may be left out while connections are short.
+	Idle bool
 }
 
 // Pace limits the share of time, in percent, for which a run works.
@@ -174,4 +178,8 @@
 	Pace  func(ctx context.Context, w *Worker, o Pace) (Answer, error)
 	// Forget closes what is open to the life.
 	Forget func(w *Worker)
+	// Crowded says whether connections are short, so that workers without work should be asked seldom; Rest closes what is open to one meanwhile.
+	// Connections are never short when Crowded is nil.
+	Crowded func() bool
+	Rest    func(w *Worker)
 }
