pool, platform: bursts and lists that go with the fleet are paced by what they take

Cause: traced on a fleet with small entries alone: the leader asked 5,040 workers at once, its own renewals waited behind them for longer than candidates do, and the lead went from entry to entry each few seconds; beside it the list of all instances, 450 KB, was read each 0.7 to 1.5 s. Change: first holds go 128 at a time, one without an answer makes room after 0.1 s; the list is read again no sooner than after five times what it took; a read of the operator's topic waits as long as the bound of a configuration leaves (2.0 s of 5, 1.2 s of 3).

--- a/entry/node.go
+++ b/entry/node.go
@@ -204,7 +204,7 @@
 	n.scheduler.ConfirmedAt, n.scheduler.Lost, n.scheduler.HandOver = n.elector.ConfirmedAt, n.elector.Lost, n.elector.HandOver
 	n.scheduler.SetLoose, n.scheduler.LooseKept, n.scheduler.SetEarlier = n.elector.SetLoose, n.elector.LooseKept, n.elector.SetEarlier
 	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Clock: n.Clock, Topic: intakes[partOf(s.Entry, len(intakes))]}, Ask: n.ask, Events: n.Events}}
-	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Clock: n.Clock, Wave: n.scheduler.SetWave, Drains: n.scheduler.SetDrains, Config: func(c *platform.Config) {
+	n.follower = &platform.Follower{Topic: store.Operator(), Events: n.Events, Clock: n.Clock, Within: platform.Millis(s.Bounds.ApplyMillis), Wave: n.scheduler.SetWave, Drains: n.scheduler.SetDrains, Config: func(c *platform.Config) {
 		n.ingress.SetConfig(c)
 		n.scheduler.SetOrganisations(c.Organisations)
 		n.scheduler.SetCatalog(&c.Catalog)
--- a/pool/session.go
+++ b/pool/session.go
@@ -127,6 +127,8 @@
 	machinesAt   time.Time // when the machine interface was last asked
 	machinesRead time.Time // when it was asked for the list that is in the table
 	machinesAsk  bool
+	machinesTook time.Duration // what the last list took
+	firstHolds   gate          // of workers that have not answered yet
 	machines     map[string]Machine
 	names        []string // of the machines, see instanceNames
 	tickets      map[string]*stepTickets
@@ -159,7 +161,7 @@
 		unkept: make(map[*job.Job]int64), unacked: make(map[*worker]bool), batchMost: cmp.Or(s.BatchMost, batchMost), later: make(map[string]*job.Job), restored: make(map[string]bool), unread: make(map[string]time.Time), readUnsure: make(map[string]bool),
 		fresh: make([]time.Time, len(s.Intake)), intakeEnd: make([]int64, len(s.Intake)),
 		keepsOf: make(map[job.Owned]uint64), cancelled: make(map[job.Owned]bool), taken: make(map[job.Owned]*takenID),
-		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow), drains: make(drains),
+		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow), drains: make(drains), firstHolds: newGate(),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*moveStep), keepsLost: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -55,6 +55,8 @@
 	askMachinesEvery = 700 * time.Millisecond
 	// lookEvery is the pause between two looks at all instances.
 	lookEvery = 1500 * time.Millisecond
+	// lookRest is how many times as long as the last look took the next one is put off: the list goes with the fleet.
+	lookRest = 5
 	// listTimeout bounds a list of all instances, which comes in pages; the adapter bounds each of them.
 	listTimeout = 6 * time.Second
 	// silentAfter is how long a worker is silent before the machine interface is asked about it.
@@ -255,9 +257,14 @@
 		if first {
 			timeout = firstTimeout
 		}
+		leave := func() {}
+		if first {
+			leave = c.firstHolds.enter(ctx)
+		}
 		call, cancel := context.WithTimeout(ctx, timeout)
 		rep, err := c.Calls.Hold(call, row, o)
 		cancel()
+		leave()
 		if ctx.Err() != nil {
 			return
 		}
@@ -351,7 +358,11 @@
 	c.counts.silent.Update(float64(workers))
 	c.counts.doubted.Update(float64(runs))
 	c.endDoubts(now)
-	if !c.machinesAsk && (now.Sub(c.machinesAt) > lookEvery || ((silent || c.waving()) && now.Sub(c.machinesAt) > askMachinesEvery)) {
+	every := lookEvery
+	if silent || c.waving() {
+		every = askMachinesEvery
+	}
+	if !c.machinesAsk && now.Sub(c.machinesAt) > max(every, lookRest*c.machinesTook) {
 		c.askMachines()
 	}
 }
@@ -486,6 +497,7 @@
 
 func (m machinesRead) apply(c *session) {
 	c.machinesAsk = false
+	c.machinesTook = c.now().Sub(m.asked)
 	if m.err != nil { // asked again with the next look
 		c.emit(event.PlatformUnreachable, event.Subject{Entry: c.Entry}, "list of instances: %v", m.err)
 		return
