pool: asking workers without work takes a part of the processor

Cause: on an entry of 0.192 core the leader asked 5,040 idle workers each two seconds, 1,276 answers a second took all it had, and its renewals came late (modes unconfirmed, crowded and store-slow by turns; lead lost after 12 s). Change: a worker without work rests after an answer for as long as asking all of them needs to stay under a quarter of the entry's processor; not at all at 6,000 workers on 1.6 core. A rest ends with work, and while the store does not confirm the lead, since the workers' answers are the proof then.

--- a/pool/crowded_test.go
+++ b/pool/crowded_test.go
@@ -115,3 +115,47 @@
 	c.Assert(x.due(now.Add(199*time.Millisecond)), quicktest.IsFalse)
 	c.Assert(x.due(now.Add(200*time.Millisecond)), quicktest.IsTrue)
 }
+
+// TestAskingIdleWorkersTakesAPartOfTheProcessor: a small entry asks each of many seldom, and all of them again once the store no longer confirms its lead, since
+// their answers are its proof then.
+func TestAskingIdleWorkersTakesAPartOfTheProcessor(t *testing.T) {
+	c := quicktest.New(t)
+	c.Assert(idleRest(350, 0.192), quicktest.Equals, time.Duration(0))
+	c.Assert(idleRest(6000, 1.6), quicktest.Equals, time.Duration(0))
+	c.Assert(idleRest(6000, 0.192) > 8*time.Second, quicktest.IsTrue)
+	c.Assert(idleRest(12000, 0), quicktest.Equals, time.Duration(0))
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(quicktest.New(t), nil, "w1", "w2")
+		b.Processor = 1e-6 // so that they rest for minutes
+		confirmed := time.Now()
+		b.ConfirmedAt = func() time.Time { return confirmed }
+		f := &few{most: 20, open: make(map[string]bool), asked: make(map[string]int)}
+		f.calls(&b.Calls)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b.ctx = ctx
+		b.watchIdle(time.Now())
+		for _, w := range b.workers {
+			b.startHolds(w)
+		}
+		asked := func() int {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.asked["w1"] + f.asked["w2"]
+		}
+		ticks := func(d time.Duration) {
+			for range d / tickEvery {
+				time.Sleep(tickEvery)
+				b.watchIdle(time.Now())
+			}
+		}
+		for range 100 { // the store confirms
+			confirmed = time.Now()
+			ticks(tickEvery)
+		}
+		calm := asked()
+		b.c.Assert(calm <= 4, quicktest.IsTrue, quicktest.Commentf("asked %d times", calm))
+		ticks(10 * time.Second)
+		b.c.Assert(asked() >= calm+20, quicktest.IsTrue, quicktest.Commentf("asked %d times without the store", asked()-calm))
+	})
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -119,6 +119,8 @@
 	BatchMost int
 	// RecordMost bounds the bytes of one record of State, its key included; a longer one is kept aside. No bound when 0.
 	RecordMost int
+	// Processor is the entry's share of a core, by which the asking of workers without work is spaced; it is not when 0.
+	Processor float64
 	// Metrics receives counters and histograms; none when nil.
 	Metrics tally.Scope
 	// ConfirmedAt returns when the newest renewal that the store took was first sent; Lost is told of a higher fencing
--- a/pool/session.go
+++ b/pool/session.go
@@ -129,6 +129,8 @@
 	machinesAsk  bool
 	machinesTook time.Duration // what the last list took
 	firstHolds   gate          // of workers that have not answered yet
+	idleRest     atomic.Int64  // how long workers without work rest, see watchIdle
+	alarm        alarm         // ends their rest
 	machines     map[string]Machine
 	names        []string // of the machines, see instanceNames
 	tickets      map[string]*stepTickets
@@ -220,6 +222,7 @@
 	c.endTrials(now)
 	c.loosen(now)
 	c.watchModes(now)
+	c.watchIdle(now)
 	c.handOverIfStrained(now)
 	c.emptyLeaving(now)
 	c.emptyDrained(now)
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -44,10 +44,6 @@
 	// toldWithin is how new a worker's latest report must be for what it said of a lasting task to count: a whole hold and
 	// the pause after it.
 	toldWithin = 2500 * time.Millisecond
-	// crowdedRest is how long a worker without work is not asked while connections are short, crowdedPause the pause before one is asked for which
-	// there was none.
-	crowdedRest  = 8 * time.Second
-	crowdedPause = 200 * time.Millisecond
 	// settledAfter is how long a life must be known before the machine interface may declare it ended: its answers
 	// may lag behind the list of workers.
 	settledAfter = 2500 * time.Millisecond
@@ -240,7 +236,7 @@
 		switch {
 		case first || silent:
 			o.Wait = 0
-		case now.Sub(c.ConfirmedAt()) > unsureAfter:
+		case c.unsure(now):
 			o.Wait = unsureWait
 		case w.mixed.Load():
 			o.Wait = pacedWait
@@ -290,26 +286,7 @@
 			continue // this answer was asked under a token that has been raised since
 		}
 		w.awaitAck(ctx, rep.Ended)
-		c.restIfCrowded(ctx, w, row)
-	}
-}
-
-// crowded says whether connections to workers are short.
-func (c *session) crowded() bool { return c.Calls.Crowded != nil && c.Calls.Crowded() }
-
-// restIfCrowded leaves a worker without work alone for a while, without a connection, if connections are short: an entry with 4,100 descriptors can't hold
-// one to each of 6,000 workers. It counts in no proof by the workers' answers meanwhile, so that in an outage of the store such a leader gives no orders.
-func (c *session) restIfCrowded(ctx context.Context, w *worker, row *work.Worker) {
-	if w.held.Load() > 0 || !c.crowded() {
-		return
-	}
-	c.Calls.Rest(row)
-	t := time.NewTimer(crowdedRest)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-w.wake:
-	case <-t.C:
+		c.restIdle(ctx, w, row)
 	}
 }
 
