entry: a job under which two workers have crashed may be given up in random trouble too

Change: such a job counts as ended if the workers' own history holds two crashes under one of its tasks; the count is the stand-in's now, for both. All else is as strict.

--- a/internal/standin/platformtest/platform.go
+++ b/internal/standin/platformtest/platform.go
@@ -292,6 +292,19 @@
 	}
 }
 
+// LivesEndedUnder returns how many workers have crashed under one task of a job, by their own history. From two on the users allow that the job is
+// given up: who is beside what crashes workers again and again can't be told from that.
+func (p *Platform) LivesEndedUnder(job string) int {
+	most, lost := 0, make(map[string]int)
+	for _, x := range p.Runs() {
+		if strings.HasPrefix(x.Task, job+".") && x.How == "lost" {
+			lost[x.Task]++
+			most = max(most, lost[x.Task])
+		}
+	}
+	return most
+}
+
 // crashedBy crashes a worker because of a run there, if that goes on; the instance is back soon.
 func (p *Platform) crashedBy(x *Run, w *Worker) {
 	w.mu.Lock()
