--- a/cmd/rackstep/main.go
+++ b/cmd/rackstep/main.go
@@ -57,7 +57,7 @@
 		orderCommand(fleet.OrderResume, "go on with a paused plan"),
 		orderCommand(fleet.OrderCancel, "end a plan; what is drained returns, what is rebooting is finished"),
 		orderCommand(fleet.OrderReturn, "bring the instances back that a plan holds out of service"),
-		explainCommand(), leadsCommand(), lossesCommand(), statusCommand(), instancesCommand(), jobsCommand(), timelineCommand(), resultCommand(),
+		explainCommand(), leadsCommand(), drainsCommand(), lossesCommand(), statusCommand(), instancesCommand(), jobsCommand(), timelineCommand(), resultCommand(),
 		tokenCommand(), tryCommand(), standinCommand(), capacityCommand(), eventsCommand(),
 	}
 }
