pool: a place is bought for what can't leave a drained data centre

And what is left was told ten times a second. Change: workers of a drained data centre count as well; what is left is told once a second, and at once when nothing is.

--- a/pool/demand.go
+++ b/pool/demand.go
@@ -327,10 +327,10 @@
 	return lacks
 }
 
-// countCaptive adds an instance for each worker whose lasting tasks can't leave for its upkeep, for want of a place.
+// countCaptive adds an instance for each worker whose lasting tasks can't leave for its upkeep, or a drained data centre, for want of a place.
 func (c *session) countCaptive(p *poolRow, lacks map[string]int, now time.Time) {
 	for _, w := range c.workers {
-		if w.Pool != p.name || !w.out || w.room.Serving+w.room.Filling == 0 {
+		if w.Pool != p.name || !(w.out || w.drained) || w.room.Serving+w.room.Filling == 0 {
 			continue
 		}
 		for t := range w.runs {
--- a/pool/drain.go
+++ b/pool/drain.go
@@ -21,8 +21,9 @@
 type drainRow struct {
 	// since is when this leader learned of it.
 	since time.Time
-	// told is what the log last said of what is left there.
-	told string
+	// told is what the log last said of what is left there, at toldAt.
+	told   string
+	toldAt time.Time
 	// empty says that nothing was left there when it was last looked at.
 	empty bool
 }
@@ -126,16 +127,21 @@
 	}
 }
 
-// tellDrain tells what is left of a drain, once for each change, and when nothing is.
+// drainToldEvery bounds how often it is told what is left of a drain; when nothing is left that is told at once.
+const drainToldEvery = time.Second
+
+// tellDrain tells what is left of a drain when that has changed, and when nothing is.
 func (c *session) tellDrain(name string, row *drainRow, l *drainLeft, now time.Time) {
 	c.counts.drainLeft(name, l.runs)
 	text := l.String()
-	if text == row.told {
+	was := row.empty
+	row.empty = l.runs == 0
+	if text == row.told || (row.empty == was && now.Sub(row.toldAt) < drainToldEvery) {
 		return
 	}
-	row.told = text
+	row.told, row.toldAt = text, now
 	state := "emptying"
-	if row.empty = l.runs == 0; row.empty {
+	if row.empty {
 		state = "empty"
 	}
 	c.emit(event.DrainChanged, event.Subject{Entry: c.Entry}, "datacentre=%s state=%s after=%v %s", name, state, now.Sub(row.since).Round(time.Millisecond), text)
--- a/pool/drain_test.go
+++ b/pool/drain_test.go
@@ -166,3 +166,16 @@
 		c.Assert(got, quicktest.DeepEquals, map[string]bool{"b-off p": true, "m-a1 spare": true, "m-a2 spare": true})
 	})
 }
+
+// TestAPlaceIsBoughtForWhatCantLeaveADrainedDataCentre has a lasting task whose pool has no other instance.
+func TestAPlaceIsBoughtForWhatCantLeaveADrainedDataCentre(t *testing.T) {
+	c := quicktest.New(t)
+	j := job.New(&job.Spec{ID: "00000000000000a1", Queue: "q", Pool: "p", Steps: []job.Step{{Count: 1, Lasting: true, MayMiss: 1, Need: job.Need{MilliCPU: 1000}}}}, time.Now())
+	b := drainBench(c, []*job.Job{j}, "a1")
+	task := b.task(0)
+	task.Phase, task.Run, task.Worker, task.AtWork = job.Active, 1, "a1", true
+	b.addRun(b.workers["a1"], task, &run{number: 1, sent: true, confirmed: 10})
+	c.Assert(b.lacks(b.pool("p"), time.Now()), quicktest.HasLen, 0)
+	drainsChanged{[]string{"a"}}.apply(b.session)
+	c.Assert(b.lacks(b.pool("p"), time.Now())[""], quicktest.Equals, 1)
+}
