upkeep, pool: a turn that has gone on for three seconds tells what others may need

Change: what a turn has had at work after three seconds counts for the pools whose turn is not known; the pool that is at the first turn keeps what it has.

--- a/pool/demand.go
+++ b/pool/demand.go
@@ -230,7 +230,7 @@
 // keepTurns has each pool keep what its turn has at work, and no more, if there are instances for the turns of all pools at once: then no turn has to
 // wait for instances of another pool, and they need not go round. A pool whose turn is not known yet keeps unknownMargin times what others used. With
 // fewer instances they go round as the turns do, which wants and expect decide.
-func (c *session) keepTurns(rows map[string]*upkeep.Pool) {
+func (c *session) keepTurns(rows map[string]*upkeep.Pool, now time.Time) {
 	keep := make(map[string]float64, len(rows))
 	needed, have := 0.0, 0
 	for name, row := range rows {
@@ -238,9 +238,13 @@
 		if row.Headroom {
 			continue
 		}
-		need, used, known := c.turns.Whole(name)
+		need, used, known := c.turns.Whole(name, now)
 		if need == 0 && !known {
-			return
+			if !c.turns.Loaded(name) {
+				return
+			}
+			needed += max(float64(row.Have), row.Want) // it is at the first turn of all, and keeps what it has
+			continue
 		}
 		if !known {
 			used *= unknownMargin
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -175,7 +175,7 @@
 					*b.turns.Pools[name] = upkeep.Turn{Began: time.Now(), Need: 2 * turn, Used: turn, Ended: true}
 				}
 			}
-			b.keepTurns(rows)
+			b.keepTurns(rows, time.Now())
 			b.c.Assert(math.Ceil(rows["p2"].Idle), quicktest.Equals, test.want)
 		})
 	}
--- a/pool/size.go
+++ b/pool/size.go
@@ -96,7 +96,7 @@
 			c.wants(row, now)
 		}
 	}
-	c.keepTurns(rows)
+	c.keepTurns(rows, now)
 	c.expect(rows, now)
 	c.lack(rows, instances, now)
 	c.tellSizes(rows, now)
@@ -114,7 +114,7 @@
 			continue
 		}
 		p.told, p.toldAt = *row, now
-		need, used, known := c.turns.Whole(name)
+		need, used, known := c.turns.Whole(name, now)
 		c.emit(event.PoolSized, event.Subject{Entry: c.Entry}, "pool=%s have=%d want=%.0f keep=%.0f idle=%.0f soon=%.0f lasting=%.0f running=%.0f waiting=%.0f turn=%.0f used=%.0f known=%t",
 			name, row.Have, row.Want, row.Keep, row.Idle, row.Soon, p.load.lasting, p.load.running, p.load.waitingRoom, need, used, known)
 	}
--- a/upkeep/turns.go
+++ b/upkeep/turns.go
@@ -21,6 +21,8 @@
 	gapMost = 3
 	// lateMost is how long beyond its time a turn is still expected, as a part of the gap.
 	lateMost = 0.3
+	// settledAfter is how long a turn has gone on when what it has at work by then tells about others.
+	settledAfter = 3 * time.Second
 	// smoothOver is the time over which load is smoothed: single large jobs are no turn.
 	smoothOver = 500 * time.Millisecond
 )
@@ -144,8 +146,9 @@
 }
 
 // Whole returns what a whole turn of the pool needs and what it has at work, in instances: what its latest one did that is over, else the mean of the
-// others' that are; known says that it is its own, or that it has none. Nothing and not known means that no turn is over yet.
-func (t *Turns) Whole(pool string) (need, used float64, known bool) {
+// others' that are over or have gone on for settledAfter; known says that it is its own, or that it has none. Nothing and not known means that there is
+// no such turn yet.
+func (t *Turns) Whole(pool string, now time.Time) (need, used float64, known bool) {
 	p := t.Pools[pool]
 	switch {
 	case p != nil && p.Ended:
@@ -155,7 +158,7 @@
 	}
 	n := 0
 	for _, o := range t.Pools {
-		if o.Ended {
+		if o.Ended || (o.Loaded && o != p && now.Sub(o.Began) >= settledAfter) {
 			need += o.Need
 			used += o.Used
 			n++
@@ -207,6 +210,12 @@
 	return out
 }
 
+// Loaded says whether the pool is at a turn.
+func (t *Turns) Loaded(pool string) bool {
+	p := t.Pools[pool]
+	return p != nil && p.Loaded
+}
+
 // Fresh says whether a pool may still come to its first turn, or is at it: its load is not known yet.
 func (t *Turns) Fresh(pool string) bool {
 	p := t.Pools[pool]
--- a/upkeep/turns_test.go
+++ b/upkeep/turns_test.go
@@ -92,6 +92,28 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 	c.Assert(turns.Fresh("a"), quicktest.IsFalse)
-	need, used, known := turns.Whole("a")
+	need, used, known := turns.Whole("a", now)
 	c.Assert(known && need > 200 && used == 200, quicktest.IsTrue, quicktest.Commentf("%.0f %.0f", need, used))
 }
+
+// TestATurnThatHasGoneOnForLongTellsOfOthers has the first turn of all go on: what it has at work after a while is what others are taken to need.
+func TestATurnThatHasGoneOnForLongTellsOfOthers(t *testing.T) {
+	c := quicktest.New(t)
+	turns := new(Turns)
+	now := start
+	at := func(d time.Duration) {
+		for range d / (100 * time.Millisecond) {
+			turns.See("a", Load{Need: 250, Used: 200, Have: 1000}, now)
+			turns.See("b", Load{Need: 5, Used: 5, Have: 1000}, now)
+			now = now.Add(100 * time.Millisecond)
+		}
+	}
+	at(2 * time.Second)
+	_, used, known := turns.Whole("b", now)
+	c.Assert(used == 0 && !known, quicktest.IsTrue)
+	at(3 * time.Second)
+	_, used, known = turns.Whole("b", now)
+	c.Assert(used == 200 && !known, quicktest.IsTrue, quicktest.Commentf("%.0f", used))
+	_, used, _ = turns.Whole("a", now)
+	c.Assert(used, quicktest.Equals, 0.0, quicktest.Commentf("it does not tell of itself"))
+}
