place, pool: cold workers get what no warm one has room for

Cause: workers say for how much longer they are slow since their start, and after a drain they may be cold; work went to them as to others, the fullest first. Change: the figure is read; rooms of cold workers come after all others, and never keep a task waiting. A figure that is repeated does not lengthen the time.

--- a/place/shelves.go
+++ b/place/shelves.go
@@ -13,9 +13,10 @@
 // 1,000 jobs of eight tasks on 780 rooms take some milliseconds to place instead of 45.
 type shelves struct{ all []*shelf }
 
-// shelf is the rooms of one size, the fullest first.
+// shelf is the rooms of one size, the fullest first; those of cold workers have shelves of their own.
 type shelf struct {
 	milliCPU int
+	cold     bool
 	rooms    []*Room
 }
 
@@ -34,11 +35,11 @@
 // of returns the shelf of the room's size.
 func (s *shelves) of(r *Room) *shelf {
 	for _, x := range s.all {
-		if x.milliCPU == r.Worker.Room.MilliCPU {
+		if x.milliCPU == r.Worker.Room.MilliCPU && x.cold == r.Cold {
 			return x
 		}
 	}
-	x := &shelf{milliCPU: r.Worker.Room.MilliCPU}
+	x := &shelf{milliCPU: r.Worker.Room.MilliCPU, cold: r.Cold}
 	s.all = append(s.all, x)
 	return x
 }
@@ -49,11 +50,23 @@
 	return i
 }
 
-// fullest returns the room with the least free part of those that have space, or nil; one that is to be avoided only if there
-// is no other.
+// fullest returns the room with the least free part of those that have space, or nil; one of a cold worker, and one that is to be avoided, only if
+// there is no other.
 func (s *shelves) fullest(need job.Need, avoid string) *Room {
-	var best, avoided *Room
+	best, avoided := s.fullestOf(false, need, avoid)
+	if best != nil {
+		return best
+	}
+	best, coldAvoided := s.fullestOf(true, need, avoid)
+	return cmp.Or(best, avoided, coldAvoided)
+}
+
+// fullestOf is fullest among the rooms of cold workers or of the others; what is to be avoided is returned apart.
+func (s *shelves) fullestOf(cold bool, need job.Need, avoid string) (best, avoided *Room) {
 	for _, x := range s.all {
+		if x.cold != cold {
+			continue
+		}
 		for _, r := range x.rooms[x.from(need.MilliCPU):] {
 			if !atLeast(r.Free, need) {
 				continue
@@ -68,10 +81,7 @@
 			break
 		}
 	}
-	if best == nil {
-		return avoided
-	}
-	return best
+	return best, avoided
 }
 
 // drop takes a room off its shelf; it says whether it was there. put lays it there by what it has free now.
--- a/place/tasks.go
+++ b/place/tasks.go
@@ -21,6 +21,8 @@
 	Serving, Filling int
 	// Due says that the instance is to be emptied for its upkeep before long.
 	Due bool
+	// Cold says that the worker is slow since its start: it gets what no other has room for.
+	Cold bool
 	// Fresh says that a run began there so lately that it may still end the worker's life by starting.
 	Fresh bool
 }
@@ -298,6 +300,8 @@
 const (
 	// nearWeight: away from its data a task takes at least twice as long.
 	nearWeight = 4
+	// coldWeight keeps tasks off workers that are slow since their start.
+	coldWeight = 2.5
 	// avoidWeight keeps a task from the worker on which it failed last.
 	avoidWeight = 3
 	// besideWeight keeps fills away from what serves.
@@ -320,6 +324,9 @@
 	if t.Avoid == r.Worker.Life {
 		s -= avoidWeight
 	}
+	if r.Cold {
+		s -= coldWeight
+	}
 	if !step.Lasting {
 		return s
 	}
--- a/place/tasks_test.go
+++ b/place/tasks_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -237,3 +238,33 @@
 func BenchmarkTasksToday(b *testing.B)    { benchTasks(b, 12, 100) }
 func BenchmarkTasksGrown(b *testing.B)    { benchTasks(b, 85, 400) }
 func BenchmarkTasksTwoYears(b *testing.B) { benchTasks(b, 780, 1000) }
+
+// TestColdWorkersGetWhatNoOtherHasRoomFor has a turn of short tasks on workers of which half are slow since their start: the warm ones fill first, and
+// what they have no room for starts on cold ones instead of waiting.
+func TestColdWorkersGetWhatNoOtherHasRoomFor(t *testing.T) {
+	for _, x := range [...]struct {
+		name       string
+		step       job.Step
+		warm, cold int
+	}{
+		{"what fits on warm ones", job.Step{Count: 8, Need: cpu(1000)}, 8, 0},
+		{"more than that", job.Step{Count: 11, Need: cpu(1000)}, 8, 3},
+		{"at most one on each worker", job.Step{Count: 3, Need: cpu(1000), PerWorker: 1}, 2, 1},
+		{"lasting ones", job.Step{Count: 2, Need: cpu(1000), Lasting: true, PerWorker: 1}, 2, 0},
+		{"near its data goes before", job.Step{Count: 1, Need: cpu(1000), Rack: "r3"}, 0, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			rooms := []*Room{roomOf("warm1", "r1", 4000, 4000), roomOf("warm2", "r2", 4000, 4000), roomOf("cold1", "r3", 4000, 2000), roomOf("cold2", "r4", 4000, 4000)}
+			rooms[2].Cold, rooms[3].Cold = true, true
+			warm, cold := 0, 0
+			for _, life := range placed([]*Group{groupOf("j", x.step)}, rooms) {
+				if strings.HasPrefix(life, "cold") {
+					cold++
+				} else {
+					warm++
+				}
+			}
+			quicktest.Assert(t, []int{warm, cold}, quicktest.DeepEquals, []int{x.warm, x.cold})
+		})
+	}
+}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -191,6 +191,7 @@
 		if w.usable(now) && w.trial == nil && c.workersKept[w.Life] && (w.sure || sure) {
 			r := w.room
 			r.Fresh = now.Sub(w.newestAt) <= alikeWithin
+			r.Cold = now.Before(w.coldUntil)
 			copies = append(copies, r)
 		}
 	}
--- a/pool/room_test.go
+++ b/pool/room_test.go
@@ -139,3 +139,20 @@
 		})
 	}
 }
+
+func TestAColdWorkerGrowsWarmAsItSaysWhateverItRepeats(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	w := &worker{}
+	w.coldFor(0, now)
+	c.Assert(now.Before(w.coldUntil), quicktest.IsFalse)
+	w.coldFor(5*time.Second, now)
+	w.Cold = 5 * time.Second
+	w.coldFor(5*time.Second, now.Add(4*time.Second)) // an entry that is repeated as it was
+	c.Assert(w.coldUntil, quicktest.Equals, now.Add(5*time.Second))
+	w.coldFor(time.Second, now.Add(time.Second))
+	c.Assert(w.coldUntil, quicktest.Equals, now.Add(2*time.Second))
+	w.Cold = time.Second
+	w.coldFor(8*time.Second, now.Add(10*time.Second)) // cold again, after a drain
+	c.Assert(w.coldUntil, quicktest.Equals, now.Add(18*time.Second))
+}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -60,6 +60,8 @@
 	ends []unkeptEnd
 	// leftAt is when it began to leave, or was no longer listed; zero otherwise.
 	leftAt time.Time
+	// coldUntil is until when it is slow since its start, by what it last said of it.
+	coldUntil time.Time
 	// out says that it is to be emptied for its upkeep or a move.
 	out bool
 	// drained says that its data centre is drained.
@@ -134,6 +136,7 @@
 func newWorker(w work.Worker, clock *clock.Clock, ledger *org.Ledger) *worker {
 	row := &worker{Worker: w, clock: clock, ledger: ledger, since: clock.Sure(), strays: make(map[int64]time.Time), runs: make(map[*job.Task]*run), listed: true, signal: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 	row.room = place.Room{Worker: &row.Worker, Free: w.Room}
+	row.coldUntil = row.since.Add(w.Cold)
 	return row
 }
 
@@ -192,6 +195,13 @@
 	return len(w.runs) == 0 && w.unread == 0 && w.heard && w.silentSince.IsZero()
 }
 
+// coldFor takes note of how much longer the worker says that it is slow: a time that is no longer than the one before goes on running out.
+func (w *worker) coldFor(d time.Duration, now time.Time) {
+	if until := now.Add(d); d > w.Cold || until.Before(w.coldUntil) {
+		w.coldUntil = until
+	}
+}
+
 // rest keeps starts from the worker for a while, longer each time in a row.
 func (w *worker) rest(now time.Time) {
 	w.rests = min(w.rests+1, 5)
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -162,6 +162,7 @@
 			c.heard++
 		}
 	}
+	w.coldFor(row.Cold, c.now())
 	w.Worker = row
 	w.drained = c.drains[w.DataCentre] != nil
 	w.listed = true
--- a/work/calls.go
+++ b/work/calls.go
@@ -34,6 +34,8 @@
 	Labels []string
 	Rack   string
 	Room   job.Need
+	// Cold is for how much longer it is slow since its start, as of its entry in the list.
+	Cold time.Duration
 	// Leaving says that the worker will end as planned; Remaining is the least time that remains.
 	Leaving   bool
 	Remaining time.Duration
