pool: a new leader on a thin link reads its tables a few topics at a time

It read 28 topics at once, 700 KB; the answers to its renewals came behind them, after up to 2.8 s, no renewal is sent before the one before has its answer, and candidates take the lead after 1.1 s. And the reading as a whole had to end within 5 s, or began anew. Change: as many topics at a time as the link carries in 0.3 s, 64 KB each, one at the least; the bound is on each topic.

--- a/entry/node.go
+++ b/entry/node.go
@@ -187,7 +187,7 @@
 		PutWave: platform.PutWave(store.Status()), Events: n.Events,
 		BatchMost:  s.Store.MaxCallBytes / 2, // far under what the store takes in one call
 		RecordMost: s.Store.MaxRecordBytes,
-		Processor:  s.Limits.Share * max(s.Limits.Cores, 1),
+		Processor:  s.Limits.Share * max(s.Limits.Cores, 1), LinkPerSecond: s.Limits.LinkMbps * bytesOfMbit,
 	}
 	n.scheduler.SetBounds(boundsOf(s))
 	if n.metrics.scope != nil {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -15,6 +15,8 @@
 	trafficEvery = 5 * time.Second
 	// trafficShare is the part of the link from which an entry tells it although it does not schedule.
 	trafficShare = 0.1
+	// bytesOfMbit are the bytes of a megabit.
+	bytesOfMbit = 1e6 / 8
 )
 
 // tellTraffic tells by kind what the calls to the platform and to workers take on the link, until the context ends.
@@ -52,5 +54,5 @@
 	if n.Settings.Limits.LinkMbps <= 0 {
 		return 0
 	}
-	return bytes * 8 / (n.Settings.Limits.LinkMbps * 1e6)
+	return bytes / (n.Settings.Limits.LinkMbps * bytesOfMbit)
 }
--- a/pool/load.go
+++ b/pool/load.go
@@ -39,7 +39,12 @@
 const (
 	storeTimeout = time.Second
 	storePause   = 200 * time.Millisecond
-	intakeWait   = 700 * time.Millisecond
+	// loadTimeout bounds the reading of one topic by a new leader.
+	loadTimeout = 5 * time.Second
+	// loadAhead is for how long what a new leader has asked for may fill its link, loadPage what a topic is taken to bring, in bytes.
+	loadAhead  = 300 * time.Millisecond
+	loadPage   = 64 << 10
+	intakeWait = 700 * time.Millisecond
 	// workersEvery spaces the reads of the list of workers, which is written to all the time.
 	workersEvery = 150 * time.Millisecond
 	// handover is for how long after the next term an earlier leader may go on calling the machine interface, which takes
@@ -74,14 +79,14 @@
 }
 
 func (c *session) tryLoad(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 5*storeTimeout)
-	defer cancel()
 	fence := feed.Batch{At: -1, Writer: feed.Writer{Name: writer, Epoch: c.term.Fence}}
-	if _, err := c.State.Append(ctx, fence); err != nil {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := c.State.Append(call, fence); err != nil {
 		return fmt.Errorf("take over the state: %w", err)
 	}
 	asked := c.now()
-	pages, err := readAll(ctx, append([]feed.Topic{c.State, c.Workers}, c.Intake...)...)
+	pages, err := readAll(ctx, c.loadWidth(), append([]feed.Topic{c.State, c.Workers}, c.Intake...)...)
 	if err != nil {
 		return fmt.Errorf("read what is kept: %w", err)
 	}
@@ -115,13 +120,32 @@
 	}
 }
 
-// readAll reads the topics, all at the same time.
-func readAll(ctx context.Context, topics ...feed.Topic) ([]feed.KeyedPage, error) {
+// loadWidth returns how many topics a new leader reads at the same time. What is on its way for them goes before the answers to its own renewals: on a thin
+// link all of them at once held those up for longer than candidates wait for a renewal, so that each leader lost the lead while it read.
+func (c *session) loadWidth() int {
+	if c.LinkPerSecond <= 0 {
+		return 0
+	}
+	return max(int(c.LinkPerSecond*loadAhead.Seconds()/loadPage), 1)
+}
+
+// readAll reads the topics, at most so many at the same time, all of them when 0.
+func readAll(ctx context.Context, width int, topics ...feed.Topic) ([]feed.KeyedPage, error) {
 	pages := make([]feed.KeyedPage, len(topics))
 	errs := make([]error, len(topics))
+	if width <= 0 {
+		width = len(topics)
+	}
+	places := make(chan struct{}, width)
 	var reads sync.WaitGroup
 	for i, t := range topics {
-		reads.Go(func() { pages[i], errs[i] = t.Newest(ctx) })
+		places <- struct{}{}
+		reads.Go(func() {
+			defer func() { <-places }()
+			ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+			defer cancel()
+			pages[i], errs[i] = t.Newest(ctx)
+		})
 	}
 	reads.Wait()
 	return pages, errors.Join(errs...)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -121,6 +121,8 @@
 	RecordMost int
 	// Processor is the entry's share of a core, by which the asking of workers without work is spaced; it is not when 0.
 	Processor float64
+	// LinkPerSecond is what the entry's link carries, in bytes a second; no bound when 0.
+	LinkPerSecond float64
 	// Metrics receives counters and histograms; none when nil.
 	Metrics tally.Scope
 	// ConfirmedAt returns when the newest renewal that the store took was first sent; Lost is told of a higher fencing
