pool: starts under way are bounded by the link

Cause: on a thin link all starts of a turn left at once, 800 bytes each, and the leader's renewals and holds waited behind them. Change: no more starts are under way than the link carries in 0.15 s (46 on 2 Mbit/s, 4,700 on 200); the others are kept already and follow as answers come.

--- a/pool/orders.go
+++ b/pool/orders.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"rackstep.dev/event"
@@ -21,6 +22,10 @@
 	startValid = 1500 * time.Millisecond
 	// stopAgain is the pause between two stops of a run that goes on.
 	stopAgain = 600 * time.Millisecond
+	// startsAhead is for how long starts that are under way may fill the link, startBytes about what one takes, startsLeast how many may always go.
+	startsAhead = 150 * time.Millisecond
+	startBytes  = 800
+	startsLeast = 8
 	// runBits leave room for 16 million starts in one term, so that a run's number rises over terms.
 	runBits = 24
 )
@@ -56,11 +61,24 @@
 	}
 	starts := c.held
 	c.held = nil
-	for _, p := range starts {
+	for i, p := range starts {
+		if c.startsUnderWay >= c.startsMost() {
+			c.held = append(c.held, starts[i:]...) // until others have been answered
+			return
+		}
 		c.send(p, now)
 	}
 }
 
+// startsMost returns how many starts may be under way: no more than the link carries in startsAhead, so that what is urgent, renewals first, does not wait
+// behind them.
+func (c *session) startsMost() int {
+	if c.LinkPerSecond <= 0 {
+		return math.MaxInt
+	}
+	return max(int(c.LinkPerSecond*startsAhead.Seconds()/startBytes), startsLeast)
+}
+
 // send orders a planned run, unless something has come between.
 func (c *session) send(p plannedStart, now time.Time) {
 	w, t, r := p.worker, p.task, p.run
@@ -87,6 +105,7 @@
 		c.counts.firstStarts.RecordDuration(c.now().Sub(t.Job.Received))
 	}
 	row := w.Worker
+	c.startsUnderWay++
 	c.work.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 		defer cancel()
@@ -106,6 +125,8 @@
 }
 
 func (m startEnded) apply(c *session) {
+	c.startsUnderWay--
+	defer func() { c.sendHeld(c.now()) }()
 	w, t := m.worker, m.task
 	if m.err == nil {
 		w.read(m.answer.Clock)
--- a/pool/session.go
+++ b/pool/session.go
@@ -101,8 +101,10 @@
 	// keptInstances is what the leader before counted as instances.
 	keptInstances int
 
-	starts     int64
-	committing bool
+	starts int64
+	// startsUnderWay are the starts that have left and are not answered.
+	startsUnderWay int
+	committing     bool
 	// inFlight is the batch on its way, commitSince when it left.
 	inFlight    *commitEnded
 	commitSince time.Time
--- a/pool/thinlink_test.go
+++ b/pool/thinlink_test.go
@@ -12,7 +12,9 @@
 	"github.com/frankban/quicktest"
 
 	"rackstep.dev/feed"
+	"rackstep.dev/job"
 	"rackstep.dev/lead"
+	"rackstep.dev/work"
 )
 
 // pipe carries answers one after the other, so many bytes a second.
@@ -90,3 +92,51 @@
 		})
 	}
 }
+
+// TestStartsUnderWayAreBoundedByTheLink has a leader on a thin link start a step of many tasks: some leave, the others follow as answers come, and none is passed over.
+func TestStartsUnderWayAreBoundedByTheLink(t *testing.T) {
+	for _, x := range [...]struct {
+		name string
+		link float64
+		most int
+	}{
+		{"2 Mbit/s", 250e3, 46},
+		{"a link of which nothing is known", 0, 200},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				j := job.New(&job.Spec{ID: "00000000000000a1", Queue: "q", Pool: "p", Steps: []job.Step{{Count: 200, Need: job.Need{MilliCPU: 10}}}}, time.Now())
+				b := newBench(c, []*job.Job{j}, "w1")
+				b.LinkPerSecond = x.link
+				b.reports("w1", 10, nil)
+				var mu sync.Mutex
+				under, most, all := 0, 0, 0
+				b.Calls.Start = func(ctx context.Context, _ *work.Worker, _ work.Start) (work.Answer, error) {
+					mu.Lock()
+					under, all = under+1, all+1
+					most = max(most, under)
+					mu.Unlock()
+					sleep(ctx, 20*time.Millisecond)
+					mu.Lock()
+					under--
+					mu.Unlock()
+					return work.Answer{Clock: 20}, nil
+				}
+				c.Assert(b.ordered(), quicktest.Equals, 200)
+				b.keeps()
+				for range 20 {
+					time.Sleep(20 * time.Millisecond)
+					synctest.Wait()
+					for _, m := range b.inbox.take() {
+						m.apply(b.session)
+					}
+				}
+				synctest.Wait()
+				c.Check(all, quicktest.Equals, 200)
+				c.Check(most, quicktest.Equals, x.most)
+				c.Check(b.startsUnderWay, quicktest.Equals, 0)
+			})
+		})
+	}
+}
