pool: the mode of records aside ends with what was aside, and a raised token ends a worker's rest

Cause: read again: the mode was looked at with batches alone, so that it stayed when the last record aside was forgotten; and a worker that rested when its token was raised counted as not heard until its rest was over, 8 s at the most. Change: the mode is looked at each tick; a raised token has the worker asked at once.

--- a/pool/aside.go
+++ b/pool/aside.go
@@ -27,6 +27,7 @@
 	if len(c.aside) == 0 {
 		return
 	}
+	c.setMode(modeAside, true, c.now(), "records that the store never takes")
 	now := make(map[string]bool, len(m.aside))
 	for _, a := range m.aside {
 		now[a.Key] = true
@@ -41,7 +42,6 @@
 	for n := range m.waves {
 		c.backFromAside(waveKeyOf(n), now)
 	}
-	c.setMode(modeAside, len(c.aside) > 0, c.now(), "records that the store never takes")
 }
 
 // backFromAside forgets that a record was aside that is kept now.
--- a/pool/keepsize_test.go
+++ b/pool/keepsize_test.go
@@ -17,6 +17,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/keep"
 	"rackstep.dev/upkeep"
 )
 
@@ -243,6 +244,7 @@
 		refuses = false
 		b.changed(b.jobs["00000000000000a1"]) // what it holds has become smaller
 		takes()
+		b.watchModes(time.Now())
 		c.Assert(b.is(modeAside), quicktest.IsFalse)
 		c.Assert(b.ordered(), quicktest.Equals, 1)
 	})
@@ -273,3 +275,14 @@
 		c.Assert(b.aside, quicktest.HasLen, 0)
 	})
 }
+
+// TestTheModeOfRecordsAsideEndsWithTheirJobs has the job whose record is aside be forgotten.
+func TestTheModeOfRecordsAsideEndsWithTheirJobs(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(c, nil, "w1")
+	b.setAside(&commitEnded{aside: []keep.Aside{{Key: lifeKey + "w1", Bytes: 1 << 20}}})
+	c.Assert(b.is(modeAside), quicktest.IsTrue)
+	b.leaveOut(b.workers["w1"], "it is gone")
+	b.watchModes(time.Now())
+	c.Assert(b.is(modeAside), quicktest.IsFalse)
+}
--- a/pool/modes.go
+++ b/pool/modes.go
@@ -82,6 +82,7 @@
 	if len(c.unheard) == 0 {
 		c.takeoverStep("all-heard", now)
 	}
+	c.setMode(modeAside, len(c.aside) > 0, now, "what was aside is kept, or gone")
 	c.setMode(modeCrowded, c.crowded(), now, "connections to workers")
 	c.setMode(modeOrphans, c.coarse && len(c.unheard) > 0, now, "workers that have not answered")
 }
--- a/pool/succession.go
+++ b/pool/succession.go
@@ -48,6 +48,7 @@
 	}
 	w.token.Store(token)
 	w.needs.Store(token)
+	w.endRest() // it counts as heard once it has answered under the token
 }
 
 // tokenRefused takes it that a worker has refused a call for its token: another leader has followed, unless this one has raised it meanwhile.
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -90,7 +90,7 @@
 	// acked is the newest end that is kept; the hold loop waits for signal after it has seen ends.
 	acked  atomic.Int64
 	signal chan struct{}
-	// held counts all runs there; wake ends the rest of a hold loop once there is one.
+	// held counts all runs there; wake ends the rest of its hold loop.
 	held atomic.Int32
 	wake chan struct{}
 	// brief counts the runs there that do not last: their ends are waited for.
@@ -216,6 +216,11 @@
 	w.runs[t] = r
 	w.count(t, -1)
 	w.held.Add(1)
+	w.endRest()
+}
+
+// endRest has the worker asked at once if its hold loop rests.
+func (w *worker) endRest() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
