--- a/pool/crowded_test.go
+++ b/pool/crowded_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,8 +128,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(quicktest.New(t), nil, "w1", "w2")
 		b.Processor = 1e-6 // so that they rest for minutes
-		confirmed := time.Now()
-		b.ConfirmedAt = func() time.Time { return confirmed }
+		var confirmed atomic.Pointer[time.Time]
+		confirm := func() {
+			now := time.Now()
+			confirmed.Store(&now)
+		}
+		confirm()
+		b.ConfirmedAt = func() time.Time { return *confirmed.Load() }
 		f := &few{most: 20, open: make(map[string]bool), asked: make(map[string]int)}
 		f.calls(&b.Calls)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -150,7 +156,7 @@
 			}
 		}
 		for range 100 { // the store confirms
-			confirmed = time.Now()
+			confirm()
 			ticks(tickEvery)
 		}
 		calm := asked()
--- a/pool/keepsize_test.go
+++ b/pool/keepsize_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,9 +256,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		b := newBench(c, nil, "w1")
-		away := true
+		var away atomic.Bool
+		away.Store(true)
 		b.State.Append = func(context.Context, feed.Batch) (int64, error) {
-			if away {
+			if away.Load() {
 				return 0, errors.Join(feed.ErrUnavailable, errors.New("status 503"))
 			}
 			return 1, nil
@@ -266,7 +268,7 @@
 		b.commit()
 		time.Sleep(3 * time.Second)
 		c.Assert(b.committing, quicktest.IsTrue)
-		away = false
+		away.Store(false)
 		time.Sleep(time.Second)
 		for _, m := range b.inbox.take() {
 			m.apply(b.session)
