--- a/intake/writer.go
+++ b/intake/writer.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -116,8 +117,8 @@
 // run appends until nothing waits.
 func (w *Writer) run() {
 	for batch := w.next(nil); len(batch) > 0; batch = w.next(batch) {
-		err := w.append(batch)
-		batch = w.settle(batch, err)
+		left, err := w.append(batch)
+		batch = w.settle(left, err)
 	}
 }
 
@@ -140,7 +141,26 @@
 	return batch
 }
 
-func (w *Writer) append(batch []*entry) error {
+// append has the store take a batch, and returns what is to be tried again, with the reason. A record that the store refuses for itself is answered alone: what
+// it refuses together is sent in halves.
+func (w *Writer) append(batch []*entry) ([]*entry, error) {
+	err := w.send(batch)
+	var refused *feed.RefusedError
+	switch {
+	case err == nil:
+		return nil, nil
+	case !errors.As(err, &refused):
+		return batch, err
+	case len(batch) == 1:
+		batch[0].done <- outcome{tries: batch[0].tries, err: fmt.Errorf("%w: %w", ErrRefused, err)}
+		return nil, nil
+	}
+	first, err := w.append(batch[:len(batch)/2])
+	second, secondErr := w.append(batch[len(batch)/2:])
+	return slices.Concat(first, second), cmp.Or(err, secondErr)
+}
+
+func (w *Writer) send(batch []*entry) error {
 	limit := writeTimeout
 	w.mu.Lock()
 	if w.silent {
--- a/intake/writer_test.go
+++ b/intake/writer_test.go
@@ -198,3 +198,33 @@
 		c.Assert(*sizes, quicktest.DeepEquals, []int{1})
 	})
 }
+
+// TestARecordThatIsRefusedForItselfRefusesNoOther has ten clients hand in at once, one of them what the store never takes.
+func TestARecordThatIsRefusedForItselfRefusesNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		taken := make(map[string]bool)
+		w := &Writer{Topic: feed.Topic{Append: func(_ context.Context, b feed.Batch) (int64, error) {
+			time.Sleep(5 * time.Millisecond)
+			for _, r := range b.Records {
+				if r.Key == "3" {
+					return 0, &feed.RefusedError{Answer: "status 400"}
+				}
+			}
+			for _, r := range b.Records {
+				taken[r.Key] = true
+			}
+			return 1, nil
+		}}}
+		var all sync.WaitGroup
+		for i := range 10 {
+			all.Go(func() {
+				_, took, err := write(w, fmt.Sprint(i))
+				c.Check(errors.Is(err, ErrRefused), quicktest.Equals, i == 3, quicktest.Commentf("%d: %v", i, err))
+				c.Check(took < refuseAfter, quicktest.IsTrue, quicktest.Commentf("%d after %v", i, took))
+			})
+		}
+		all.Wait()
+		c.Assert(taken, quicktest.HasLen, 9)
+	})
+}
