standin, entry: a data centre is drained through all parts

The stand-in knows data centres and drains them; the test drains one of two under load, stops the leader and has the history forgotten meanwhile, and takes it back.

--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -397,6 +398,64 @@
 	})
 }
 
+// TestADrainedDataCentreGetsNothingUntilItIsTakenBack drains one of two data centres under load, stops the leader and has the history forgotten meanwhile, and takes it
+// back: the next leader starts nothing there, what lasts leaves as fast as it may be missed, and what begins later begins there too.
+func TestADrainedDataCentreGetsNothingUntilItIsTakenBack(t *testing.T) {
+	onFakeTime(t, func(c *quicktest.C) {
+		d := deploy(c, 3, 6, func(p *platformtest.Platform) {
+			p.ZoneOf = func(machine string) string { return map[bool]string{true: "east", false: "west"}[machine[1]%2 == 0] }
+			p.Takes = func(task string) time.Duration {
+				if strings.HasPrefix(task, "00000000000000ff") {
+					return 0
+				}
+				return 300 * time.Millisecond
+			}
+		})
+		c.Assert(d.submit(0, "00000000000000ff", step{Count: 4, Cpu: 500, MemMb: 100, Daemon: true, MayMiss: 1}), quicktest.Equals, 200)
+		jobs := 0
+		load := func(span time.Duration) {
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				jobs++
+				c.Check(d.submit(jobs%3, fmt.Sprintf("%016x", jobs), step{Count: 4, Cpu: 1000, MemMb: 100, EstimateMs: 300}), quicktest.Equals, 200)
+			}
+		}
+		began := func(zone string, from, to time.Time) (n int) {
+			for _, r := range d.platform.Runs() {
+				if r.Zone == zone && r.From.After(from) && r.From.Before(to) {
+					n++
+				}
+			}
+			return n
+		}
+		load(3 * time.Second)
+		c.Check(began("east", time.Time{}, time.Now()) > 0, quicktest.IsTrue)
+		d.platform.Drain("east", true)
+		drained := time.Now().Add(500 * time.Millisecond)
+		load(3 * time.Second)
+		d.platform.Store.Forget()
+		stopped := d.leader()
+		d.nodes[stopped].cancel()
+		<-d.nodes[stopped].ended
+		d.nodes[stopped] = d.start(stopped)
+		time.Sleep(3 * time.Second)
+		load(3 * time.Second)
+		back := time.Now()
+		c.Check(began("east", drained, back), quicktest.Equals, 0)
+		c.Check(began("west", drained, back) > 0, quicktest.IsTrue)
+		for _, r := range d.platform.Runs() {
+			c.Check(r.Zone == "east" && r.To.IsZero(), quicktest.IsFalse, quicktest.Commentf("it is not empty: %+v", r))
+		}
+		d.platform.Drain("east", false)
+		time.Sleep(time.Second)
+		load(3 * time.Second)
+		c.Check(began("east", back, time.Now()) > 0, quicktest.IsTrue)
+		for i := 1; i <= jobs; i++ {
+			d.await(i%3, fmt.Sprintf("%016x", i), "succeeded", 30*time.Second)
+		}
+		d.checkHistory()
+	})
+}
+
 func TestAForgottenHistoryIsReadFromTheNewest(t *testing.T) {
 	onFakeTime(t, func(c *quicktest.C) {
 		d := deploy(c, 2, 2, nil)
--- a/internal/standin/platformtest/platform.go
+++ b/internal/standin/platformtest/platform.go
@@ -67,6 +67,9 @@
 	// the one of the life before, as after a step of the clock.
 	Reborn bool
 
+	// ZoneOf returns the data centre of an instance; all are in one when nil.
+	ZoneOf func(machine string) string
+
 	Store Store
 
 	mu      sync.Mutex
@@ -240,6 +243,23 @@
 	p.Store.Put("keyed.op", fmt.Sprintf("wave/%d", number), b)
 }
 
+// Drain drains a data centre, or takes that back.
+func (p *Platform) Drain(zone string, on bool) {
+	var value []byte
+	if on {
+		value = []byte("{}")
+	}
+	p.Store.Put("keyed.op", "evacuate/"+zone, value)
+}
+
+// Zone returns the data centre of an instance.
+func (p *Platform) Zone(machine string) string {
+	if p.ZoneOf == nil {
+		return "z"
+	}
+	return p.ZoneOf(machine)
+}
+
 // AddWorker starts a worker on an instance of its own.
 func (p *Platform) AddWorker(machine, pool string, milliCPU, memoryMB int) *Worker {
 	return p.addWorker(nil, machine, pool, milliCPU, memoryMB)
@@ -327,7 +347,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"Service": w.Pool, "Address": w.Address, "Zone": "z", "State": state, "Machine": w.Machine, "Seq": w.seq,
+		"Service": w.Pool, "Address": w.Address, "Zone": p.Zone(w.Machine), "State": state, "Machine": w.Machine, "Seq": w.seq,
 		"Capacity": map[string]int{"Cpu": w.MilliCPU, "MemMb": w.MemoryMB}, "Labels": []string{"a", "r1-1"},
 	}
 	w.tellBirth(entry)
@@ -411,7 +431,7 @@
 		if p.down[x.Machine] {
 			state = "upkeep"
 		}
-		rows = append(rows, map[string]any{"Machine": x.Machine, "Pool": x.Pool, "State": state, "Id": x.Life})
+		rows = append(rows, map[string]any{"Machine": x.Machine, "Pool": x.Pool, "Zone": p.Zone(x.Machine), "State": state, "Id": x.Life})
 	}
 	p.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{"Machines": rows, "NextToken": nil})
--- a/internal/standin/platformtest/worker.go
+++ b/internal/standin/platformtest/worker.go
@@ -15,7 +15,9 @@
 	Task   string
 	Number int64
 	Life   string
-	From   time.Time
+	// Zone is the data centre of its instance.
+	Zone string
+	From time.Time
 	// To is zero while it runs; How is the worker's word for its end.
 	To  time.Time
 	How string
@@ -140,7 +142,7 @@
 		refuse("old")
 		return
 	}
-	x := &Run{Task: task, Number: number, Life: w.Life, From: time.Now(), saved: saved, pace: 100}
+	x := &Run{Task: task, Number: number, Life: w.Life, Zone: w.platform.Zone(w.Machine), From: time.Now(), saved: saved, pace: 100}
 	w.runs = append(w.runs, x)
 	w.platform.note(x)
 	if w.platform.Crashes != nil && w.platform.Crashes(task) > 0 {
