pool: tasks that may end their worker's life count in their pool's need

Some hundred such suspects waited to be tried apart, one by one, in a pool of two to four instances, while forty stood in the headroom: by their own work they ask for next to nothing, and each needs an instance for itself. Change: a pool needs as many instances as its suspects are to be tried on within 2 s, and those beside on which no other may be tried meanwhile.

--- a/pool/demand.go
+++ b/pool/demand.go
@@ -35,6 +35,8 @@
 	arrives = 150 * time.Millisecond
 	// clearIn is the time in which a backlog is to be worked off once the instances have arrived.
 	clearIn = time.Second
+	// suspectsIn is the time in which waiting suspects are to be tried.
+	suspectsIn = 2 * time.Second
 	// leftOfRuns is the part of their time that runs still have before them, on the average.
 	leftOfRuns = 0.5
 	// firstRun is how long runs are taken to be before any has ended, in seconds.
@@ -61,6 +63,8 @@
 	lasting, running float64
 	// waitingWork is what tasks bring that wait, in instance-seconds, waitingRoom what they take if all of them run at once.
 	waitingWork, waitingRoom float64
+	// suspects are the waiting tasks that may end their worker's life, which are tried apart.
+	suspects int
 	// able is for how long its instances will serve it, together, in the time that a move takes, in instance-seconds.
 	able float64
 }
@@ -139,7 +143,11 @@
 		each := share(place.Charge(step), whole)
 		n := 0
 		for _, t := range g.Tasks {
-			if startable(t) {
+			switch {
+			case !startable(t):
+			case t.Suspect && !step.Gang:
+				p.load.suspects++
+			default:
 				n++
 			}
 		}
@@ -187,7 +195,14 @@
 	work := l.running*p.meanRun()*leftOfRuns + l.waitingWork + rate*ahead
 	left := work - max(l.able-l.lasting*ahead, 0)
 	usable := l.running + l.waitingRoom + rate*max(1, ahead/p.meanRun())
-	return l.lasting + min(rate+max(left, 0)/clearIn.Seconds(), usable)
+	return l.lasting + l.apart() + min(rate+max(left, 0)/clearIn.Seconds(), usable)
+}
+
+// apart returns how many instances the suspects need: one for each trial, and those beside it on which no other may be tried at the same time. With no more than
+// their own work asks for, which is little, some hundred of them waited for a pool of two to four instances to try them one by one.
+func (l *load) apart() float64 {
+	trials := float64(l.suspects) * trialLeast.Seconds() / suspectsIn.Seconds()
+	return min(trials, float64(l.suspects)) / trialShare
 }
 
 // able returns how long of the time that a move takes an instance serves its pool.
--- a/pool/demand_test.go
+++ b/pool/demand_test.go
@@ -60,6 +60,7 @@
 		{"what lasts works nothing off", load{lasting: 4, running: 4, waitingWork: 20, waitingRoom: 20, able: 4 * ahead}, 0, 25, 27},
 		{"no more than the tasks could use at once", load{running: 4, waitingWork: 20, waitingRoom: 10, able: 4 * ahead}, 0, 14, 14},
 		{"of long tasks half as many instances are of use", load{waitingWork: 20, waitingRoom: 10}, 0, 10, 10},
+		{"suspects need an instance each for their trials, and others beside it", load{suspects: 100}, 0, 45, 45},
 		{"what comes in is needed for good", load{able: 10 * ahead}, 6, 6, 6},
 	} {
 		t.Run(test.name, func(t *testing.T) {
