--- a/entry/node.go
+++ b/entry/node.go
@@ -233,20 +233,15 @@
 
 // Figures of the connections to workers.
 const (
-	// filesKept of an entry's descriptors are for files, socketsKept for clients, peers and the platform: those go with the other entries, and not
-	// with what this one has.
-	filesKept   = 200
-	socketsKept = 1200
-	// workersLeast is the least for workers, however few there are.
-	workersLeast = 256
+	// filesKept of an entry's descriptors are for files, workersShare of the others for connections to workers: the rest is for clients, peers
+	// and the platform.
+	filesKept    = 200
+	workersShare = 0.7
 )
 
 // workerConnections returns how many connections to workers an entry may have open, 0 if the settings state no bound.
 func workerConnections(s *platform.Settings) int {
-	if s.Limits.MaxFiles <= 0 {
-		return 0
-	}
-	return max(s.Limits.MaxFiles-filesKept-socketsKept, workersLeast)
+	return int(workersShare * float64(max(s.Limits.MaxFiles-filesKept, 0)))
 }
 
 // partOf spreads entries over the partitions of the intake.
