--- a/pool/demand.go
+++ b/pool/demand.go
@@ -198,8 +198,8 @@
 	return l.lasting + l.apart() + min(rate+max(left, 0)/clearIn.Seconds(), usable)
 }
 
-// apart returns how many instances the suspects need: one for each trial, and those beside it on which no other may be tried at the same time. With no more than
-// their own work asks for, which is little, some hundred of them waited for a pool of two to four instances to try them one by one.
+// apart returns how many instances the suspects need: one for each trial, and those beside it on which no other may be tried at the same time. Their own work asks
+// for next to nothing, and a pool that is sized by it alone tries them one by one.
 func (l *load) apart() float64 {
 	trials := float64(l.suspects) * trialLeast.Seconds() / suspectsIn.Seconds()
 	return min(trials, float64(l.suspects)) / trialShare
