pool: store the record of a life that answers before it is listed

A life that answers a call before the list names it now has its record stored, and so gets work.

Symptom: accepted jobs never began.

Cause: a life gets work only once its record is in the store, so that the next leader looks for what runs there. The record was written when the list of workers first named a life. If a call learned of the life first, bornAgain created its row; the list then found the row in the table, and nothing ever wrote the record.

Fix: addWorker marks the record of the life to be stored, regardless of what introduced the life. This also applies when the instance of a row changes, since the stored record named the previous instance.

The new test, TestALifeThatAnswersBeforeItIsListedGetsWork, fails without the change.

--- a/pool/succession_test.go
+++ b/pool/succession_test.go
@@ -89,6 +89,25 @@
 	c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
 }
 
+// TestALifeThatAnswersBeforeItIsListedGetsWork guards against tasks that never start because the record of a life discovered through an answer,
+// before the list named it, is not stored.
+func TestALifeThatAnswersBeforeItIsListedGetsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := bornBench(c, one(1))
+		b.lists("w", 9)
+		b.reports("w@9", 50, nil)
+		b.keeps()
+		b.stranger("w@9", 4)
+		b.lists("w", 4)
+		b.reports("w@4", 3, nil)
+		c.Assert(b.ordered(), quicktest.Equals, 0, quicktest.Commentf("the record of the life is not stored yet"))
+		b.keeps()
+		c.Assert(b.ordered(), quicktest.Equals, 1)
+		c.Assert(b.task(0).Worker, quicktest.Equals, "w@4")
+	})
+}
+
 // TestAnOrderWithoutAnAnswerIsLookedForAtTheNextLife has a life end with a start under way: nothing says whether it was carried out
 // there, or will be by the next life, which it names as well.
 func TestAnOrderWithoutAnAnswerIsLookedForAtTheNextLife(t *testing.T) {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -270,9 +270,11 @@
 	}
 }
 
-// addWorker adds a life to the tables.
+// addWorker adds a life to the tables and marks its record to be stored: a life gets no work until its record is stored, whether the list, an
+// answer to a call or the records of an earlier leader introduced it.
 func (c *session) addWorker(w *worker) {
 	c.workers[w.Life] = w
+	c.lifeChanged(w.Life)
 	w.drained = c.drains[w.DataCentre] != nil
 	c.giveToken(w)
 	c.lives[w.Machine] = append(c.lives[w.Machine], w)
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -135,7 +135,6 @@
 		}
 		w = newWorker(row, c.Clock, &c.ledger)
 		c.addWorker(w)
-		c.lifeChanged(row.Life)
 		c.emit(event.WorkerSeen, event.Subject{Instance: row.Life}, "machine=%s pool=%s room=%d leaving=%t", row.Machine, row.Pool, row.Room.MilliCPU, row.Leaving)
 		return w
 	}
