pool: resend unanswered starts to the same life and hold the task while a copy may arrive late

Symptom: a task could run twice. A start got no answer, and its worker was past the start's deadline, so the task was started elsewhere. The worker then crashed, came back under the same ID, and carried out the start before it had answered any call. In addition, every task whose start lost its answer began 1.5 to 1.8 s late.

Cause: an unanswered order was considered settled by the life it was sent to. The order names only the worker's ID, and the next life under that ID knows neither the run nor a token or stop that would make it refuse the order. Nothing a life has been told outlives it.

Change: a start is sent up to three times within the 0.8 s of an order, and such an order is sent up to four times in all, to the same life, where a duplicate has no effect. While a copy may still be carried out, for at most 15 s, and only where births of workers are reported: - the task is not started elsewhere unless the next life has answered under a higher token; - an end of the task is processed but not acknowledged; - a worker that becomes silent has its token raised at once and is polled every 10 ms, and less often, down to every 100 ms, when there are more such workers. The time is stored under o/JOB, so that the next leader knows it.

Remaining: a life whose run has ended, and which has itself ended, may still be followed by a life that begins the run again; in that case the end was not acknowledged. Two crashes of one instance within the bound are not covered: the second life's answer counts for the third.

--- a/job/job.go
+++ b/job/job.go
@@ -64,6 +64,9 @@
 	// NotBefore is when the task may be started again, after a failure or a refusal; Held says that this time has not come.
 	NotBefore time.Time
 	Held      bool
+	// LateUntil is the time until which an unanswered start of the task may still be carried out by a later life of its worker; the task is not
+	// started elsewhere before then. The zero time means that no such start is outstanding.
+	LateUntil time.Time
 	// Refused counts its starts that were refused in a row, Failures the runs in a row that ended soon: of a lasting task
 	// those that failed, of any those that ended in a way that is not named.
 	Refused, Failures int
--- /dev/null
+++ b/job/late.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+package job
+
+import "time"
+
+// KeptLate is the stored form of a task's LateUntil.
+type KeptLate struct {
+	_       struct{} `cbor:",toarray"`
+	Ordinal int
+	// Until is the end of that period, in wall-clock time.
+	Until UnixMilli
+}
+
+// SetLateUntil sets LateUntil and, if it changes, increments the job's version.
+func (t *Task) SetLateUntil(until time.Time) {
+	if until.Equal(t.LateUntil) {
+		return
+	}
+	t.LateUntil = until
+	t.Job.Version++
+}
+
+// MayComeLate reports whether an unanswered start of the task may still be carried out.
+func (t *Task) MayComeLate(now time.Time) bool { return now.Before(t.LateUntil) }
+
+// KeepLate returns the tasks with starts that may still be carried out late, for storage. It converts LateUntil from the caller's clock, which reads now,
+// to wall-clock time, which is timeOfDay.
+func (j *Job) KeepLate(now, timeOfDay time.Time) []KeptLate {
+	var kept []KeptLate
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.MayComeLate(now) {
+			kept = append(kept, KeptLate{Ordinal: i, Until: UnixMilli(timeOfDay.Add(t.LateUntil.Sub(now)).UnixMilli())})
+		}
+	}
+	return kept
+}
+
+// RestoreLate sets LateUntil from the stored entries. The remaining time is capped at limit, because the clock of the process that stored them may have
+// been ahead.
+func (j *Job) RestoreLate(kept []KeptLate, now, timeOfDay time.Time, limit time.Duration) {
+	for _, k := range kept {
+		left := min(k.Until.Time().Sub(timeOfDay), limit)
+		if left > 0 && k.Ordinal >= 0 && k.Ordinal < len(j.Tasks) {
+			j.Tasks[k.Ordinal].LateUntil = now.Add(left)
+		}
+	}
+}
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"slices"
 	"strings"
 
 	"rackstep.dev/event"
@@ -34,7 +35,9 @@
 	}
 	for j := range m.versions {
 		c.backFromAside(stateKey+j.Spec.ID, now)
-		c.backFromAside(lostKey+j.Spec.ID, now)
+		for _, prefix := range sidePrefixes {
+			c.backFromAside(prefix+j.Spec.ID, now)
+		}
 	}
 	for _, life := range m.lives {
 		c.backFromAside(lifeKey+life, now)
@@ -55,7 +58,7 @@
 
 // unkeepable takes what rests on a record out of what the batch has kept.
 func (c *session) unkeepable(m *commitEnded, a keep.Aside) {
-	for _, prefix := range [...]string{stateKey, lostKey} {
+	for _, prefix := range append(sidePrefixes[:], stateKey) {
 		if id, ok := strings.CutPrefix(a.Key, prefix); ok {
 			c.jobAside(m, c.jobs[id])
 		}
@@ -89,5 +92,8 @@
 
 // jobIsAside says whether nothing more of a job may start, since it can't be kept.
 func (c *session) jobIsAside(j *job.Job) bool {
-	return len(c.aside) > 0 && (c.aside.has(stateKey+j.Spec.ID) || c.aside.has(lostKey+j.Spec.ID))
+	if len(c.aside) == 0 {
+		return false
+	}
+	return c.aside.has(stateKey+j.Spec.ID) || slices.ContainsFunc(sidePrefixes[:], func(prefix string) bool { return c.aside.has(prefix + j.Spec.ID) })
 }
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -48,9 +48,8 @@
 	records = c.keepTaken(records)
 	for _, id := range c.gone {
 		records = append(records, feed.KeyedRecord{Key: stateKey + id})
-		if c.keepsLost[id] {
-			records = append(records, feed.KeyedRecord{Key: lostKey + id})
-			delete(c.keepsLost, id)
+		for _, prefix := range sidePrefixes {
+			records = c.dropSideRecord(records, prefix+id)
 		}
 	}
 	c.gone = c.gone[:0]
@@ -83,13 +82,13 @@
 		}
 		records = append(records, feed.KeyedRecord{Key: stateKey + j.Spec.ID, Value: value})
 		size += len(stateKey) + len(j.Spec.ID) + len(value)
-		lost, err := c.keepLost(j) // before a task that may end its worker's life starts again
+		side, err := c.keepSideRecords(j) // before a task that may end its worker's life starts again
 		if err != nil {
-			c.emit(event.RecordRefused, event.Subject{Job: j.Spec.ID}, "lost runs not kept: %v", err)
+			c.emit(event.RecordRefused, event.Subject{Job: j.Spec.ID}, "side records not kept: %v", err)
 			refused = append(refused, j)
 			continue
 		}
-		for _, r := range lost {
+		for _, r := range side {
 			records = append(records, r)
 			size += len(r.Key) + len(r.Value)
 		}
@@ -98,22 +97,43 @@
 	return records
 }
 
-// keepLost returns the record of the runs of a job that were lost with their worker's life, or what drops it once none counts any more.
-func (c *session) keepLost(j *job.Job) ([]feed.KeyedRecord, error) {
-	key, lost := lostKey+j.Spec.ID, j.KeepLost()
-	switch {
-	case len(lost) > 0:
-		value, err := job.Encode(lost)
+// sidePrefixes are the key prefixes of a job's side records, which are stored separately from its state.
+var sidePrefixes = [...]string{lostKey, lateKey}
+
+// keepSideRecords returns the side records of a job: the runs that were lost with their worker's life, and the starts that may be carried out late. It
+// includes deletions of stored records that are no longer needed.
+func (c *session) keepSideRecords(j *job.Job) ([]feed.KeyedRecord, error) {
+	lost, late := j.KeepLost(), j.KeepLate(c.now(), timeOfDay())
+	var records []feed.KeyedRecord
+	for _, x := range [...]struct {
+		key   string
+		count int
+		value any
+	}{
+		{lostKey + j.Spec.ID, len(lost), lost},
+		{lateKey + j.Spec.ID, len(late), late},
+	} {
+		if x.count == 0 {
+			records = c.dropSideRecord(records, x.key)
+			continue
+		}
+		value, err := job.Encode(x.value)
 		if err != nil {
 			return nil, err
 		}
-		c.keepsLost[j.Spec.ID] = true
-		return []feed.KeyedRecord{{Key: key, Value: value}}, nil
-	case c.keepsLost[j.Spec.ID]:
-		delete(c.keepsLost, j.Spec.ID)
-		return []feed.KeyedRecord{{Key: key}}, nil
+		c.sideKeys[x.key] = true
+		records = append(records, feed.KeyedRecord{Key: x.key, Value: value})
 	}
-	return nil, nil
+	return records, nil
+}
+
+// dropSideRecord appends the deletion of the side record with the given key, if one is stored.
+func (c *session) dropSideRecord(records []feed.KeyedRecord, key string) []feed.KeyedRecord {
+	if !c.sideKeys[key] {
+		return records
+	}
+	delete(c.sideKeys, key)
+	return append(records, feed.KeyedRecord{Key: key})
 }
 
 // keptStarts parts the planned runs into those that the batch made now holds, and those whose jobs wait for the next.
@@ -200,14 +220,23 @@
 	n       int64
 	job     *job.Job // nil when no job is known
 	version int64
+	// ackAfter is the time before which the end must not be acknowledged, because a start of the task may still be carried out late. The zero time
+	// means no such delay.
+	ackAfter time.Time
+}
+
+// mayAck reports whether the end may be acknowledged, so that the worker may forget it.
+func (e unkeptEnd) mayAck(now time.Time) bool {
+	return (e.job == nil || e.job.KeptVersion >= e.version) && !now.Before(e.ackAfter)
 }
 
 // ackKept lets a worker forget its oldest ends, as far as what they changed is kept.
 func (c *session) ackKept(w *worker) {
-	n := 0
-	for n < len(w.ends) && (w.ends[n].job == nil || w.ends[n].job.KeptVersion >= w.ends[n].version) {
+	n, now := 0, c.now()
+	for n < len(w.ends) && w.ends[n].mayAck(now) {
 		n++
 	}
+	w.ackDelayed.Store(n < len(w.ends) && now.Before(w.ends[n].ackAfter))
 	if n > 0 {
 		w.ack(w.ends[n-1].n)
 		w.ends = w.ends[n:]
--- a/pool/lateorder_test.go
+++ b/pool/lateorder_test.go
@@ -42,9 +42,8 @@
 	}
 }
 
-// The story. What is left of it: a start without an answer is settled by its worker, whose clock is past its deadline; then that worker crashes, is
-// back under its ID, and carries the start out before it has answered anybody. Its task runs elsewhere by then, or is done. Nothing that a leader
-// can tell a life outlives it, so only waiting for as long as an order may be late would settle it.
+// Guards against a task that runs twice when its unanswered start passes the deadline, the worker crashes, and the next life under the worker's ID carries
+// the start out before it has answered any call. A life does not inherit the tokens and stops of the life before.
 func TestAnOrderThatTheLifeBeforeHasSettledStartsNothing(t *testing.T) {
 	for seed := range uint64(32) {
 		_, wrong := playReborn(t, seed, func(h *history) {
--- a/pool/load.go
+++ b/pool/load.go
@@ -21,6 +21,7 @@
 const (
 	stateKey = "s/"
 	lostKey  = "l/"
+	lateKey  = "o/"
 	waveKey  = "wave/"
 	// lifeKey is for lives that may have been given work; workersKey held all of them in one record in earlier versions.
 	lifeKey    = "w/"
@@ -157,6 +158,7 @@
 	clear(c.jobs)
 	kept := make(map[string]job.Kept)
 	lost := make(map[string][]job.KeptLost)
+	late := make(map[string][]job.KeptLate)
 	earlier := make(map[string]keptLife)
 	for _, r := range state.Records {
 		switch {
@@ -169,7 +171,13 @@
 			var k []job.KeptLost
 			if c.read(r, &k) {
 				lost[r.Key[len(lostKey):]] = k
-				c.keepsLost[r.Key[len(lostKey):]] = true
+				c.sideKeys[r.Key] = true
+			}
+		case strings.HasPrefix(r.Key, lateKey):
+			var k []job.KeptLate
+			if c.read(r, &k) {
+				late[r.Key[len(lateKey):]] = k
+				c.sideKeys[r.Key] = true
 			}
 		case strings.HasPrefix(r.Key, lifeKey):
 			var k keptLife
@@ -218,6 +226,7 @@
 		if k, ok := kept[id]; ok {
 			j.Restore(k, now)
 			j.RestoreLost(lost[id])
+			j.RestoreLate(late[id], now, timeOfDay(), lateMost)
 			c.restoreRuns(j, k, ended)
 			c.dirty.Drop(id)
 		}
--- a/pool/lost_test.go
+++ b/pool/lost_test.go
@@ -209,7 +209,7 @@
 	b.reports("w1", 10, nil)
 	b.lostOnce(0)
 	b.runningOn([]time.Duration{time.Minute}, "w1")
-	b.keepsLost[j.Spec.ID] = true
+	b.sideKeys[lostKey+j.Spec.ID] = true
 	b.lose(b.workers["w1"], "its address has another life")
 	c.Assert(b.task(0).Lost, quicktest.HasLen, 0)
 	c.Assert(b.task(0).Suspect, quicktest.IsFalse)
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -91,6 +91,12 @@
 		c.requeue(t)
 		return
 	}
+	c.sendStart(w, t, r, now)
+}
+
+// sendStart sends the start of a run to its worker and counts the round.
+func (c *session) sendStart(w *worker, t *job.Task, r *run, now time.Time) {
+	r.rounds++
 	r.sent, r.sentAt, r.began = true, now, now
 	w.newestAt = now
 	r.deadline = w.deadline(startValid, now)
@@ -107,10 +113,9 @@
 	row := w.Worker
 	c.startsUnderWay++
 	c.work.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
-		defer cancel()
-		a, err := c.Calls.Start(ctx, &row, o)
-		c.post(startEnded{worker: w, task: t, run: r.number, token: o.Fence, answer: a, err: err})
+		m := startEnded{worker: w, task: t, run: r.number, token: o.Fence}
+		m.answer, m.pending, m.err = c.callStart(&row, o, now)
+		c.post(m)
 	})
 }
 
@@ -121,7 +126,9 @@
 	run    int64
 	token  int64
 	answer work.Answer
-	err    error
+	// pending holds the attempts that got no answer.
+	pending pendingStarts
+	err     error
 }
 
 func (m startEnded) apply(c *session) {
@@ -131,21 +138,24 @@
 	if m.err == nil {
 		w.read(m.answer.Clock)
 	}
+	if m.pending.count > 0 {
+		w.notePending(m.pending.newest)
+	}
 	r := w.runs[t]
 	if c.workers[w.Life] != w || r == nil || r.number != m.run {
-		if errors.Is(m.err, work.ErrNotSent) || (m.err == nil && m.answer.Refusal == work.OtherLife) {
+		if errors.Is(m.err, work.ErrNotSent) || (m.err == nil && m.answer.Refusal == work.OtherLife && m.pending.count == 0) {
 			c.neverThere(t, m.run)
 		}
 		return // it has ended, or its worker has
 	}
 	now := c.now()
+	c.recordUnanswered(w, t, r, m.pending)
 	switch {
 	case errors.Is(m.err, work.ErrNotSent):
 		c.refused(w, t, "not sent")
 		w.rest(now)
 	case m.err != nil:
-		r.unanswered = r.confirmed == 0
-		c.emit(event.RunUnanswered, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d err=%q", m.run, m.err)
+		c.startUnanswered(w, t, r, m.err)
 	case m.answer.Refusal == work.Done:
 		w.rests, w.unknownJob = 0, nil
 		t.Refused = 0
@@ -153,10 +163,15 @@
 		if t.Job.State.Ended() {
 			c.stopTask(w, t, "its job has ended")
 		}
-	case m.answer.Refusal == work.Fenced && m.token < w.token.Load():
+	case m.answer.Refusal == work.Fenced && m.token < w.token.Load() && m.pending.count == 0:
 		c.refused(w, t, "its token has been raised since")
-	case m.answer.Refusal == work.Fenced:
+	case m.answer.Refusal == work.Fenced && m.token >= w.token.Load():
 		c.Lost(c.term.Fence)
+	case m.pending.count > 0:
+		c.startUnanswered(w, t, r, refusedAfterPending(m.answer.Refusal))
+		if m.answer.Refusal == work.OtherLife {
+			c.strangerAnswered(w, m.answer)
+		}
 	case m.answer.Refusal == work.OtherLife:
 		c.refused(w, t, "its address has another life") // it never was there, so that the life has not ended under it
 		c.strangerAnswered(w, m.answer)
@@ -295,8 +310,12 @@
 			continue
 		}
 		for t, r := range w.runs {
-			lost := r.unanswered && now.Sub(r.sentAt) > orderTimeout && !t.Spec().Lasting // its deadline settles what lasts
-			if (lost || t.Stopping) && r.stopped == 0 {
+			lost := r.unanswered && now.Sub(r.sentAt) > orderTimeout
+			switch {
+			case lost && w.pinned(t, r, now):
+				c.resendStart(w, t, r, now)
+			case r.stopped > 0:
+			case t.Stopping, lost && !t.Spec().Lasting: // its deadline settles what lasts
 				c.stopTask(w, t, "no answer")
 			}
 		}
--- /dev/null
+++ b/pool/pending.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"rackstep.dev/event"
+	"rackstep.dev/job"
+	"rackstep.dev/work"
+)
+
+// An unanswered start may still be carried out seconds later. It is addressed to the worker's ID: the life it was sent to refuses it or already has the
+// run, but a later life under the same ID does not know the run and begins it. Nothing can prevent this before that life has answered its first call.
+//
+// The start is therefore sent again to the same life, where duplicates have no effect. While a copy may still be carried out (see job.Task.LateUntil):
+//
+//   - the task is not started elsewhere, unless the next life has answered under a higher token and reported whether it has the run;
+//   - an end of the task is processed but not acknowledged to its worker, because the users' interface lets a task run again after an unacknowledged end;
+//   - a silent worker is polled frequently, so that its next life learns the higher token before a copy arrives.
+
+// Limits and timing of unanswered starts.
+const (
+	// lateMost is how long an unanswered order may still be carried out; the users' interface says seconds.
+	lateMost = 15 * time.Second
+	// startAttempts is the maximum number of attempts per order. The first attempt times out after startTimeout, the second after twice that, and the last
+	// one at the end of orderTimeout.
+	startAttempts = 3
+	startTimeout  = 120 * time.Millisecond
+	// startRounds is the maximum number of orders per start, including the first, for a worker that does not answer within orderTimeout.
+	startRounds = 4
+	// pendingRetry is the pause between two calls to a silent worker whose next life may carry out a copy. It grows by pendingRetryStep for each such worker, up
+	// to retryFirst, to limit the call rate of a leader.
+	pendingRetry     = 10 * time.Millisecond
+	pendingRetryStep = 2 * time.Millisecond
+)
+
+// pendingStarts records the unanswered attempts to start a run, each of which may still be carried out.
+type pendingStarts struct {
+	count int
+	// newest is the send time of the latest one.
+	newest time.Time
+}
+
+// add records an attempt that was sent at the given time.
+func (p *pendingStarts) add(at time.Time) { p.count, p.newest = p.count+1, at }
+
+// merge adds the attempts of others.
+func (p *pendingStarts) merge(others pendingStarts) {
+	p.count += others.count
+	if others.newest.After(p.newest) {
+		p.newest = others.newest
+	}
+}
+
+// removeOne removes one attempt, which is known to have been carried out.
+func (p *pendingStarts) removeOne() { p.count = max(p.count-1, 0) }
+
+// callStart sends a start repeatedly until the worker answers, startAttempts is reached or orderTimeout has passed. A duplicate has no effect on a life that
+// has or had the run. It returns the unanswered attempts as pending.
+func (c *session) callStart(row *work.Worker, o work.Start, now time.Time) (a work.Answer, pending pendingStarts, err error) {
+	end := now.Add(orderTimeout)
+	for attempt := 1; ; attempt++ {
+		timeout := end.Sub(now)
+		if attempt < startAttempts {
+			timeout = min(timeout, startTimeout<<(attempt-1))
+		}
+		a, err = c.startOnce(row, o, timeout)
+		switch {
+		case err == nil, errors.Is(err, work.ErrNotSent) && pending.count == 0:
+			return a, pending, err
+		case errors.Is(err, work.ErrNotSent):
+			return a, pending, work.ErrNoAnswer // an earlier attempt was sent
+		}
+		pending.add(now)
+		if now = c.exactNow(); attempt == startAttempts || !now.Before(end) || !c.mayOrder(now) {
+			return a, pending, err
+		}
+	}
+}
+
+// startOnce makes a single attempt with the given timeout.
+func (c *session) startOnce(row *work.Worker, o work.Start, timeout time.Duration) (work.Answer, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
+	defer cancel()
+	return c.Calls.Start(ctx, row, o)
+}
+
+// recordUnanswered records the unanswered attempts to start a run and extends the task's LateUntil accordingly.
+func (c *session) recordUnanswered(w *worker, t *job.Task, r *run, pending pendingStarts) {
+	r.pending.merge(pending)
+	if r.pending.count == 0 || w.Birth == 0 {
+		return
+	}
+	if until := r.pending.newest.Add(lateMost); until.After(t.LateUntil) {
+		c.setLateUntil(t, until)
+	}
+}
+
+// setLateUntil sets the task's LateUntil and marks the job dirty, so that the next leader learns of it.
+func (c *session) setLateUntil(t *job.Task, until time.Time) {
+	t.SetLateUntil(until)
+	c.dirty.Add(t.Job.Spec.ID, t.Job)
+}
+
+// clearLate clears the task's LateUntil once no start of it can be carried out late.
+func (c *session) clearLate(t *job.Task) {
+	if !t.LateUntil.IsZero() {
+		c.setLateUntil(t, time.Time{})
+	}
+}
+
+// startUnanswered handles a start that may have been carried out or may still be.
+func (c *session) startUnanswered(w *worker, t *job.Task, r *run, err error) {
+	r.unanswered = r.confirmed == 0
+	c.emit(event.RunUnanswered, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d attempts=%d err=%q", r.number, r.pending.count, err)
+	if !r.unanswered {
+		c.attemptCarriedOut(t, r)
+	}
+}
+
+// attemptCarriedOut handles the discovery of a run whose start was not answered: one of its attempts has been carried out.
+func (c *session) attemptCarriedOut(t *job.Task, r *run) {
+	r.pending.removeOne()
+	if r.pending.count == 0 {
+		c.clearLate(t)
+	}
+}
+
+// refusedAfterPending returns the error for a refusal that follows an unanswered attempt, which may still be carried out.
+func refusedAfterPending(why work.Refusal) error {
+	return fmt.Errorf("%w; a later attempt was refused: %v", work.ErrNoAnswer, why)
+}
+
+// pinned reports whether an unanswered run must stay assigned to its worker regardless of the worker's reports, since its task must not start elsewhere.
+func (w *worker) pinned(t *job.Task, r *run, now time.Time) bool {
+	return w.Birth != 0 && r.unanswered && !t.Stopping && !t.Job.State.Ended() && t.MayComeLate(now)
+}
+
+// resendStart sends an unanswered start again, up to startRounds.
+func (c *session) resendStart(w *worker, t *job.Task, r *run, now time.Time) {
+	if r.rounds < startRounds && w.usable(now) && c.mayOrder(now) {
+		c.sendStart(w, t, r, now)
+	}
+}
+
+// ackAfter returns the time before which an end must not be acknowledged, or the zero time if the end only has to be stored first.
+func (c *session) ackAfter(w *worker, e work.End, now time.Time) time.Time {
+	t := c.task(e.Task)
+	if t == nil || w.Birth == 0 || !t.MayComeLate(now) {
+		return time.Time{}
+	}
+	return t.LateUntil
+}
+
+// notePending records an unanswered start that was sent at the given time.
+func (w *worker) notePending(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at.After(w.pendingAt) {
+		w.pendingAt = at
+	}
+}
+
+// hasPendingStarts reports whether the next life under the worker's ID may begin a run because of an unanswered start.
+func (w *worker) hasPendingStarts(now time.Time) bool {
+	if w.Birth == 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.pendingAt.IsZero() && now.Sub(w.pendingAt) < lateMost
+}
+
+// retryPause returns the pause after a failed hold. It is shorter than usual while the worker's next life may receive a late order.
+func (c *session) retryPause(w *worker, usual time.Duration, heard time.Time) time.Duration {
+	now := c.exactNow()
+	switch {
+	case w.Birth == 0:
+		return usual
+	case w.hasPendingStarts(now):
+		return min(pendingRetry+pendingRetryStep*time.Duration(c.silentPending.Load()), retryFirst)
+	case now.Sub(heard) < bornWithin:
+		return retryFirst // a new life must learn the token before a late order arrives
+	}
+	return usual
+}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -289,7 +289,7 @@
 func holdBack(tasks []*job.Task, now time.Time) int {
 	held := 0
 	for _, t := range tasks {
-		t.Held = now.Before(t.NotBefore)
+		t.Held = now.Before(t.NotBefore) || t.MayComeLate(now)
 		if t.Held {
 			held++
 		}
--- a/pool/report.go
+++ b/pool/report.go
@@ -62,6 +62,10 @@
 	}
 	w.silentSince = now
 	w.brokeAt = at
+	if w.hasPendingStarts(now) {
+		c.silentPending.Add(1)
+		c.raise(w) // so that the next life to answer sees a token above those of pending starts
+	}
 	c.emit(event.WorkerSilent, event.Subject{Instance: w.Life}, "machine=%s runs=%d leased=%v err=%q", w.Machine, len(w.runs), w.leasedFor(now), err)
 }
 
@@ -80,9 +84,10 @@
 		if c.mayBeUnread(e.Task, now) {
 			break // it is told again, until it is acknowledged
 		}
+		ackAfter := c.ackAfter(w, e, now)
 		c.endRun(w, e, now)
 		w.processed = e.N
-		w.ends = append(w.ends, c.unkeptEnd(e))
+		w.ends = append(w.ends, c.unkeptEnd(e, ackAfter))
 	}
 	c.ackKept(w)
 	w.unread, w.unknown = 0, 0
@@ -121,12 +126,12 @@
 }
 
 // unkeptEnd returns what must be kept before the worker may forget the end.
-func (c *session) unkeptEnd(e work.End) unkeptEnd {
+func (c *session) unkeptEnd(e work.End, ackAfter time.Time) unkeptEnd {
 	t := c.task(e.Task)
 	if t == nil {
 		return unkeptEnd{n: e.N}
 	}
-	return unkeptEnd{n: e.N, job: t.Job, version: t.Job.Version}
+	return unkeptEnd{n: e.N, job: t.Job, version: t.Job.Version, ackAfter: ackAfter}
 }
 
 // task returns the task that a worker names, or nil when no such task is known.
@@ -220,8 +225,14 @@
 // confirm notes that the worker has the run.
 func (c *session) confirm(w *worker, t *job.Task, r *run, clock work.Clock) {
 	r.confirmed = max(r.confirmed, clock)
-	if r.handedOn {
-		c.neverThere(t, r.number) // the life before has ended without it
+	switch {
+	case r.handedOn:
+		c.clearLate(t) // the life answered under a token above those of all attempts
+		if !r.confirmedBefore {
+			c.neverThere(t, r.number) // the life before has ended without it
+		}
+	case r.unanswered:
+		c.attemptCarriedOut(t, r)
 	}
 	r.unanswered, r.earlier, r.handedOn, r.sent = false, false, false, true
 	if t.Phase == job.Starting {
@@ -236,9 +247,12 @@
 	case r.confirmed > 0 && rep.Clock > r.confirmed && len(rep.Ended) < endsPage:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
 	case r.handedOn:
+		c.clearLate(t)
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d of the life before is not there", r.number)
 	case r.earlier:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d of an earlier leader is not there", r.number)
+	case w.pinned(t, r, c.now()):
+		return
 	case r.unanswered && rep.Clock > r.deadline:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Life}, "run=%d never began: its deadline has passed", r.number)
 	case r.unanswered && r.stopped > 0 && rep.Clock > r.stopped+work.Clock(c.Bounds().Stop.Milliseconds()):
--- a/pool/session.go
+++ b/pool/session.go
@@ -147,8 +147,10 @@
 	began        time.Time
 	lessons      map[string]*lesson
 	lessonsAt    time.Time // when what is learned was last kept
-	// keepsLost are the jobs of which lost runs are kept.
-	keepsLost map[string]bool
+	// sideKeys is the set of keys of the stored side records of jobs.
+	sideKeys map[string]bool
+	// silentPending counts the silent workers whose next lives may begin a run because of an unanswered start.
+	silentPending atomic.Int32
 	// trials are the workers on which a suspect is tried.
 	trials map[*worker]bool
 	// fenced are the instances for which this leader has called, so that no call of an earlier one can be carried out there any
@@ -167,7 +169,7 @@
 		keepsOf: make(map[job.Owned]uint64), cancelled: make(map[job.Owned]bool), taken: make(map[job.Owned]*takenID),
 		unheard: make(map[string]*worker), steps: make(map[string]bool), workersKept: make(map[string]bool), waveRows: make(map[int64]*waveRow), drains: make(drains), firstHolds: newGate(),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
-		moves: make(map[string]*moveStep), keepsLost: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
+		moves: make(map[string]*moveStep), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), lessons: make(map[string]*lesson), unmovable: make(map[string]time.Time), ownWord: make(map[string]time.Time),
 	}
 	c.aside = make(asideRecords)
 	c.writer = c.newWriter()
@@ -308,7 +310,9 @@
 			delete(c.jobs, id)
 			delete(c.restored, id)
 			delete(c.aside, stateKey+id)
-			delete(c.aside, lostKey+id)
+			for _, prefix := range sidePrefixes {
+				delete(c.aside, prefix+id)
+			}
 			c.gone = append(c.gone, id)
 			c.forgetTickets(j)
 			name := j.Spec.Owner()
--- a/pool/succession.go
+++ b/pool/succession.go
@@ -73,6 +73,7 @@
 // strangerAnswered takes it that another life than the row's has answered a call: the row's is over.
 func (c *session) strangerAnswered(w *worker, a work.Answer) {
 	if a.Birth == 0 {
+		w.idRetired = true
 		c.lose(w, "its address has another life") // its ID is over as well
 		return
 	}
@@ -124,12 +125,10 @@
 	return r.mayRun() && (r.confirmed == 0 || w.Birth == 0)
 }
 
-// lateMost is how long an order without an answer may still be carried out; the users' interface says seconds.
-const lateMost = 15 * time.Second
-
 // mayComeLate says whether a run's order may still be carried out by a life that begins anew.
-func (w *worker) mayComeLate(r *run, now time.Time) bool {
-	return w.Birth != 0 && w.unsettled(r) && !r.began.IsZero() && now.Sub(r.began) < lateMost
+func (w *worker) mayComeLate(t *job.Task, r *run, now time.Time) bool {
+	underWay := w.unsettled(r) && !r.began.IsZero() && now.Sub(r.began) < lateMost
+	return w.Birth != 0 && (underWay || t.MayComeLate(now))
 }
 
 // handOn moves a run to the row of the next life; that one's next report settles it.
@@ -138,7 +137,10 @@
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
 	t.Job.Version++
 	c.dirty.Add(t.Job.Spec.ID, t.Job)
-	c.addRun(heir, t, &run{number: r.number, sent: true, earlier: true, handedOn: true, began: r.began, sentAt: r.sentAt, ticket: r.ticket, pace: fullPercent})
+	c.addRun(heir, t, &run{
+		number: r.number, sent: true, earlier: true, handedOn: true, confirmedBefore: r.confirmedBefore || r.confirmed > 0,
+		began: r.began, sentAt: r.sentAt, pending: r.pending, ticket: r.ticket, pace: fullPercent,
+	})
 }
 
 // restoredOn returns the row on which an earlier leader's run may be, nil if there is none; over says that the life which is named in the record has ended.
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -79,6 +79,8 @@
 	// asked under to count.
 	token *atomic.Int64
 	needs atomic.Int64
+	// idRetired says that no later life will use its ID.
+	idRetired bool
 	// heir is the life that has followed under its ID, nil while it is not known to be over.
 	heir *worker
 	// unread counts the runs it lists whose jobs may still be read.
@@ -98,8 +100,13 @@
 	// mixed says that filling tasks run beside serving ones, whose figures must be read often.
 	mixed atomic.Bool
 
+	// ackDelayed says that the acknowledgement of an end is delayed until no start of its task can be carried out late.
+	ackDelayed atomic.Bool
+
 	mu    sync.Mutex
 	lease work.Lease
+	// pendingAt is the send time of the latest unanswered start.
+	pendingAt time.Time
 }
 
 // run is what the tables know of a task's run on a worker.
@@ -111,13 +118,17 @@
 	deadline work.Clock
 	// sent says that the order has left; earlier that an earlier leader ordered the run, or meant to.
 	sent, earlier bool
-	// handedOn says that it was ordered under the life before, which never said that it had it.
+	// handedOn says that it was ordered under the life before, which has ended; the next report of this one tells whether it has the run.
 	handedOn bool
-	ticket   string
+	// confirmedBefore says of a run that was handed on that an earlier life had confirmed it.
+	confirmedBefore bool
+	ticket          string
 	// slack is what the job had left to be on time when the run was planned; it is for the log.
 	slack time.Duration
-	// unanswered says that the start got no answer.
+	// unanswered says that the start got no answer; pending holds its unanswered attempts, and rounds counts its orders, including the first.
 	unanswered bool
+	pending    pendingStarts
+	rounds     int
 	// stopSent says that a stop is on its way or was answered; stopped is the worker's clock of that answer.
 	stopSent bool
 	// began is when the order left, zero for a run of an earlier leader.
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -32,6 +32,8 @@
 	// ackWait is how long the next hold waits for the ends of the last one to be kept; without the store holds go on
 	// at this pace, since a worker answers at once while it lists ends.
 	ackWait = 600 * time.Millisecond
+	// ackDelayedWait replaces ackWait while the acknowledgement of an end is delayed, so that other ends are received in time.
+	ackDelayedWait = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a hold that failed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
@@ -183,6 +185,7 @@
 func (c *session) endOtherLives(w *worker) {
 	for _, o := range slices.Clone(c.lives[w.Machine]) {
 		if o != w && o.Machine != "" && o.ID != w.ID && o.since.Before(w.asked) {
+			o.idRetired = true
 			c.lose(o, "the instance has a new life "+w.Life)
 		}
 	}
@@ -274,10 +277,8 @@
 		c.post(holdEnded{worker: w, token: o.Fence, asked: now, wait: o.Wait, report: rep, err: err, failedAt: c.now()})
 		silent = err != nil
 		if err != nil || rep.Refusal != work.Done {
-			sleep(ctx, pause)
-			if pause = min(2*pause, retryMost); row.Birth != 0 && c.exactNow().Sub(heard) < bornWithin {
-				pause = retryFirst // a life that begins anew is to know the token before an order comes late
-			}
+			sleep(ctx, c.retryPause(w, pause, heard))
+			pause = min(2*pause, retryMost)
 			continue
 		}
 		heard = now
@@ -296,7 +297,11 @@
 	for _, e := range ends {
 		newest = max(newest, e.N)
 	}
-	t := time.NewTimer(ackWait)
+	wait := ackWait
+	if w.ackDelayed.Load() {
+		wait = ackDelayedWait
+	}
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	for w.acked.Load() < newest {
 		select {
@@ -315,7 +320,7 @@
 	c.countRaised(now)
 	c.tellOfEarlier(now)
 	silent := false
-	workers, runs := 0, 0
+	workers, runs, pending := 0, 0, int32(0)
 	for _, w := range c.workers {
 		if w.lost != "" && c.confirmed(now) {
 			c.lose(w, w.lost)
@@ -327,11 +332,15 @@
 		silent = silent || now.Sub(w.silentSince) > silentAfter
 		workers++
 		runs += len(w.runs)
+		if w.hasPendingStarts(now) {
+			pending++
+		}
 		if c.confirmed(now) && c.leaseOver(w, now) {
 			c.endLease(w, now)
 		}
 	}
 	c.counts.misread.Update(float64(len(c.foreign.entries)))
+	c.silentPending.Store(pending)
 	c.counts.silent.Update(float64(workers))
 	c.counts.doubted.Update(float64(runs))
 	c.endDoubts(now)
@@ -382,8 +391,8 @@
 // An order without an answer is not settled by that: a life that begins anew may carry it out, and its clock knows nothing of the order's deadline.
 func (c *session) endLease(w *worker, now time.Time) {
 	late := 0
-	for _, r := range w.runs {
-		if w.mayComeLate(r, now) {
+	for t, r := range w.runs {
+		if w.mayComeLate(t, r, now) {
 			late++
 		}
 	}
@@ -393,7 +402,7 @@
 	}
 	if over := len(w.runs) - late; over > 0 {
 		c.emit(event.WorkerLost, event.Subject{Instance: w.Life}, "its lease is over runs=%d late=%d", over, late)
-		c.giveUpRuns(w, func(r *run) bool { return !w.mayComeLate(r, now) })
+		c.giveUpRuns(w, func(t *job.Task, r *run) bool { return !w.mayComeLate(t, r, now) })
 	}
 }
 
@@ -417,7 +426,7 @@
 	if c.over[w.Life] && (w.heir == nil || w.Birth != 0) { // else it may be the very life that goes on
 		c.endedUnder(w, c.now())
 	}
-	c.giveUpRuns(w, func(*run) bool { return true })
+	c.giveUpRuns(w, func(*job.Task, *run) bool { return true })
 	if w.cancel != nil {
 		w.cancel()
 	}
@@ -434,16 +443,19 @@
 // note of before, by endedUnder: a lease that is over tells nothing.
 //
 // What the life never said that it had may be at the one that bears its ID now: the order named that ID, and may be carried out late.
-func (c *session) giveUpRuns(w *worker, which func(r *run) bool) {
-	heir := c.heirOf(w)
+func (c *session) giveUpRuns(w *worker, which func(t *job.Task, r *run) bool) {
+	heir, now := c.heirOf(w), c.now()
 	for t, r := range w.runs {
-		if !which(r) {
+		if !which(t, r) {
 			continue
 		}
+		if w.idRetired {
+			c.clearLate(t)
+		}
 		w.drop(t)
 		switch {
 		case t.Run != r.number:
-		case heir != nil && w.unsettled(r) && t.Phase != job.Finished && !t.Job.State.Ended():
+		case heir != nil && (w.unsettled(r) || t.MayComeLate(now)) && t.Phase != job.Finished && !t.Job.State.Ended():
 			c.handOn(heir, t, r)
 		default:
 			c.requeue(t)
@@ -508,6 +520,7 @@
 	x, ok := c.machines[w.Machine]
 	switch {
 	case ok && (x.ID != w.ID || x.Pool != w.Pool):
+		w.idRetired = x.ID != w.ID
 		c.lose(w, "the machine interface knows its instance by another life")
 	case ok:
 		w.unnamed = 0
