pool: revert: brief leases for short tasks

Cause, traced for one of them: the worker is down for some 3 s after the crash, the lease of 3 s is over first, the run is given up, and when the next life answers nothing of the run is left on the row, so that the crash is not counted. Longer leases outlast the time until the crash is told.

--- a/pool/aside.go
+++ b/pool/aside.go
@@ -39,8 +39,8 @@
 			c.backFromAside(prefix+j.Spec.ID, now)
 		}
 	}
-	for _, l := range m.lives {
-		c.backFromAside(lifeKey+l.life, now)
+	for _, life := range m.lives {
+		c.backFromAside(lifeKey+life, now)
 	}
 	for n := range m.waves {
 		c.backFromAside(waveKeyOf(n), now)
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -23,7 +23,7 @@
 // commitEnded tells what is kept now.
 type commitEnded struct {
 	versions map[*job.Job]int64
-	lives    []batchedLife // those that may be given work
+	lives    []string      // those that may be given work
 	waves    map[int64]int // the versions of what is kept of them
 	starts   []plannedStart
 	// aside are the records that the store surely never takes; the call's goroutine sets them before answeredAt.
@@ -37,7 +37,7 @@
 	if c.committing {
 		return
 	}
-	if c.dirty.Empty() && len(c.gone) == 0 && !c.takenDirty && len(c.takenGone) == 0 && c.livesDirty.Empty() && !c.leasesDirty && !c.wavesDirty() {
+	if c.dirty.Empty() && len(c.gone) == 0 && !c.takenDirty && len(c.takenGone) == 0 && c.livesDirty.Empty() && !c.wavesDirty() {
 		return
 	}
 	done := &commitEnded{versions: make(map[*job.Job]int64), waves: make(map[int64]int)}
--- a/pool/keeplives.go
+++ b/pool/keeplives.go
@@ -14,8 +14,6 @@
 	Machine string `cbor:"1,keyasint,omitempty"`
 	Pool    string `cbor:"2,keyasint,omitempty"`
 	Address string `cbor:"3,keyasint,omitempty"`
-	// LongLease reports whether runs of this life may be leased for as long as workers allow.
-	LongLease bool `cbor:"4,keyasint,omitempty"`
 }
 
 // keptWorker is the same in the one record of all lives that earlier versions wrote.
@@ -30,7 +28,7 @@
 // keepLives adds the records of the lives that may be given work and drops those that have left, as far as the batch has room.
 func (c *session) keepLives(done *commitEnded, records []feed.KeyedRecord) []feed.KeyedRecord {
 	if c.livesDirty.Empty() {
-		return c.keepLeases(records)
+		return records
 	}
 	if count, err := job.Encode(max(c.sure, c.instances(len(c.lives)))); err != nil {
 		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "number of instances not kept: %v", err)
@@ -50,10 +48,9 @@
 		records = append(records, r)
 		size += len(r.Key) + len(r.Value)
 		if len(r.Value) > 0 {
-			done.lives = append(done.lives, batchedLife{life: life, longLease: c.workers[life].needsLongLease})
+			done.lives = append(done.lives, life)
 		}
 	}
-	records = c.keepLeases(records)
 	if c.oneRecord && c.livesDirty.Empty() { // all that it held stands in rows now
 		records = append(records, feed.KeyedRecord{Key: workersKey})
 		c.oneRecord = false
@@ -67,7 +64,7 @@
 	if w == nil {
 		return feed.KeyedRecord{Key: lifeKey + life}, true
 	}
-	value, err := job.Encode(keptLife{Machine: w.Machine, Pool: w.Pool, Address: w.Address, LongLease: w.needsLongLease})
+	value, err := job.Encode(keptLife{Machine: w.Machine, Pool: w.Pool, Address: w.Address})
 	if err != nil {
 		c.emit(event.RecordRefused, event.Subject{Instance: life}, "worker not kept: %v", err)
 		return feed.KeyedRecord{}, false
@@ -76,26 +73,15 @@
 }
 
 // keptLives lets the lives be given work that are kept; one that has left the tables meanwhile is kept anew if it comes back.
-func (c *session) keptLives(lives []batchedLife) {
-	for _, l := range lives {
-		w := c.workers[l.life]
-		if w == nil || c.aside.has(lifeKey+l.life) {
-			continue
-		}
-		c.workersKept[l.life] = true
-		if l.longLease {
-			w.longLeaseAllowed.Store(true)
+func (c *session) keptLives(lives []string) {
+	for _, life := range lives {
+		if w := c.workers[life]; w != nil && !c.aside.has(lifeKey+life) {
+			c.workersKept[life] = true
+			c.dirtyPool(w.Pool)
 		}
-		c.dirtyPool(w.Pool)
 	}
 }
 
-// batchedLife is a life whose record is part of a batch; longLease is the value of LongLease in that record.
-type batchedLife struct {
-	life      string
-	longLease bool
-}
-
 // restoreLives puts the lives into the tables that an earlier leader may have given work, whatever the list says of them.
 func (c *session) restoreLives(earlier map[string]keptLife) {
 	for life, k := range earlier {
--- a/pool/load.go
+++ b/pool/load.go
@@ -22,9 +22,7 @@
 	stateKey = "s/"
 	lostKey  = "l/"
 	lateKey  = "o/"
-	// leasesKey holds the latest term whose leader has stored which lives may have long leases.
-	leasesKey = "leases"
-	waveKey   = "wave/"
+	waveKey  = "wave/"
 	// lifeKey is for lives that may have been given work; workersKey held all of them in one record in earlier versions.
 	lifeKey    = "w/"
 	workersKey = "workers"
@@ -162,7 +160,6 @@
 	lost := make(map[string][]job.KeptLost)
 	late := make(map[string][]job.KeptLate)
 	earlier := make(map[string]keptLife)
-	var leases keptLeases
 	for _, r := range state.Records {
 		switch {
 		case strings.HasPrefix(r.Key, stateKey):
@@ -193,8 +190,6 @@
 			for _, k := range all {
 				earlier[k.Life] = keptLife{Machine: k.Machine, Pool: k.Pool, Address: k.Address}
 			}
-		case r.Key == leasesKey:
-			c.read(r, &leases)
 		case r.Key == instancesKey:
 			c.read(r, &c.keptInstances)
 		case strings.HasPrefix(r.Key, waveKey):
@@ -217,7 +212,6 @@
 		c.listWorker(r.Key, r.Value)
 	}
 	c.restoreLives(earlier)
-	c.restoreLeases(leases, earlier)
 	for _, w := range c.workers {
 		w.before = true
 	}
--- a/pool/session.go
+++ b/pool/session.go
@@ -59,8 +59,6 @@
 	dirty      keep.Rows[*job.Job]
 	livesDirty keep.Rows[struct{}]
 	oneRecord  bool
-	// leasesDirty reports whether the record of this term's leases still has to be written.
-	leasesDirty bool
 	// writer appends what is to be kept; it belongs to the call that is on its way.
 	writer *keep.Writer
 	// aside are the records that the store never takes.
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -36,9 +36,6 @@
 	listed bool
 	// before says that it was known when the tables were read, so that the earlier leader may have counted and leased it.
 	before bool
-	// needsLongLease says that it has or had lasting tasks, or may have a long lease of an earlier leader; its record must then allow long leases.
-	// longLeaseBefore says that an earlier leader may have given a long lease here.
-	needsLongLease, longLeaseBefore bool
 	// misread says that its entry in the list can't be read: it gets no starts, and what runs there goes on.
 	misread bool
 	// sure says that it was listed when the store last confirmed the lead.
@@ -100,8 +97,6 @@
 	wake chan struct{}
 	// brief counts the runs there that do not last: their ends are waited for.
 	brief atomic.Int32
-	// longLeaseAllowed says that long leases may be given here, because the stored record tells the next leader of them.
-	longLeaseAllowed atomic.Bool
 	// mixed says that filling tasks run beside serving ones, whose figures must be read often.
 	mixed atomic.Bool
 
