pool: the hold loop reads a worker's birth from its own copy

retryPause, which the hold loop calls, read the row's Birth, and so did hasPendingStarts; the row belongs to the control goroutine, which replaces it when the list tells of the worker anew. Found by reading; the race detector has not shown it. The birth is passed in, and starts are recorded as pending only for workers whose ID another life may bear.

--- a/pool/pending.go
+++ b/pool/pending.go
@@ -93,11 +93,14 @@
 }
 
 func (m attemptUnanswered) apply(c *session) {
-	m.worker.notePending(m.sentAt)
 	if r := c.runOf(m.task, m.run); r != nil {
 		r.pending.add(m.sentAt)
 	}
-	if until := m.sentAt.Add(lateMost); m.worker.Birth != 0 && until.After(m.task.LateUntil) {
+	if m.worker.Birth == 0 {
+		return // no other life bears its ID
+	}
+	m.worker.notePending(m.sentAt)
+	if until := m.sentAt.Add(lateMost); until.After(m.task.LateUntil) {
 		c.setLateUntil(m.task, until)
 	}
 }
@@ -179,7 +182,7 @@
 	return t.LateUntil
 }
 
-// notePending records an unanswered start that was sent at the given time.
+// notePending records an unanswered start that was sent at the given time to a worker whose ID another life may bear later.
 func (w *worker) notePending(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -190,19 +193,17 @@
 
 // hasPendingStarts reports whether the next life under the worker's ID may begin a run because of an unanswered start.
 func (w *worker) hasPendingStarts(now time.Time) bool {
-	if w.Birth == 0 {
-		return false
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return !w.pendingAt.IsZero() && now.Sub(w.pendingAt) < lateMost
 }
 
-// retryPause returns the pause after a failed hold. It is shorter than usual while the worker's next life may receive a late order.
-func (c *session) retryPause(w *worker, usual time.Duration, heard time.Time) time.Duration {
+// retryPause returns the pause after a failed hold. It is shorter than usual while the worker's next life may receive a late order. The hold loop calls it,
+// so the worker's birth is passed in: its row belongs to the control goroutine.
+func (c *session) retryPause(w *worker, birth work.Birth, usual time.Duration, heard time.Time) time.Duration {
 	now := c.exactNow()
 	switch {
-	case w.Birth == 0:
+	case birth == 0:
 		return usual
 	case w.hasPendingStarts(now):
 		return min(pendingRetry+pendingRetryStep*time.Duration(c.silentPending.Load()), retryFirst)
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -277,7 +277,7 @@
 		c.post(holdEnded{worker: w, token: o.Fence, asked: now, wait: o.Wait, report: rep, err: err, failedAt: c.now()})
 		silent = err != nil
 		if err != nil || rep.Refusal != work.Done {
-			sleep(ctx, c.retryPause(w, pause, heard))
+			sleep(ctx, c.retryPause(w, row.Birth, pause, heard))
 			pause = min(2*pause, retryMost)
 			continue
 		}
