pool: whoever decides on a task knows which of its starts may still be carried out

Callers saw a task run twice, or start again after its end had been acknowledged, when a start got no answer and its worker crashed and came back under its ID before the start was carried out.

Cause: what may still be carried out was cleared by evidence about something else. A new leader took a stored run that its worker did not list for one that never began, although its leader may have been lost before it recorded that the start got no answer. A suspect started elsewhere as soon as one incarnation did not list its run, although a later one could still carry a copy out. Copies were sent before the next leader would know of them, so that a stored run did not say how often it had been ordered.

Change: each run counts the attempts that got no answer, and each piece of evidence closes one of them. While one is open the task stays with the worker's ID; a suspect waits. A copy is sent once the store has the record that covers it. A stored run that is not settled counts as ordered once; settled runs are stored with their job, or after 1 s. A run whose attempt is refused while others are open keeps its worker.

Why it works: a run is stored before its first start and LateUntil before each further one, so the next leader's count is never too low; and nothing closes more attempts than it proves carried out.

Tests: TestALateStartAmongCrashesAndTakeoversStartsNothing fails without the change. Two checks stated the fault and are replaced by stricter ones: a suspect is not free at the second incarnation's answer, but waits for the bound (TestARunWhoseStartMayComeLateIsLookedForAtTheNextIncarnation); a late start of an earlier leader does not wait, but is sent to the same worker alone, under the same number, and nowhere else within the bound (TestTheNextLeaderKnowsOfStartsThatMayComeLate). The number of attempts is 8 instead of 12, since each is stored first.

--- a/job/late.go
+++ b/job/late.go
@@ -25,12 +25,12 @@
 func (t *Task) MayComeLate(now time.Time) bool { return now.Before(t.LateUntil) }
 
 // StoredLate returns, for storage, the tasks with starts that may still be carried out late. It converts LateUntil
-// from the caller's clock, which reads now, to wall-clock time, which is timeOfDay.
-func (j *Job) StoredLate(now, timeOfDay time.Time) []StoredLate {
+// from the caller's clock, which reads now, to wall-clock time, which is timeOfDay, and adds the margin.
+func (j *Job) StoredLate(now, timeOfDay time.Time, margin time.Duration) []StoredLate {
 	var kept []StoredLate
 	for i := range j.Tasks {
 		if t := &j.Tasks[i]; t.MayComeLate(now) {
-			kept = append(kept, StoredLate{Ordinal: i, Until: UnixMilli(timeOfDay.Add(t.LateUntil.Sub(now)).UnixMilli())})
+			kept = append(kept, StoredLate{Ordinal: i, Until: UnixMilli(timeOfDay.Add(t.LateUntil.Sub(now) + margin).UnixMilli())})
 		}
 	}
 	return kept
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -98,12 +98,12 @@
 }
 
 // sidePrefixes are the key prefixes of a job's side records, which are stored separately from its state.
-var sidePrefixes = [...]string{lostKey, lateKey}
+var sidePrefixes = [...]string{lostKey, lateKey, settledKey}
 
-// encodeSideRecords returns the side records of a job: the runs that were lost with their worker's incarnation, and the starts that may be carried out late. It
-// includes deletions of stored records that are no longer needed.
+// encodeSideRecords returns the side records of a job: the runs that were lost with their worker's incarnation, the starts that may be carried out late, and the
+// runs whose starts can't be. It includes deletions of stored records that are no longer needed.
 func (c *session) encodeSideRecords(j *job.Job) ([]feed.KeyedRecord, error) {
-	lost, late := j.StoredLost(), j.StoredLate(c.now(), wallClock())
+	lost, late := j.StoredLost(), j.StoredLate(c.now(), wallClock(), lateMargin)
 	var records []feed.KeyedRecord
 	for _, x := range [...]struct {
 		key   string
@@ -124,7 +124,37 @@
 		c.sideKeys[x.key] = true
 		records = append(records, feed.KeyedRecord{Key: x.key, Value: value})
 	}
-	return records, nil
+	return c.appendSettled(j, records)
+}
+
+// appendSettled appends the record of the job's settled runs if one of them is not in the stored record. Runs that have ended stay in it until then, since no
+// other run has their number.
+func (c *session) appendSettled(j *job.Job, records []feed.KeyedRecord) ([]feed.KeyedRecord, error) {
+	var settled []*run
+	var numbers []int64
+	changed := false
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		w := c.workers[t.Worker]
+		if w == nil || w.runs[t] == nil || !w.settled(t, w.runs[t], c.now()) {
+			continue
+		}
+		r := w.runs[t]
+		changed = changed || !r.settledStored
+		settled, numbers = append(settled, r), append(numbers, r.number)
+	}
+	if !changed {
+		return records, nil
+	}
+	value, err := job.Encode(numbers)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range settled {
+		r.settledStored = true
+	}
+	c.sideKeys[settledKey+j.Spec.ID] = true
+	return append(records, feed.KeyedRecord{Key: settledKey + j.Spec.ID, Value: value}), nil
 }
 
 // dropSideRecord appends the deletion of the side record with the given key, if one is stored.
@@ -210,6 +240,7 @@
 	c.markIncarnationsStored(m.incarnations)
 	c.storedStarts = append(c.storedStarts, m.starts...)
 	c.sendStored(c.now())
+	c.sendResends(c.now())
 	for n, version := range m.waves {
 		c.waveStored(n, version)
 	}
--- a/pool/encoding_test.go
+++ b/pool/encoding_test.go
@@ -29,6 +29,6 @@
 // The keys of what a leader keeps are read by leaders of other versions.
 func TestStoredKeysStay(t *testing.T) {
 	c := quicktest.New(t)
-	c.Check([]string{stateKey, lostKey, lateKey, waveKey, incarnationKey, workersKey, instancesKey, statsKey, idConflictKey}, quicktest.DeepEquals,
-		[]string{"s/", "l/", "o/", "wave/", "w/", "workers", "instances", "lessons", "t/"})
+	c.Check([]string{stateKey, lostKey, lateKey, settledKey, waveKey, incarnationKey, workersKey, instancesKey, statsKey, idConflictKey}, quicktest.DeepEquals,
+		[]string{"s/", "l/", "o/", "r/", "wave/", "w/", "workers", "instances", "lessons", "t/"})
 }
--- a/pool/incarnations.go
+++ b/pool/incarnations.go
@@ -134,9 +134,15 @@
 }
 
 // mayStartLate reports whether a run's order may still be carried out by a restarted worker.
-func (w *worker) mayStartLate(t *job.Task, r *run, now time.Time) bool {
+func (c *session) mayStartLate(w *worker, t *job.Task, r *run, now time.Time) bool {
+	if w.BootID == 0 {
+		return false
+	}
+	if r.orderedAt.IsZero() && r.confirmed == 0 && r.pending.open() && now.Before(c.earlierOrdersEnd(now).Add(lateMax)) {
+		return true
+	}
 	inFlight := w.mayBeAtSuccessor(r) && !r.orderedAt.IsZero() && now.Sub(r.orderedAt) < lateMax
-	return w.BootID != 0 && (inFlight || t.MayComeLate(now))
+	return inFlight || t.MayComeLate(now)
 }
 
 // carryOver moves a run to the row of the next incarnation. The next report of that incarnation settles it.
@@ -145,10 +151,17 @@
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
 	t.Job.Version++
 	c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
-	c.addRun(successor, t, &run{
+	next := &run{
 		number: r.number, sent: true, fromEarlierLeader: true, carriedOver: true, confirmedEarlier: r.confirmedEarlier || r.confirmed > 0,
 		orderedAt: r.orderedAt, sentAt: r.sentAt, pending: r.pending, ticket: r.ticket, pace: fullPercent,
-	})
+		handedOnInFlight: r.inFlight || r.handedOnInFlight,
+	}
+	next.pending.began = false
+	if r.inFlight {
+		next.pending.add()
+		c.extendLate(t, r.sentAt.Add(lateMax))
+	}
+	c.addRun(successor, t, next)
 }
 
 // restoredRow returns the row of the worker on which an earlier leader's run may be, or nil. ended is true if the
--- a/pool/incarnations_test.go
+++ b/pool/incarnations_test.go
@@ -159,7 +159,7 @@
 			j := jobWithTasks(1)
 			j.Tasks[0].Phase, j.Tasks[0].Run, j.Tasks[0].Worker = job.Active, 5, x.kept
 			b := newBootIDFixture(c, j)
-			state := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, stateKey+j.Spec.ID, j.Stored())}}
+			state := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, stateKey+j.Spec.ID, j.Stored()), record(c, settledKey+j.Spec.ID, []int64{5})}}
 			if x.known {
 				state.Records = append(state.Records, record(c, workersKey, []keptWorker{{Incarnation: x.kept, Machine: "m-w", Pool: "p", Address: "a"}}))
 			}
@@ -175,6 +175,46 @@
 	}
 }
 
+// TestAStoredRunThatIsNotSettledStaysWithItsWorker guards against a task that a new leader starts elsewhere although the earlier leader's only order may still be
+// carried out: it may have got no answer before that leader was lost.
+func TestAStoredRunThatIsNotSettledStaysWithItsWorker(t *testing.T) {
+	for _, x := range [...]struct {
+		name, kept string
+		// phase is the task's phase while the order may still be carried out. A suspect waits, so that it is not started beside others.
+		phase job.Phase
+	}{
+		{"the incarnation that is listed", "w@9", job.Starting},
+		{"an incarnation that has ended", "w@4", job.Waiting},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				j := jobWithTasks(1)
+				j.Tasks[0].Phase, j.Tasks[0].Run, j.Tasks[0].Worker = job.Starting, 5, x.kept
+				b := newBootIDFixture(c, j)
+				state := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, stateKey+j.Spec.ID, j.Stored())}}
+				intake := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, j.Spec.QualifiedID().SubmissionKey(), j.Spec)}}
+				b.fillTables(state, []feed.KeyedPage{intake}, feed.KeyedPage{Records: []feed.KeyedRecord{{Key: "w", Value: []byte{9}}, {Key: "v", Value: []byte{9}}}})
+				sent := b.startsAnswered()
+				b.report("v@9", 3, nil)
+				b.report("w@9", 3, nil)
+				b.commitAll()
+				c.Assert(b.task(0).Phase, quicktest.Equals, x.phase)
+				c.Assert(b.placeAndCount(), quicktest.Equals, 0)
+				b.resolveUnanswered(b.now())
+				b.settles()
+				c.Assert(len(*sent) > 0, quicktest.Equals, x.phase == job.Starting)
+				for _, o := range *sent {
+					c.Assert(o.Run, quicktest.Equals, int64(5))
+				}
+				time.Sleep(quorumValidFor + lateMax)
+				b.report("w@9", 30_000, nil)
+				c.Assert(b.placeAndCount(), quicktest.Equals, 1)
+			})
+		})
+	}
+}
+
 // TestALostRunThatWasHandedOnCountsOnceOverATakeover guards against counting a lost run twice. The order was carried
 // over from an incarnation that never confirmed it, the earlier leader counted that incarnation's end, and the next incarnation ends as
 // well.
--- a/pool/lateorder_test.go
+++ b/pool/lateorder_test.go
@@ -5,6 +5,7 @@
 package pool_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 )
@@ -58,6 +59,60 @@
 	}
 }
 
+var crashHistories = flag.Int("crash-histories", 48, "number of histories of repeated crashes among late starts")
+var crashFirst = flag.Uint64("crash-first", 1000, "seed of the first of these histories")
+
+// Guards against a task that runs twice when its start stays unanswered, its worker crashes again and again within the time in which the start may still be
+// carried out, and the lead changes no, one or two times meanwhile (the seed modulo 3). The next leader did not know of starts whose leader was lost before it
+// recorded that they got no answer, and a task that may have crashed its worker started elsewhere although a copy was left. 50 of 600 histories failed.
+func TestALateStartAmongCrashesAndTakeoversStartsNothing(t *testing.T) {
+	for i := range *crashHistories {
+		seed := *crashFirst + uint64(i)
+		_, wrong := runHistoryReusingIDs(t, seed, func(h *history) {
+			h.beforeCheck = func() { h.excludeGivenUp() }
+			h.maxExtraTime = 3 * time.Second
+			h.submitLoad(time.Second, 60*time.Millisecond)
+			for range 4 {
+				h.crashAmongLateStarts(seed)
+			}
+			h.healAndCheck()
+		})
+		for _, x := range wrong[:min(len(wrong), 3)] {
+			t.Errorf("seed %d, one of %d: %s", seed, len(wrong), x)
+		}
+	}
+}
+
+// crashAmongLateStarts makes most starts late for a moment, kills up to two leaders in succession and crashes busy workers three times.
+func (h *history) crashAmongLateStarts(seed uint64) {
+	var killed []*entry
+	killLeader := func() {
+		if e := h.leader(); e != nil {
+			h.kill(e)
+			killed = append(killed, e)
+		}
+	}
+	h.setLate(0.8)
+	h.submitLoad(300*time.Millisecond, 30*time.Millisecond)
+	h.setLate(0)
+	if seed%3 > 0 {
+		killLeader()
+	}
+	time.Sleep(time.Duration(100+200*(seed%7)) * time.Millisecond)
+	h.crashBusy(6, 50*time.Millisecond)
+	time.Sleep(time.Duration(100+300*(seed%5)) * time.Millisecond)
+	if seed%3 > 1 {
+		killLeader()
+	}
+	h.crashBusy(8, 50*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	h.crashBusy(8, 50*time.Millisecond)
+	for _, e := range killed {
+		h.restartEntry(e)
+	}
+	h.submitLoad(4*time.Second, 300*time.Millisecond)
+}
+
 // setLate makes workers carry out the given share of orders late and leave them unanswered.
 func (h *history) setLate(share float64) {
 	h.mu.Lock()
--- a/pool/load.go
+++ b/pool/load.go
@@ -22,7 +22,9 @@
 	stateKey = "s/"
 	lostKey  = "l/"
 	lateKey  = "o/"
-	waveKey  = "wave/"
+	// settledKey is the prefix for the numbers of a job's runs whose starts can't be carried out any more.
+	settledKey = "r/"
+	waveKey    = "wave/"
 	// incarnationKey is the prefix for incarnations that may have been given work. Earlier versions stored all of them in the
 	// single record workersKey.
 	incarnationKey = "w/"
@@ -106,9 +108,11 @@
 // restoreRuns adds the runs that an earlier leader ordered to the workers on which they may be. The first report of
 // each worker settles them.
 //
+// The start of a run that is not settled may still be carried out: once, or any number of times if its task has a LateUntil.
+//
 // An incarnation without a stored record has certainly ended; restoreRuns adds the runs that were or may have been there to
 // ended.
-func (c *session) restoreRuns(j *job.Job, k job.Stored, ended map[string][]earlierLostRun) {
+func (c *session) restoreRuns(j *job.Job, k job.Stored, settled []int64, ended map[string][]earlierLostRun) {
 	for _, r := range k.Runs {
 		if r.Ordinal < 0 || r.Ordinal >= len(j.Tasks) || j.Tasks[r.Ordinal].Phase != job.Waiting {
 			continue
@@ -122,7 +126,11 @@
 			continue
 		}
 		t.Phase, t.Run, t.Worker, t.RunSince = job.Starting, r.Run, w.Incarnation, c.now()
-		c.addRun(w, t, &run{number: r.Run, fromEarlierLeader: true, carriedOver: incarnationEnded, pace: fullPercent})
+		x := &run{number: r.Run, fromEarlierLeader: true, carriedOver: incarnationEnded, pace: fullPercent}
+		if x.settledStored = slices.Contains(settled, r.Run); !x.settledStored {
+			x.pending = pendingStarts{count: 1, unknown: t.MayComeLate(c.now())}
+		}
+		c.addRun(w, t, x)
 	}
 }
 
@@ -165,6 +173,7 @@
 	states := make(map[string]job.Stored)
 	lost := make(map[string][]job.StoredLost)
 	late := make(map[string][]job.StoredLate)
+	settled := make(map[string][]int64)
 	earlier := make(map[string]keptIncarnation)
 	for _, r := range state.Records {
 		switch {
@@ -185,6 +194,12 @@
 				late[r.Key[len(lateKey):]] = k
 				c.sideKeys[r.Key] = true
 			}
+		case strings.HasPrefix(r.Key, settledKey):
+			var k []int64
+			if c.decodeRecord(r, &k) {
+				settled[r.Key[len(settledKey):]] = k
+				c.sideKeys[r.Key] = true
+			}
 		case strings.HasPrefix(r.Key, incarnationKey):
 			var k keptIncarnation
 			if c.decodeRecord(r, &k) {
@@ -232,8 +247,8 @@
 		if k, ok := states[id]; ok {
 			j.Restore(k, now)
 			j.RestoreLost(lost[id])
-			j.RestoreLate(late[id], now, wallClock(), lateMax)
-			c.restoreRuns(j, k, ended)
+			j.RestoreLate(late[id], now, wallClock(), lateMax+lateMargin)
+			c.restoreRuns(j, k, settled[id], ended)
 			c.dirtyJobs.Remove(id)
 		}
 		c.inheritedJobs[id] = true
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -15,7 +15,7 @@
 
 // Limits and timing of orders to workers.
 const (
-	// orderTimeout bounds an order, including all of its attempts.
+	// orderTimeout bounds a stop, and is the pause between two attempts to start a run after the first ones.
 	orderTimeout = 800 * time.Millisecond
 	// startValidity is how long a start may take to reach its worker. A worker ignores a start after its deadline, so an unanswered start is
 	// settled after this time.
@@ -95,10 +95,10 @@
 	c.sendStart(w, t, r, now)
 }
 
-// sendStart sends the start of a run and counts the order in r.rounds.
+// sendStart makes one attempt to start a run.
 func (c *session) sendStart(w *worker, t *job.Task, r *run, now time.Time) {
 	r.orderCount++
-	r.sent, r.sentAt, r.orderedAt = true, now, now
+	r.sent, r.inFlight, r.sentAt, r.orderedAt = true, true, now, now
 	w.lastStartAt = now
 	r.deadline = w.deadline(startValidity, now)
 	o := work.Start{
@@ -113,27 +113,37 @@
 	}
 	row := w.Worker
 	c.startsInFlight++
+	m := startResult{worker: w, task: t, run: r.number, token: o.Fence, earlier: r.orderCount - 1, sentAt: now}
+	timeout := startTimeout << min(m.earlier, quickAttempts-1)
 	c.background.Go(func() {
-		m := startResult{worker: w, task: t, run: r.number, token: o.Fence}
-		m.answer, m.pending, m.err = c.callStart(&row, o, now, func(sentAt time.Time) {
-			c.post(attemptUnanswered{worker: w, task: t, run: r.number, sentAt: sentAt})
-		})
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		defer cancel()
+		m.answer, m.err = c.Calls.Start(ctx, &row, o)
 		c.post(m)
 	})
 }
 
-// startResult is the outcome of a start, over all attempts.
+// startResult is the outcome of one attempt to start a run.
 type startResult struct {
 	worker *worker
 	task   *job.Task
 	run    int64
 	token  int64
-	answer work.Answer
-	// pending counts the unanswered attempts.
-	pending int
+	// earlier counts the attempts before this one.
+	earlier int
+	sentAt  time.Time
+	answer  work.Answer
 	err     error
 }
 
+// unanswered reports whether the attempt may have been carried out or may still be.
+func (m startResult) unanswered() bool { return m.err != nil && !errors.Is(m.err, work.ErrNotSent) }
+
+// neverCameThere reports whether the attempt came to no incarnation that could carry it out.
+func (m startResult) neverCameThere() bool {
+	return errors.Is(m.err, work.ErrNotSent) || (m.err == nil && m.answer.Refusal == work.OtherIncarnation)
+}
+
 func (m startResult) apply(c *session) {
 	c.startsInFlight--
 	defer func() { c.sendStored(c.now()) }()
@@ -141,36 +151,47 @@
 	if m.err == nil {
 		w.readClock(m.answer.Clock)
 	}
+	if m.unanswered() {
+		c.recordUnanswered(w, t, m.run, m.sentAt)
+	}
 	r := w.runs[t]
 	if c.workers[w.Incarnation] != w || r == nil || r.number != m.run {
-		if errors.Is(m.err, work.ErrNotSent) || (m.err == nil && m.answer.Refusal == work.OtherIncarnation && m.pending == 0) {
+		if !m.unanswered() {
+			c.settleHandedOn(t, m.run)
+		}
+		if m.neverCameThere() && m.earlier == 0 {
 			c.retractLostRun(t, m.run)
 		}
 		return // the run or its worker's incarnation has ended
 	}
+	r.inFlight = false
 	now := c.now()
 	switch {
-	case errors.Is(m.err, work.ErrNotSent):
-		c.requeueRefused(w, t, "not sent")
-		w.pauseStarts(now)
-	case m.err != nil:
-		c.startUnanswered(w, t, r, m.err)
-	case m.answer.Refusal == work.Accepted:
+	case m.err == nil && m.answer.Refusal == work.Accepted:
 		w.startPauses, w.lastUnknownJob = 0, nil
 		t.Refused = 0
+		r.pending.accepted()
 		c.confirmRun(w, t, r, m.answer.Clock)
 		if t.Job.State.Ended() {
 			c.stopTask(w, t, "its job has ended")
 		}
-	case m.answer.Refusal == work.Fenced && m.token < w.token.Load() && m.pending == 0:
-		c.requeueRefused(w, t, "its token has been raised since")
-	case m.answer.Refusal == work.Fenced && m.token >= w.token.Load():
+	case m.err == nil && m.answer.Refusal == work.Fenced && m.token >= w.token.Load():
 		c.Lost(c.term.Fence)
-	case m.pending > 0:
-		c.startUnanswered(w, t, r, refusedAfterPending(m.answer.Refusal))
-		if m.answer.Refusal == work.OtherIncarnation {
+	case r.confirmed > 0: // an earlier attempt has been carried out
+		if m.unanswered() {
+			c.startUnanswered(w, t, r, m.err)
+		}
+		c.clearLateIfClosed(t, r)
+		if m.err == nil && m.answer.Refusal == work.OtherIncarnation {
 			c.otherIncarnationAnswered(w, m.answer)
 		}
+	case r.pending.open():
+		c.startStillPending(w, t, r, m, now)
+	case m.err != nil:
+		c.requeueRefused(w, t, "not sent")
+		w.pauseStarts(now)
+	case m.answer.Refusal == work.Fenced:
+		c.requeueRefused(w, t, "its token has been raised since")
 	case m.answer.Refusal == work.OtherIncarnation:
 		c.requeueRefused(w, t, "its address has another life") // the run was never on this incarnation, so the incarnation's end does not count against it
 		c.otherIncarnationAnswered(w, m.answer)
@@ -180,6 +201,25 @@
 	}
 }
 
+// startStillPending handles the outcome of an attempt that was not accepted while this or an earlier one may still be carried out: the run keeps its worker.
+func (c *session) startStillPending(w *worker, t *job.Task, r *run, m startResult, now time.Time) {
+	if m.err != nil {
+		c.startUnanswered(w, t, r, m.err)
+		if m.unanswered() && r.orderCount < quickAttempts {
+			c.planResend(w, t, r, now)
+		}
+		return
+	}
+	c.startUnanswered(w, t, r, refusedAfterPending(m.answer.Refusal))
+	switch m.answer.Refusal {
+	case work.OtherIncarnation:
+		c.otherIncarnationAnswered(w, m.answer)
+	case work.Fenced: // its token has been raised since
+	default:
+		c.applyRefusal(w, t, m.answer.Refusal, now)
+	}
+}
+
 // requeueRefused drops a refused run, so that its task can start elsewhere after a back-off.
 func (c *session) requeueRefused(w *worker, t *job.Task, why string) {
 	c.counts.refused(why)
@@ -304,15 +344,17 @@
 
 // resolveUnanswered handles runs whose start got no answer: it resends the start or stops the run. It also repeats unanswered stops.
 func (c *session) resolveUnanswered(now time.Time) {
+	c.sendResends(now)
 	for _, w := range c.workers {
 		if len(w.runs) == 0 {
 			continue
 		}
 		for t, r := range w.runs {
-			timedOut := r.unanswered && now.Sub(r.sentAt) > orderTimeout
+			c.storeSettled(w, t, r, now)
+			timedOut := r.unanswered && !r.inFlight && !r.resendPlanned && now.Sub(r.sentAt) > orderTimeout
 			switch {
 			case timedOut && w.pinned(t, r, now):
-				c.resendStart(w, t, r, now)
+				c.planResend(w, t, r, now)
 			case r.stopped > 0:
 			case t.Stopping, timedOut && !t.Spec().Lasting: // the start of a lasting task is settled by its deadline
 				c.stopTask(w, t, "no answer")
--- a/pool/pending.go
+++ b/pool/pending.go
@@ -3,8 +3,6 @@
 package pool
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -18,93 +16,64 @@
 //
 // The start is therefore sent again to the same incarnation, where duplicates have no effect. While a copy may still be carried out (see job.Task.LateUntil):
 //
-//   - the task stays with the ID of its worker: a later incarnation that has answered under a higher token and does not have the run is sent the start again. Only a
-//     task that may have ended its worker's incarnation is started elsewhere then;
+//   - the task stays with the ID of its worker: a later incarnation that has answered under a higher token and does not have the run is sent the start again. A
+//     task that may have ended its worker's incarnation waits instead, because it has to be tried apart from others;
 //   - an end of the task is processed but not acknowledged to its worker, because the users' interface lets a task run again after an unacknowledged end;
 //   - a silent worker is polled frequently, so that its next incarnation learns the higher token before a copy arrives.
+//
+// The next leader must know of the copies as well. A run is stored before its first start is sent, and LateUntil before each further one. So a stored run
+// without LateUntil has been ordered once at most, and one with it any number of times. Most runs are stored as settled soon after their start, so that they
+// don't have to stay with a worker's ID over a takeover.
 
 // Limits and timing of unanswered starts.
 const (
 	// lateMax is how long an unanswered order may still be carried out. The users' interface specifies "seconds".
 	lateMax = 15 * time.Second
-	// startAttempts is the maximum number of attempts per order. The first attempt times out after startTimeout, the second after twice that, and the last
-	// one at the end of orderTimeout.
-	startAttempts = 3
-	startTimeout  = 120 * time.Millisecond
-	// startRounds is the maximum number of orders per start, including the first, for a worker that does not answer within orderTimeout.
-	startRounds = 4
+	// lateMargin is added to LateUntil where it is stored, so that the record covers the next attempt too.
+	lateMargin = 3 * time.Second
+	// startTimeout is the timeout of the first attempt to start a run. It doubles with the second and the third attempt.
+	startTimeout = 120 * time.Millisecond
+	// quickAttempts is how many attempts are made without a pause. Each further one is made orderTimeout after the one before, up to startAttempts in all.
+	quickAttempts = 3
+	startAttempts = 8
+	// storeSettledAfter is when the store is told that a run is settled, unless its job is stored earlier for another reason.
+	storeSettledAfter = time.Second
 	// pendingRetry is the pause between two calls to a silent worker whose next incarnation may carry out a copy. It grows by pendingRetryStep for each such worker, up
 	// to retryFirst, to limit the call rate of a leader.
 	pendingRetry     = 10 * time.Millisecond
 	pendingRetryStep = 2 * time.Millisecond
 )
 
-// pendingStarts records the unanswered attempts to start a run, each of which may still be carried out.
+// pendingStarts counts the attempts to start a run that got no answer and may still be carried out.
 type pendingStarts struct {
 	count int
-	// newest is the send time of the latest one.
-	newest time.Time
+	// unknown is set if an earlier leader may have made any number of them.
+	unknown bool
+	// began is set once the attempt that began the run on the present incarnation is known to be none of them.
+	began bool
 }
 
-// add records an attempt that was sent at the given time.
-func (p *pendingStarts) add(at time.Time) { p.count, p.newest = p.count+1, at }
-
-// removeOne removes one attempt, which is known to have been carried out.
-func (p *pendingStarts) removeOne() { p.count = max(p.count-1, 0) }
-
-// callStart sends a start repeatedly until the worker answers, startAttempts is reached or orderTimeout has passed. A duplicate has no effect on an incarnation that
-// has or had the run. It calls onUnanswered for each attempt that got no answer, before sending the next one, and returns their number as pending.
-func (c *session) callStart(row *work.Worker, o work.Start, now time.Time, onUnanswered func(sentAt time.Time)) (a work.Answer, pending int, err error) {
-	end := now.Add(orderTimeout)
-	for attempt := 1; ; attempt++ {
-		timeout := end.Sub(now)
-		if attempt < startAttempts {
-			timeout = min(timeout, startTimeout<<(attempt-1))
-		}
-		a, err = c.startOnce(row, o, timeout)
-		switch {
-		case err == nil, errors.Is(err, work.ErrNotSent) && pending == 0:
-			return a, pending, err
-		case errors.Is(err, work.ErrNotSent):
-			return a, pending, work.ErrNoAnswer // an earlier attempt was sent
-		}
-		pending++
-		onUnanswered(now)
-		if now = c.exactNow(); attempt == startAttempts || !now.Before(end) || !c.mayOrder(now) {
-			return a, pending, err
-		}
-	}
-}
+// add records an attempt that got no answer.
+func (p *pendingStarts) add() { p.count++ }
 
-// startOnce makes a single attempt with the given timeout.
-func (c *session) startOnce(row *work.Worker, o work.Start, timeout time.Duration) (work.Answer, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, timeout)
-	defer cancel()
-	return c.Calls.Start(ctx, row, o)
-}
+// remove records that an attempt can't be carried out any more.
+func (p *pendingStarts) remove() { p.count = max(p.count-1, 0) }
 
-// attemptUnanswered reports an attempt to start a run that got no answer. It is posted before the next attempt is sent, so that the remaining attempts do not
-// delay recording it: the run may end, or this leader may be lost, in the meantime.
-type attemptUnanswered struct {
-	worker *worker
-	task   *job.Task
-	run    int64
-	sentAt time.Time
-}
+// accepted records that an attempt was accepted. Those that got no answer remain open.
+func (p *pendingStarts) accepted() { p.began = true }
 
-func (m attemptUnanswered) apply(c *session) {
-	if r := c.runOf(m.task, m.run); r != nil {
-		r.pending.add(m.sentAt)
-	}
-	if m.worker.BootID == 0 {
-		return // no other incarnation bears its ID
-	}
-	m.worker.notePending(m.sentAt)
-	if until := m.sentAt.Add(lateMax); until.After(m.task.LateUntil) {
-		c.setLateUntil(m.task, until)
+// listed records that the worker lists the run: unless an attempt was accepted, one that got no answer has been carried out.
+func (p *pendingStarts) listed() {
+	if p.began || p.count == 0 {
+		return
 	}
+	p.began = true
+	p.remove()
 }
 
+// open reports whether an attempt may be left that can still be carried out.
+func (p *pendingStarts) open() bool { return p.count > 0 || p.unknown }
+
 // runOf returns the task's run with the given number, even if it has been handed on to the next incarnation, or nil if there is no such run any more.
 func (c *session) runOf(t *job.Task, number int64) *run {
 	w := c.workers[t.Worker]
@@ -120,6 +89,13 @@
 	c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
 }
 
+// extendLate sets the task's LateUntil unless it is later already.
+func (c *session) extendLate(t *job.Task, until time.Time) {
+	if until.After(t.LateUntil) {
+		c.setLateUntil(t, until)
+	}
+}
+
 // clearLate clears the task's LateUntil once no start of it can be carried out late.
 func (c *session) clearLate(t *job.Task) {
 	if !t.LateUntil.IsZero() {
@@ -127,23 +103,62 @@
 	}
 }
 
-// startUnanswered handles a start that may have been carried out or may still be.
-func (c *session) startUnanswered(w *worker, t *job.Task, r *run, err error) {
-	r.unanswered = r.confirmed == 0
-	c.emit(event.RunUnanswered, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d attempts=%d err=%q", r.number, r.pending.count, err)
-	if !r.unanswered {
-		c.attemptCarriedOut(t, r)
+// clearLateIfClosed clears the task's LateUntil if no attempt to start its run is open or in flight.
+func (c *session) clearLateIfClosed(t *job.Task, r *run) {
+	if !r.pending.open() && !r.inFlight {
+		c.clearLate(t)
 	}
 }
 
-// attemptCarriedOut handles the discovery of a run whose start was not answered: one of its attempts has been carried out.
-func (c *session) attemptCarriedOut(t *job.Task, r *run) {
-	r.pending.removeOne()
-	if r.pending.count == 0 {
-		c.clearLate(t)
+// recordUnanswered records an attempt that got no answer. Its run may have been handed on to the next incarnation or have ended meanwhile.
+func (c *session) recordUnanswered(w *worker, t *job.Task, number int64, sentAt time.Time) {
+	r := c.runOf(t, number)
+	switch {
+	case r == nil:
+	case r.handedOnInFlight && c.workers[t.Worker] != w:
+		r.handedOnInFlight = false // it was counted when the run was handed on
+	default:
+		r.pending.add()
+		if r.confirmed > 0 {
+			r.pending.listed()
+		}
+	}
+	if w.BootID == 0 {
+		return // no other incarnation bears its ID
+	}
+	w.notePending(sentAt)
+	if (r != nil && r.pending.open()) || (r == nil && t.MayComeLate(c.now())) {
+		c.extendLate(t, sentAt.Add(lateMax))
 	}
 }
 
+// settleHandedOn records that an attempt to start a run can't be carried out any more, if the run was handed on while the attempt was in flight.
+func (c *session) settleHandedOn(t *job.Task, number int64) {
+	r := c.runOf(t, number)
+	if r == nil || !r.handedOnInFlight {
+		return
+	}
+	r.handedOnInFlight = false
+	r.pending.remove()
+	c.clearLateIfClosed(t, r)
+}
+
+// settleEnded records that the worker lists the end of a run. An attempt that is in flight may be the one that began it.
+func (c *session) settleEnded(t *job.Task, r *run) {
+	if r.inFlight {
+		r.inFlight = false
+		r.pending.add()
+	}
+	r.pending.listed()
+	c.clearLateIfClosed(t, r)
+}
+
+// startUnanswered handles a run whose start may have been carried out or may still be.
+func (c *session) startUnanswered(w *worker, t *job.Task, r *run, err error) {
+	r.unanswered = r.confirmed == 0
+	c.emit(event.RunUnanswered, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d attempts=%d err=%q", r.number, r.orderCount, err)
+}
+
 // refusedAfterPending returns the error for a refusal that follows an unanswered attempt, which may still be carried out.
 func refusedAfterPending(why work.Refusal) error {
 	return fmt.Errorf("%w; a later attempt was refused: %v", work.ErrNoAnswer, why)
@@ -154,23 +169,97 @@
 	return w.BootID != 0 && r.unanswered && !t.Stopping && !t.Job.State.Ended() && t.MayComeLate(now)
 }
 
-// mustResendHandedOn reports whether the start of a run that was handed on to this incarnation, which does not have the run, must be sent to this incarnation too: a later
-// incarnation may still carry out a copy of the start, so the task must not run elsewhere. A task suspected of having ended its worker's incarnation is tried apart instead.
-func (w *worker) mustResendHandedOn(t *job.Task, r *run, now time.Time) bool {
-	return r.carriedOver && r.pending.count > 0 && w.BootID != 0 && t.MayComeLate(now) && !t.Suspect && !t.Job.State.Ended()
+// mustStay reports whether a run that this incarnation does not have must be sent to it again, because a later incarnation may still carry out a copy of
+// its start. The run was handed on to this incarnation or ordered by an earlier leader.
+func (c *session) mustStay(w *worker, t *job.Task, r *run, now time.Time) bool {
+	if w.BootID == 0 || !r.pending.open() || t.Job.State.Ended() {
+		return false
+	}
+	if r.orderedAt.IsZero() {
+		c.extendLate(t, c.earlierOrdersEnd(now).Add(lateMax))
+	}
+	return t.MayComeLate(now) && !t.Suspect
+}
+
+// settled reports whether the worker has the run and no start of it can be carried out any more.
+func (w *worker) settled(t *job.Task, r *run, now time.Time) bool {
+	return w.BootID != 0 && r.confirmed > 0 && !r.inFlight && !r.handedOnInFlight && !r.pending.open() && !t.MayComeLate(now)
+}
+
+// storeSettled has the store told of settled runs.
+func (c *session) storeSettled(w *worker, t *job.Task, r *run, now time.Time) {
+	if !r.settledStored && now.Sub(r.orderedAt) > storeSettledAfter && w.settled(t, r, now) {
+		c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
+	}
+}
+
+// earlierOrdersEnd returns the time by which earlier leaders have given their last order.
+func (c *session) earlierOrdersEnd(now time.Time) time.Time {
+	if stopped, known := c.earlierStoppedBy(); known {
+		return stopped
+	}
+	return now.Add(quorumValidFor)
 }
 
-// markForResend turns a run that was handed on into an unanswered run of this incarnation, so that resendStart sends its start under the same number.
+// markForResend turns a run that was handed on or ordered by an earlier leader into an unanswered run of this incarnation, so that its start is sent again under
+// the same number.
 func (r *run) markForResend() {
-	r.carriedOver, r.fromEarlierLeader, r.unanswered = false, false, true
+	r.carriedOver, r.fromEarlierLeader, r.sent, r.unanswered = false, false, true, true
 	r.deadline, r.orderCount = 0, 0 // the deadline was on the previous incarnation's clock
+	r.pending.began = false
+}
+
+// plannedResend is a start that is sent again once the store has the version of its job, with a LateUntil that covers the attempt.
+type plannedResend struct {
+	plannedStart
+	version int64
+}
+
+// planResend plans another attempt to start an unanswered run.
+func (c *session) planResend(w *worker, t *job.Task, r *run, now time.Time) {
+	if r.resendPlanned || !c.mayResend(w, t, r, now) {
+		return
+	}
+	r.resendPlanned = true
+	if !lateCovers(w, t, now) {
+		c.extendLate(t, now.Add(lateMax))
+	}
+	c.resends = append(c.resends, plannedResend{plannedStart{worker: w, task: t, run: r}, t.Job.Version})
+	c.sendResends(now)
 }
 
-// resendStart sends an unanswered start again, up to startRounds.
-func (c *session) resendStart(w *worker, t *job.Task, r *run, now time.Time) {
-	if r.orderCount < startRounds && w.usable(now) && c.mayOrder(now) {
-		c.sendStart(w, t, r, now)
+// lateCovers reports whether the record of the task's LateUntil covers an attempt that is made now.
+func lateCovers(w *worker, t *job.Task, now time.Time) bool {
+	return w.BootID == 0 || !t.LateUntil.Add(lateMargin).Before(now.Add(lateMax))
+}
+
+// mayResend reports whether another attempt may be made to start a run.
+func (c *session) mayResend(w *worker, t *job.Task, r *run, now time.Time) bool {
+	if w.runs[t] != r || c.workers[w.Incarnation] != w || !r.unanswered || r.inFlight || t.Stopping || t.Job.State.Ended() {
+		return false
+	}
+	attempts := startAttempts
+	if w.BootID == 0 {
+		attempts = quickAttempts
+	}
+	return r.orderCount < attempts && w.usable(now) && (!t.Spec().Lasting || c.canStartLasting(w, now))
+}
+
+// sendResends sends the planned attempts that the next leader would know of.
+func (c *session) sendResends(now time.Time) {
+	var waiting []plannedResend
+	for _, p := range c.resends {
+		switch {
+		case !c.mayResend(p.worker, p.task, p.run, now), !lateCovers(p.worker, p.task, now):
+			p.run.resendPlanned = false // resolveUnanswered plans it again if it is still due
+		case p.task.Job.StoredVersion < p.version && p.worker.BootID != 0, !c.mayOrder(now), c.startsInFlight >= c.maxStartsInFlight():
+			waiting = append(waiting, p)
+		default:
+			p.run.resendPlanned = false
+			c.sendStart(p.worker, p.task, p.run, now)
+		}
 	}
+	c.resends = waiting
 }
 
 // ackAfter returns the time before which an end must not be acknowledged, or the zero time if the end only has to be stored first.
--- a/pool/pending_test.go
+++ b/pool/pending_test.go
@@ -45,12 +45,15 @@
 	return b, sent
 }
 
-// settles waits until all attempts at a start are over.
+// settles commits what changes, as the control goroutine does, until the attempts that follow each other without a pause are over.
 func (b *fixture) settles() {
-	time.Sleep(orderTimeout)
-	synctest.Wait()
-	for _, m := range b.inbox.takeAll() {
-		m.apply(b.session)
+	for end := b.now().Add(orderTimeout + startTimeout); b.now().Before(end); {
+		time.Sleep(startTimeout / 4)
+		synctest.Wait()
+		for _, m := range b.inbox.takeAll() {
+			m.apply(b.session)
+		}
+		b.commitAll()
 	}
 }
 
@@ -67,7 +70,7 @@
 		{"answered at once", []work.Refusal{work.Accepted}, 1, job.Active, false},
 		{"the second attempt is answered", []work.Refusal{unanswered, work.Accepted}, 2, job.Active, true},
 		{"the second attempt is refused", []work.Refusal{unanswered, work.NoRoom}, 2, job.Starting, true},
-		{"no attempt is answered", nil, startAttempts, job.Starting, true},
+		{"no attempt is answered", nil, quickAttempts, job.Starting, true},
 		{"refused at once", []work.Refusal{work.NoRoom}, 1, job.Waiting, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -93,12 +96,12 @@
 		b, sent := pendingBench(c)
 		b.report("w@9", 50_000, nil) // far past the start's deadline
 		c.Assert(b.task(0).Worker, quicktest.Equals, "w@9")
-		for range 2 * startRounds {
+		for range 2 * startAttempts {
 			b.resolveUnanswered(b.now())
 			b.settles()
 			b.report("w@9", 60_000, nil)
 		}
-		c.Assert(*sent, quicktest.HasLen, startRounds*startAttempts)
+		c.Assert(*sent, quicktest.HasLen, startAttempts)
 		time.Sleep(lateMax)
 		b.report("w@9", 90_000, nil)
 		c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
@@ -140,7 +143,13 @@
 		c.Assert(b.task(0).Lost, quicktest.HasLen, 1)
 		b.report("w@4", 3, nil)
 		c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
-		c.Assert(b.task(0).MayComeLate(b.now()), quicktest.IsFalse)
+		c.Assert(b.task(0).MayComeLate(b.now()), quicktest.IsTrue, quicktest.Commentf("a third life may still carry the start out"))
+		b.list("w", 4)
+		b.commitAll()
+		c.Assert(b.placeAndCount(), quicktest.Equals, 0)
+		time.Sleep(lateMax)
+		b.report("w@4", 20_000, nil)
+		c.Assert(b.placeAndCount(), quicktest.Equals, 1)
 	})
 }
 
@@ -181,10 +190,12 @@
 		b.commitAll()
 		c.Assert(b.placeAndCount(), quicktest.Equals, 1)
 		b.commitAll()
-		time.Sleep(2 * startTimeout) // the second attempt is under way
+		time.Sleep(startTimeout)
+		synctest.Wait()
 		for _, m := range b.inbox.takeAll() {
 			m.apply(b.session)
 		}
+		b.commitAll() // the second attempt is under way
 		b.report("w@9", 300, nil, work.EndedRun{Seq: 1, Task: taskName, Run: b.task(0).Run, Outcome: work.Succeeded})
 		b.commitAll()
 		c.Assert(b.workers["w@9"].acked.Load(), quicktest.Equals, int64(0))
@@ -192,22 +203,96 @@
 	})
 }
 
-// TestTheNextLeaderKnowsOfStartsThatMayComeLate guards against a new leader that starts a task which an earlier leader's unanswered start
-// may still begin.
+// TestTheNextLeaderKnowsOfStartsThatMayComeLate guards against a new leader that starts a task elsewhere which an earlier leader's unanswered start
+// may still begin. It sends the start to the same worker again, under the same number.
 func TestTheNextLeaderKnowsOfStartsThatMayComeLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		b, _ := pendingBench(c)
+		b.dirtyJobs.Add(b.task(0).Job.Spec.ID, b.task(0).Job)
 		state := feed.KeyedPage{Records: b.appendJobs(&commitBatch{versions: make(map[*job.Job]int64)}, nil)}
 		j := b.jobs["00000000000000a1"]
 		intake := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, j.Spec.QualifiedID().SubmissionKey(), j.Spec)}}
 		next := newBootIDFixture(c, jobWithTasks(1))
 		next.fillTables(state, []feed.KeyedPage{intake}, feed.KeyedPage{Records: []feed.KeyedRecord{{Key: "w", Value: []byte{9}}}})
+		sent := next.startsAnswered()
+		next.list("v", 9) // another worker with room
+		next.report("v@9", 50, nil)
 		next.report("w@9", 60_000, nil)
 		next.commitAll()
-		c.Assert(next.task(0).Phase, quicktest.Equals, job.Waiting)
-		c.Assert(next.placeAndCount(), quicktest.Equals, 0)
+		for range 2 * startAttempts {
+			c.Assert(next.placeAndCount(), quicktest.Equals, 0)
+			next.resolveUnanswered(next.now())
+			next.settles()
+			next.report("w@9", 60_000, nil)
+		}
+		c.Assert(*sent, quicktest.HasLen, startAttempts)
+		for _, o := range *sent {
+			c.Assert(o.Run, quicktest.Equals, b.task(0).Run)
+		}
+		c.Assert(next.task(0).Worker, quicktest.Equals, "w@9")
 		time.Sleep(lateMax)
+		next.report("w@9", 90_000, nil)
+		c.Assert(next.task(0).Phase, quicktest.Equals, job.Waiting)
 		c.Assert(next.placeAndCount(), quicktest.Equals, 1)
 	})
 }
+
+// TestAStartIsSentAgainOnceTheNextLeaderWouldKnow guards against copies of a start that the next leader knows nothing of, because the leader is lost before the
+// store has taken the record.
+func TestAStartIsSentAgainOnceTheNextLeaderWouldKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newBootIDFixture(c, jobWithTasks(1))
+		sent := b.startsAnswered()
+		b.list("w", 9)
+		b.report("w@9", 50, nil)
+		b.commitAll()
+		c.Assert(b.placeAndCount(), quicktest.Equals, 1)
+		b.commitAll()
+		for range 3 { // nothing is committed
+			time.Sleep(orderTimeout)
+			synctest.Wait()
+			for _, m := range b.inbox.takeAll() {
+				m.apply(b.session)
+			}
+			b.resolveUnanswered(b.now())
+		}
+		c.Assert(*sent, quicktest.HasLen, 1)
+		b.commitAll()
+		b.settles()
+		c.Assert(len(*sent) > 1, quicktest.IsTrue)
+	})
+}
+
+// TestASettledRunIsStoredOnce guards against tasks that stay with a worker's ID over a takeover although no start of theirs can be carried out any more, and
+// against writing their record again and again.
+func TestASettledRunIsStoredOnce(t *testing.T) {
+	for _, x := range [...]struct {
+		name    string
+		answers []work.Refusal
+		settled bool
+	}{
+		{"answered", []work.Refusal{work.Accepted}, true},
+		{"an attempt got no answer", []work.Refusal{unanswered, work.Accepted}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b, _ := pendingBench(c, x.answers...)
+				stored := 0
+				for range 4 {
+					time.Sleep(storeSettledAfter)
+					b.resolveUnanswered(b.now())
+					for _, r := range b.appendJobs(&commitBatch{versions: make(map[*job.Job]int64)}, nil) {
+						if r.Key == settledKey+b.task(0).Job.Spec.ID {
+							stored++
+						}
+					}
+				}
+				c.Assert(stored == 1, quicktest.Equals, x.settled)
+				c.Assert(stored <= 1, quicktest.IsTrue)
+			})
+		})
+	}
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -84,8 +84,8 @@
 		if c.mayBeUnread(e.Task, now) {
 			break // the worker repeats the end until it is acknowledged
 		}
-		ackAfter := c.ackAfter(w, e, now)
 		c.endRun(w, e, now)
+		ackAfter := c.ackAfter(w, e, now)
 		w.lastProcessedEnd = e.Seq
 		w.unackedEnds = append(w.unackedEnds, c.unstoredEnd(e, ackAfter))
 	}
@@ -181,6 +181,7 @@
 		}
 		r = w.runs[t]
 	}
+	r.pending.listed()
 	c.confirmRun(w, t, r, clock)
 	if row.Saved != "" {
 		t.Saved = row.Saved
@@ -214,7 +215,7 @@
 	t.Job.Began = true
 	t.Job.Version++
 	c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
-	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true})
+	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true, pending: pendingStarts{unknown: t.MayComeLate(c.now())}})
 	if row.Run>>runBits < c.term.Number {
 		c.assumeUnstored("a worker runs what was not kept")
 	}
@@ -225,15 +226,10 @@
 // confirmRun records that the worker has the run.
 func (c *session) confirmRun(w *worker, t *job.Task, r *run, clock work.Clock) {
 	r.confirmed = max(r.confirmed, clock)
-	switch {
-	case r.carriedOver:
-		c.clearLate(t) // the incarnation has answered under a token above those of all attempts
-		if !r.confirmedEarlier {
-			c.retractLostRun(t, r.number) // the previous incarnation has ended without having the run
-		}
-	case r.unanswered:
-		c.attemptCarriedOut(t, r)
+	if r.carriedOver && !r.confirmedEarlier {
+		c.retractLostRun(t, r.number) // the previous incarnation has ended without having the run
 	}
+	c.clearLateIfClosed(t, r)
 	r.unanswered, r.fromEarlierLeader, r.carriedOver, r.sent = false, false, false, true
 	if t.Phase == job.Starting {
 		t.Phase = job.Active
@@ -247,11 +243,11 @@
 	switch {
 	case r.confirmed > 0 && rep.Clock > r.confirmed && len(rep.Ended) < endsPageSize:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
-	case w.mustResendHandedOn(t, r, c.now()):
+	case (r.carriedOver || r.fromEarlierLeader) && c.mustStay(w, t, r, c.now()):
 		r.markForResend()
+		c.planResend(w, t, r, c.now())
 		return
 	case r.carriedOver:
-		c.clearLate(t)
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d of the life before is not there", r.number)
 	case r.fromEarlierLeader:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d of an earlier leader is not there", r.number)
@@ -279,6 +275,7 @@
 	j := t.Job
 	current := false
 	if r := w.runs[t]; r != nil && r.number == e.Run {
+		c.settleEnded(t, r)
 		w.dropRun(t)
 		current = t.Run == e.Run && t.Phase != job.Finished
 	}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -135,11 +135,16 @@
 	ticket           string
 	// slack is how much time the job had left to be on time when the run was planned. It is only logged.
 	slack time.Duration
-	// unanswered is set if the start got no answer. pending holds its unanswered attempts; orderCount counts its
-	// orders, including the first.
-	unanswered bool
-	pending    pendingStarts
-	orderCount int
+	// unanswered is set if the start got no answer and the run is not confirmed. pending holds the unanswered attempts;
+	// orderCount counts all attempts on this incarnation. inFlight is set during one, resendPlanned before the next one.
+	unanswered              bool
+	pending                 pendingStarts
+	orderCount              int
+	inFlight, resendPlanned bool
+	// settledStored is set once the next leader would know that no start of the run can be carried out any more.
+	settledStored bool
+	// handedOnInFlight is set if the run was carried over during an attempt, which pending counts.
+	handedOnInFlight bool
 	// stopSent is set once a stop has been sent. stopped is the worker's clock in the answer to it.
 	stopSent bool
 	// orderedAt is when the order was sent, or zero for a run of an earlier leader.
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -390,7 +390,7 @@
 func (c *session) expireLease(w *worker, now time.Time) {
 	late := 0
 	for t, r := range w.runs {
-		if w.mayStartLate(t, r, now) {
+		if c.mayStartLate(w, t, r, now) {
 			late++
 		}
 	}
@@ -400,7 +400,7 @@
 	}
 	if over := len(w.runs) - late; over > 0 {
 		c.emit(event.WorkerLost, event.Subject{Instance: w.Incarnation}, "its lease is over runs=%d late=%d", over, late)
-		c.abandonRuns(w, func(t *job.Task, r *run) bool { return !w.mayStartLate(t, r, now) })
+		c.abandonRuns(w, func(t *job.Task, r *run) bool { return !c.mayStartLate(w, t, r, now) })
 	}
 }
 
