--- a/job/job.go
+++ b/job/job.go
@@ -78,10 +78,8 @@
 	Stopping bool
 	// Lost are the runs during which the incarnation of the worker ended, oldest first. Suspect reports that the next run
 	// must be an isolated trial, because the task may have crashed its worker.
-	Lost []LostRun
-	// Unresolved are the runs whose lease expired while their worker was silent, and of which it is not known whether the incarnation has ended.
-	Unresolved []LostRun
-	Suspect    bool
+	Lost    []LostRun
+	Suspect bool
 	// Avoid is the worker on which the task failed last.
 	Avoid string
 	// DownSince is when a lasting task stopped being at work, or zero while it is at work.
--- a/job/lost.go
+++ b/job/lost.go
@@ -57,22 +57,6 @@
 	return true
 }
 
-// AddUnresolved records that a run has been given up because its lease has expired while its worker was silent. It counts as lost only if it turns out that the
-// incarnation has ended, or for the next leader, which can't tell otherwise.
-func (j *Job) AddUnresolved(t *Task, l LostRun) {
-	t.Unresolved = append(t.Unresolved, l)
-	j.Version++
-}
-
-// ResolveRun removes a run from the task's unresolved ones.
-func (j *Job) ResolveRun(t *Task, run int64) {
-	before := len(t.Unresolved)
-	t.Unresolved = slices.DeleteFunc(t.Unresolved, func(l LostRun) bool { return l.Run == run })
-	if len(t.Unresolved) < before {
-		j.Version++
-	}
-}
-
 // RetractLost removes the record of a lost run, because its order reached another incarnation or was never sent.
 func (j *Job) RetractLost(t *Task, run int64) {
 	lost := len(t.Lost)
@@ -195,14 +179,14 @@
 	return l.Age.Milliseconds()
 }
 
-// StoredLost returns the lost runs and the unresolved ones for storage. It returns none for a job that has ended.
+// StoredLost returns the lost runs for storage. It returns none for a job that has ended.
 func (j *Job) StoredLost() []StoredLost {
 	if j.State.Ended() {
 		return nil
 	}
 	var kept []StoredLost
 	for i := range j.Tasks {
-		for _, l := range slices.Concat(j.Tasks[i].Lost, j.Tasks[i].Unresolved) {
+		for _, l := range j.Tasks[i].Lost {
 			kept = append(kept, StoredLost{Ordinal: i, Run: l.Run, Incarnation: l.Incarnation, AgeMS: l.ageMS(), Suspects: l.Suspects, Isolated: l.Isolated, Conclusive: l.Conclusive})
 		}
 	}
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -39,8 +39,8 @@
 			c.clearAside(prefix+j.Spec.ID, rejected)
 		}
 	}
-	for _, x := range m.incarnations {
-		c.clearAside(incarnationKey+x.name, rejected)
+	for _, incarnation := range m.incarnations {
+		c.clearAside(incarnationKey+incarnation, rejected)
 	}
 	for n := range m.waves {
 		c.clearAside(waveKeyOf(n), rejected)
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -23,8 +23,8 @@
 // commitBatch describes the contents of a batch that is being stored.
 type commitBatch struct {
 	versions     map[*job.Job]int64
-	incarnations []batchedIncarnation // may be given work once the batch is stored
-	waves        map[int64]int        // the versions of waves in the batch
+	incarnations []string      // may be given work once the batch is stored
+	waves        map[int64]int // the versions of waves in the batch
 	starts       []plannedStart
 	// aside holds the records that the store rejects for good. The storing goroutine sets it before answeredAt.
 	aside []keep.RejectedRecord
@@ -37,7 +37,7 @@
 	if c.committing {
 		return
 	}
-	if c.dirtyJobs.Empty() && len(c.forgottenJobs) == 0 && !c.idConflictsDirty && len(c.idConflictsDropped) == 0 && c.dirtyIncarnations.Empty() && !c.leasesDirty && !c.wavesDirty() {
+	if c.dirtyJobs.Empty() && len(c.forgottenJobs) == 0 && !c.idConflictsDirty && len(c.idConflictsDropped) == 0 && c.dirtyIncarnations.Empty() && !c.wavesDirty() {
 		return
 	}
 	done := &commitBatch{versions: make(map[*job.Job]int64), waves: make(map[int64]int)}
--- a/pool/encoding_test.go
+++ b/pool/encoding_test.go
@@ -22,16 +22,13 @@
 	golden.Check(c, "wave", wave, job.Encode, job.Decode)
 	var incarnation keptIncarnation
 	golden.Fill(&incarnation)
-	golden.Check(c, "life-long-lease", incarnation, job.Encode, job.Decode)
-	incarnation.LongLease = false
 	golden.Check(c, "life", incarnation, job.Encode, job.Decode)
-	golden.Check(c, "leases", keptLeases{Term: 1}, job.Encode, job.Decode)
 	golden.Check(c, "workers", []keptWorker{{Incarnation: "life", Machine: "machine", Pool: "pool", Address: "address"}}, job.Encode, job.Decode)
 }
 
 // The keys of what a leader keeps are read by leaders of other versions.
 func TestStoredKeysStay(t *testing.T) {
 	c := quicktest.New(t)
-	c.Check([]string{stateKey, lostKey, lateKey, settledKey, leasesKey, waveKey, incarnationKey, workersKey, instancesKey, statsKey, idConflictKey}, quicktest.DeepEquals,
-		[]string{"s/", "l/", "o/", "r/", "leases", "wave/", "w/", "workers", "instances", "lessons", "t/"})
+	c.Check([]string{stateKey, lostKey, lateKey, settledKey, waveKey, incarnationKey, workersKey, instancesKey, statsKey, idConflictKey}, quicktest.DeepEquals,
+		[]string{"s/", "l/", "o/", "r/", "wave/", "w/", "workers", "instances", "lessons", "t/"})
 }
--- a/pool/incarnationrecords.go
+++ b/pool/incarnationrecords.go
@@ -15,8 +15,6 @@
 	Machine string `cbor:"1,keyasint,omitempty"`
 	Pool    string `cbor:"2,keyasint,omitempty"`
 	Address string `cbor:"3,keyasint,omitempty"`
-	// LongLease is set if the runs of this incarnation may be leased for as long as workers allow.
-	LongLease bool `cbor:"4,keyasint,omitempty"`
 }
 
 // keptWorker is an element of the single record of all incarnations that earlier versions wrote.
@@ -35,7 +33,7 @@
 // of incarnations that have left.
 func (c *session) appendIncarnationRecords(done *commitBatch, records []feed.KeyedRecord) []feed.KeyedRecord {
 	if c.dirtyIncarnations.Empty() {
-		return c.appendLeases(records)
+		return records
 	}
 	if count, err := job.Encode(max(c.confirmedInstances, c.instanceCount(len(c.incarnationsByMachine)))); err != nil {
 		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "number of instances can't be encoded: %v", err)
@@ -55,10 +53,9 @@
 		records = append(records, r)
 		size += len(r.Key) + len(r.Value)
 		if len(r.Value) > 0 {
-			done.incarnations = append(done.incarnations, batchedIncarnation{name: incarnation, longLease: c.workers[incarnation].needsLongLease})
+			done.incarnations = append(done.incarnations, incarnation)
 		}
 	}
-	records = c.appendLeases(records)
 	if c.legacyWorkersRecord && c.dirtyIncarnations.Empty() { // everything in it has its own record now
 		records = append(records, feed.KeyedRecord{Key: workersKey})
 		c.legacyWorkersRecord = false
@@ -72,7 +69,7 @@
 	if w == nil {
 		return feed.KeyedRecord{Key: incarnationKey + incarnation}, true
 	}
-	value, err := job.Encode(keptIncarnation{Machine: w.Machine, Pool: w.Pool, Address: w.Address, LongLease: w.needsLongLease})
+	value, err := job.Encode(keptIncarnation{Machine: w.Machine, Pool: w.Pool, Address: w.Address})
 	if err != nil {
 		c.emit(event.RecordRefused, event.Subject{Instance: incarnation}, "worker record can't be encoded: %v", err)
 		return feed.KeyedRecord{}, false
@@ -82,26 +79,15 @@
 
 // markIncarnationsStored allows work on the incarnations whose records have been stored. An incarnation that has left the tables meanwhile
 // is stored again if it comes back.
-func (c *session) markIncarnationsStored(incarnations []batchedIncarnation) {
-	for _, x := range incarnations {
-		w := c.workers[x.name]
-		if w == nil || c.aside.has(incarnationKey+x.name) {
-			continue
-		}
-		c.storedIncarnations[x.name] = true
-		if x.longLease {
-			w.longLeaseAllowed.Store(true)
+func (c *session) markIncarnationsStored(incarnations []string) {
+	for _, incarnation := range incarnations {
+		if w := c.workers[incarnation]; w != nil && !c.aside.has(incarnationKey+incarnation) {
+			c.storedIncarnations[incarnation] = true
+			c.markPoolDirty(w.Pool)
 		}
-		c.markPoolDirty(w.Pool)
 	}
 }
 
-// batchedIncarnation is an incarnation whose record is part of a batch, with the value of LongLease in it.
-type batchedIncarnation struct {
-	name      string
-	longLease bool
-}
-
 // restoreIncarnations adds the incarnations to the tables that may have been given work by an earlier leader, whether or not they
 // are listed.
 func (c *session) restoreIncarnations(earlier map[string]keptIncarnation) {
--- a/pool/load.go
+++ b/pool/load.go
@@ -25,8 +25,6 @@
 	// settledKey is the prefix for the numbers of a job's runs whose starts can't be carried out any more.
 	settledKey = "r/"
 	waveKey    = "wave/"
-	// leasesKey holds the latest term whose leader has stored which incarnations may have long leases.
-	leasesKey = "leases"
 	// incarnationKey is the prefix for incarnations that may have been given work. Earlier versions stored all of them in the
 	// single record workersKey.
 	incarnationKey = "w/"
@@ -177,7 +175,6 @@
 	late := make(map[string][]job.StoredLate)
 	settled := make(map[string][]int64)
 	earlier := make(map[string]keptIncarnation)
-	var leases keptLeases
 	for _, r := range state.Records {
 		switch {
 		case strings.HasPrefix(r.Key, stateKey):
@@ -214,8 +211,6 @@
 			for _, k := range all {
 				earlier[k.Incarnation] = keptIncarnation{Machine: k.Machine, Pool: k.Pool, Address: k.Address}
 			}
-		case r.Key == leasesKey:
-			c.decodeRecord(r, &leases)
 		case r.Key == instancesKey:
 			c.decodeRecord(r, &c.previousInstances)
 		case strings.HasPrefix(r.Key, waveKey):
@@ -238,7 +233,6 @@
 		c.applyWorkerRecord(r.Key, r.Value)
 	}
 	c.restoreIncarnations(earlier)
-	c.restoreLeases(leases, earlier)
 	for _, w := range c.workers {
 		w.knownAtTakeover = true
 	}
@@ -253,7 +247,6 @@
 		if k, ok := states[id]; ok {
 			j.Restore(k, now)
 			j.RestoreLost(lost[id])
-			c.noteEarlierLosses(j)
 			j.RestoreLate(late[id], now, wallClock(), lateMax+lateMargin)
 			c.restoreRuns(j, k, settled[id], ended)
 			c.dirtyJobs.Remove(id)
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -227,7 +227,7 @@
 		if step.Gang && len(g.Tasks) < step.Count {
 			continue // the remaining members of the gang have not ended yet
 		}
-		if held := c.markHeld(g.Tasks, now); held > 0 {
+		if held := markHeld(g.Tasks, now); held > 0 {
 			p.dirty = true
 			if held == len(g.Tasks) || step.Gang {
 				continue
@@ -292,10 +292,10 @@
 }
 
 // markHeld marks the tasks that must not be started yet, and returns their number.
-func (c *session) markHeld(tasks []*job.Task, now time.Time) int {
+func markHeld(tasks []*job.Task, now time.Time) int {
 	held := 0
 	for _, t := range tasks {
-		t.BackingOff = now.Before(t.NotBefore) || t.MayComeLate(now) || c.awaitsRetraction(t, now)
+		t.BackingOff = now.Before(t.NotBefore) || t.MayComeLate(now)
 		if t.BackingOff {
 			held++
 		}
--- a/pool/report.go
+++ b/pool/report.go
@@ -71,9 +71,6 @@
 
 // applyReport applies a worker's report of running and ended runs.
 func (c *session) applyReport(w *worker, rep work.Report, now time.Time) {
-	c.forgetExpired(w) // the incarnation has not ended
-	c.resolveFormer(w, now)
-	c.retractEarlierLosses(w)
 	if !w.silentSince.IsZero() {
 		c.emit(event.WorkerSilent, event.Subject{Instance: w.Incarnation}, "answers again after %v runs=%d leased=%v", now.Sub(w.silentSince).Round(time.Millisecond), len(w.runs), w.remainingLease(now))
 		w.silentSince = time.Time{}
--- a/pool/session.go
+++ b/pool/session.go
@@ -61,8 +61,6 @@
 	dirtyJobs           keep.DirtyRows[*job.Job]
 	dirtyIncarnations   keep.DirtyRows[struct{}]
 	legacyWorkersRecord bool
-	// leasesDirty is set while the record of this term's leases has to be written.
-	leasesDirty bool
 	// writer appends to the state topic. It is used only by the append in progress.
 	writer *keep.Writer
 	// aside holds the records that the store always rejects.
@@ -162,10 +160,6 @@
 	sideKeys map[string]bool
 	// silentPending counts the silent workers whose next incarnation may carry out an unanswered start.
 	silentPending atomic.Int32
-	// formerWorkers holds, by ID, the rows that were removed although their incarnation may go on, as long as their expiredRuns are evidence.
-	formerWorkers map[string]*worker
-	// earlierLosses holds the runs that earlier leaders stored as lost, by incarnation. If it answers, it has not ended.
-	earlierLosses map[string][]earlierLostRun
 	// trials holds the workers on which a suspect task is being tried.
 	trials map[*worker]bool
 	// fenced holds the instances for which this leader has made a call to the machine interface, so that a delayed
@@ -185,7 +179,7 @@
 		intakePartitions: make(map[job.QualifiedID]uint64), cancelled: make(map[job.QualifiedID]bool), idConflicts: make(map[job.QualifiedID]*idConflict),
 		uncertainIncarnations: make(map[string]*worker), takeoverSteps: make(map[string]bool), storedIncarnations: make(map[string]bool), waveStates: make(map[int64]*waveState), drains: make(drains), firstHoldSemaphore: newCallSemaphore(),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
-		moves: make(map[string]*pendingMove), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), earlierLosses: make(map[string][]earlierLostRun), formerWorkers: make(map[string]*worker), fenced: make(map[string]bool), fencing: make(map[string]bool), statsByQueue: make(map[string]*queueStats), unmovable: make(map[string]time.Time), movedAt: make(map[string]time.Time),
+		moves: make(map[string]*pendingMove), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), statsByQueue: make(map[string]*queueStats), unmovable: make(map[string]time.Time), movedAt: make(map[string]time.Time),
 	}
 	c.aside = make(asideRecords)
 	c.writer = c.newWriter()
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -3,7 +3,6 @@
 package pool
 
 import (
-	"maps"
 	"time"
 
 	"rackstep.dev/event"
@@ -31,8 +30,6 @@
 	// one for every workersPerRisk workers if that is more.
 	trialShare     = 1.0 / 3
 	workersPerRisk = 8
-	// evidenceMax is how long a silent worker's expired runs are kept as evidence. A worker that has not come back by then counts as gone.
-	evidenceMax = 30 * time.Second
 )
 
 // attributeLostRuns records the end of an incarnation as evidence against the runs that were on it.
@@ -47,14 +44,13 @@
 	tried := w.trial != nil && c.trialEndedIncarnation(w, newest, ended)
 	youngest := min(newest+similarAge, suspectMaxAge)
 	suspects := 0
-	runs := w.runsAtEnd()
-	for _, r := range runs {
+	for _, r := range w.runs {
 		if r.countsAsLost() && c.ageAt(r, ended) <= youngest {
 			suspects++
 		}
 	}
 	planned := w.Leaving // workers that this leader moves or maintains have been emptied before
-	for t, r := range runs {
+	for t, r := range w.runs {
 		if !r.countsAsLost() {
 			continue
 		}
@@ -81,7 +77,7 @@
 // youngestRun returns the age of the youngest run on a worker at the given time, and the number of runs.
 func (c *session) youngestRun(w *worker, at time.Time) (newest time.Duration, count int) {
 	newest = -1
-	for _, r := range w.runsAtEnd() {
+	for _, r := range w.runs {
 		if !r.countsAsLost() {
 			continue
 		}
@@ -96,13 +92,12 @@
 // trialEndedIncarnation reports whether the task on trial on the worker most likely ended its incarnation: it had not been cleared, and no other run is about as young.
 // Nothing had started on the worker for similarAge when the trial began; half of that is allowed for starts that were still in flight.
 func (c *session) trialEndedIncarnation(w *worker, newest time.Duration, ended time.Time) bool {
-	runs := w.runsAtEnd()
-	r := runs[w.trial]
+	r := w.runs[w.trial]
 	if r == nil || r.number != w.trialRun || !r.countsAsLost() {
 		return false
 	}
 	age := c.ageAt(r, ended)
-	for t, o := range runs {
+	for t, o := range w.runs {
 		if t != w.trial && o.countsAsLost() && c.ageAt(o, ended) <= age+similarAge/2 {
 			return false
 		}
@@ -110,90 +105,6 @@
 	return age == newest && age <= trialDuration(w.trial)
 }
 
-// A lease can expire before it is known that the incarnation has ended under the run. The run is therefore kept as evidence until the incarnation answers again
-// or is known to have ended. Until then its task is not given up on a second silent worker, so that a task that crashes its workers is started at most once
-// while a loss is not known yet.
-
-// noteExpired keeps a run that is given up because its lease has expired.
-func (c *session) noteExpired(w *worker, t *job.Task, r *run) {
-	if w.expiredRuns == nil {
-		w.expiredRuns = make(map[*job.Task]*run)
-	}
-	w.expiredRuns[t] = r
-	age := c.ageAt(r, w.endTime(c.now()))
-	if t.Job.State.Ended() || !r.countsAsLost() || (t.Spec().Lasting && age > trialMax) {
-		return
-	}
-	if r.orderedAt.IsZero() {
-		age = job.AgeUnknown
-	}
-	t.Job.AddUnresolved(t, job.LostRun{Run: r.number, Incarnation: w.Incarnation, Age: age})
-	c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
-}
-
-// forgetExpired forgets the runs that were given up on a worker because their lease had expired: what became of them is known.
-func (c *session) forgetExpired(w *worker) {
-	for t, r := range w.expiredRuns {
-		t.Job.ResolveRun(t, r.number)
-		if t.Job.Version > t.Job.StoredVersion {
-			c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
-		}
-	}
-	w.expiredRuns = nil
-}
-
-// keepFormer keeps a removed row until its incarnation answers again or another one answers under its ID.
-func (c *session) keepFormer(w *worker) {
-	if len(w.expiredRuns) == 0 {
-		return
-	}
-	if before := c.formerWorkers[w.ID]; before != nil {
-		c.forgetExpired(before)
-	}
-	c.formerWorkers[w.ID] = w
-}
-
-// resolveFormer handles an answer under the ID of a removed row. If another incarnation has answered, that of the row has ended.
-func (c *session) resolveFormer(w *worker, now time.Time) {
-	former := c.formerWorkers[w.ID]
-	if former == nil {
-		return
-	}
-	if former.Incarnation != w.Incarnation {
-		c.attributeLostRuns(former, now)
-	}
-	c.forgetFormer(former)
-}
-
-// expireFormer forgets the removed rows whose ID has not answered for too long.
-func (c *session) expireFormer(now time.Time) {
-	for _, w := range c.formerWorkers {
-		if now.Sub(w.silentSince) > evidenceMax {
-			c.forgetFormer(w)
-		}
-	}
-}
-
-func (c *session) forgetFormer(w *worker) {
-	c.forgetExpired(w)
-	delete(c.formerWorkers, w.ID)
-}
-
-// heldAfterLease reports whether a run is not given up yet although its lease has expired.
-func (c *session) heldAfterLease(w *worker, t *job.Task, r *run, now time.Time) bool {
-	return c.mayStartLate(w, t, r, now) || (len(t.Unresolved) > 0 && now.Sub(w.silentSince) <= evidenceMax)
-}
-
-// runsAtEnd returns the runs that were or may have been on the incarnation when it ended, including those given up since it fell silent.
-func (w *worker) runsAtEnd() map[*job.Task]*run {
-	if len(w.expiredRuns) == 0 {
-		return w.runs
-	}
-	all := maps.Clone(w.runs)
-	maps.Copy(all, w.expiredRuns)
-	return all
-}
-
 // earlierLostRun is a run that an earlier leader ordered on an incarnation that has ended since.
 type earlierLostRun struct {
 	task *job.Task
@@ -211,30 +122,6 @@
 	}
 }
 
-// noteEarlierLosses notes the runs of a job that earlier leaders stored as lost: they may have been given up only because their leases had expired.
-func (c *session) noteEarlierLosses(j *job.Job) {
-	for i := range j.Tasks {
-		t := &j.Tasks[i]
-		for _, l := range t.Lost {
-			c.earlierLosses[l.Incarnation] = append(c.earlierLosses[l.Incarnation], earlierLostRun{task: t, run: l.Run})
-		}
-	}
-}
-
-// retractEarlierLosses takes back what earlier leaders stored as lost with an incarnation that answers.
-func (c *session) retractEarlierLosses(w *worker) {
-	for _, l := range c.earlierLosses[w.Incarnation] {
-		c.retractLostRun(l.task, l.run)
-	}
-	delete(c.earlierLosses, w.Incarnation)
-}
-
-// awaitsRetraction reports whether a task has too many losses according to earlier leaders, some of which may still be taken back. Only this leader's own
-// evidence gives a job up.
-func (c *session) awaitsRetraction(t *job.Task, now time.Time) bool {
-	return len(t.Lost) > 0 && t.ExceedsLossLimit() && now.Sub(c.startedAt) < evidenceMax
-}
-
 // recordLostRun records a run that was lost with its incarnation and gives its job up once too many have been. The run was at least as old as the given age.
 func (c *session) recordLostRun(t *job.Task, l job.LostRun, age time.Duration) {
 	if t.Spec().Lasting && age > trialMax {
@@ -287,8 +174,6 @@
 		r := w.runs[t]
 		switch {
 		case c.workers[w.Incarnation] != w:
-		case w.expiredRuns[t] != nil:
-			continue // its incarnation may have ended under the trial
 		case r == nil || r.number != w.trialRun:
 			c.markPoolDirty(w.Pool)
 		case r.orderedAt.IsZero() || !w.silentSince.IsZero() || now.Sub(r.orderedAt) <= trialDuration(t):
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -25,9 +25,6 @@
 	candidate place.Candidate
 	// runs are the tasks whose latest run is, or may be, on this worker.
 	runs map[*job.Task]*run
-	// expiredRuns are the runs that were given up when their lease expired while the worker was silent. They count as lost if it turns out that its
-	// incarnation has ended.
-	expiredRuns map[*job.Task]*run
 	// ledger counts the resources that each organisation uses. Runs added to and dropped from this row are counted
 	// there.
 	ledger *org.Ledger
@@ -42,9 +39,6 @@
 	// knownAtTakeover is set if the incarnation was known when the tables were read, so that the earlier leader may have
 	// counted it and leased work on it.
 	knownAtTakeover bool
-	// needsLongLease is set if it has or had lasting tasks, or may have a long lease of an earlier leader, so that its record must allow
-	// long leases. hadLongLease is set if an earlier leader may have given one.
-	needsLongLease, hadLongLease bool
 	// unreadable is set while its entry in the list can't be parsed. It gets no starts then, and its runs go on.
 	unreadable bool
 	// listedAtConfirmation is set if the incarnation was listed when the store last confirmed the lead.
@@ -110,8 +104,6 @@
 	wake     chan struct{}
 	// finiteRuns counts the runs of tasks that are not lasting. Holds wait for their ends.
 	finiteRuns atomic.Int32
-	// longLeaseAllowed is set once the stored record tells the next leader that long leases may be given here.
-	longLeaseAllowed atomic.Bool
 	// mixedLoad is set while filling tasks run next to serving tasks, whose latency must be read often then.
 	mixedLoad atomic.Bool
 
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -342,7 +342,6 @@
 	c.counts.silentWorkers.Update(float64(workers))
 	c.counts.uncertainRuns.Update(float64(runs))
 	c.expireUnheard(now)
-	c.expireFormer(now)
 	every := listInterval
 	if silent || c.waveActive() {
 		every = silentListInterval
@@ -389,21 +388,19 @@
 //
 // Expiry does not settle an unanswered start: the next incarnation under the worker's ID may carry it out, and the start's deadline means nothing on that incarnation's clock.
 func (c *session) expireLease(w *worker, now time.Time) {
-	held := 0
+	late := 0
 	for t, r := range w.runs {
-		if c.heldAfterLease(w, t, r, now) {
-			held++
-		} else {
-			c.noteExpired(w, t, r)
+		if c.mayStartLate(w, t, r, now) {
+			late++
 		}
 	}
-	if !w.listed && held == 0 {
+	if !w.listed && late == 0 {
 		c.removeIncarnation(w, "its lease is over and it is not listed") // the incarnation may go on and be listed again
 		return
 	}
-	if over := len(w.runs) - held; over > 0 {
-		c.emit(event.WorkerLost, event.Subject{Instance: w.Incarnation}, "its lease is over runs=%d held=%d", over, held)
-		c.abandonRuns(w, func(t *job.Task, r *run) bool { return w.expiredRuns[t] == r })
+	if over := len(w.runs) - late; over > 0 {
+		c.emit(event.WorkerLost, event.Subject{Instance: w.Incarnation}, "its lease is over runs=%d late=%d", over, late)
+		c.abandonRuns(w, func(t *job.Task, r *run) bool { return !c.mayStartLate(w, t, r, now) })
 	}
 }
 
@@ -427,11 +424,6 @@
 	if c.endedIncarnations[w.Incarnation] && (w.successor == nil || w.BootID != 0) { // a successor of an incarnation without a boot ID may be the same incarnation
 		c.attributeLostRuns(w, c.now())
 	}
-	if c.endedIncarnations[w.Incarnation] {
-		c.forgetExpired(w)
-	} else {
-		c.keepFormer(w)
-	}
 	c.abandonRuns(w, func(*job.Task, *run) bool { return true })
 	if w.cancel != nil {
 		w.cancel()
