--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -70,6 +70,40 @@
 	}
 }
 
+// Guards against a crash that counts for nothing because the lease of its run is over before the worker is back: the run was given up, and nothing of it was left
+// when the next incarnation answered. Tasks were started 4 and 5 times after three workers had crashed under them.
+func TestACrashCountsAlthoughItsLeaseIsOverFirst(t *testing.T) {
+	for _, x := range [...]struct {
+		restartDelay, takeover time.Duration
+	}{
+		{2900 * time.Millisecond, 0}, {3300 * time.Millisecond, 0}, {4500 * time.Millisecond, 0}, {8 * time.Second, 0}, {20 * time.Second, 0},
+		{3300 * time.Millisecond, 7 * time.Second}, {8 * time.Second, 7 * time.Second},
+	} {
+		for _, reuse := range []float64{0, 1} {
+			t.Run(fmt.Sprintf("back after %v, takeovers every %v, IDs reused %v", x.restartDelay, x.takeover, reuse), func(t *testing.T) {
+				for seed := range uint64(*histories) {
+					_, wrong := runHistoryWith(t, seed, historyWorkers, simCapacity, reuse, func(h *history) {
+						h.restartDelay = x.restartDelay
+						for i := range 20 {
+							if id := h.submit(false, 3); i < 2 {
+								h.crashAt(id+".0.0.1", time.Duration(10+seed*40)*time.Millisecond)
+							}
+						}
+						stop := h.loseLeaders(x.takeover)
+						time.Sleep(time.Minute)
+						stop()
+						h.beforeCheck = func() { h.excludeGivenUp() }
+						h.healAndCheck()
+					})
+					for _, y := range wrong[:min(len(wrong), 3)] {
+						t.Errorf("seed %d, one of %d: %s", seed, len(wrong), y)
+					}
+				}
+			})
+		}
+	}
+}
+
 // loseLeaders kills the leader repeatedly until the returned function is called.
 func (h *history) loseLeaders(every time.Duration) func() {
 	if every == 0 {
--- a/pool/pending.go
+++ b/pool/pending.go
@@ -44,36 +44,6 @@
 	pendingRetryStep = 2 * time.Millisecond
 )
 
-// pendingStarts counts the attempts to start a run that got no answer and may still be carried out.
-type pendingStarts struct {
-	count int
-	// unknown is set if an earlier leader may have made any number of them.
-	unknown bool
-	// began is set once the attempt that began the run on the present incarnation is known to be none of them.
-	began bool
-}
-
-// add records an attempt that got no answer.
-func (p *pendingStarts) add() { p.count++ }
-
-// remove records that an attempt can't be carried out any more.
-func (p *pendingStarts) remove() { p.count = max(p.count-1, 0) }
-
-// accepted records that an attempt was accepted. Those that got no answer remain open.
-func (p *pendingStarts) accepted() { p.began = true }
-
-// listed records that the worker lists the run: unless an attempt was accepted, one that got no answer has been carried out.
-func (p *pendingStarts) listed() {
-	if p.began || p.count == 0 {
-		return
-	}
-	p.began = true
-	p.remove()
-}
-
-// open reports whether an attempt may be left that can still be carried out.
-func (p *pendingStarts) open() bool { return p.count > 0 || p.unknown }
-
 // runOf returns the task's run with the given number, even if it has been handed on to the next incarnation, or nil if there is no such run any more.
 func (c *session) runOf(t *job.Task, number int64) *run {
 	w := c.workers[t.Worker]
@@ -209,59 +179,6 @@
 	r.pending.began = false
 }
 
-// plannedResend is a start that is sent again once the store has the version of its job, with a LateUntil that covers the attempt.
-type plannedResend struct {
-	plannedStart
-	version int64
-}
-
-// planResend plans another attempt to start an unanswered run.
-func (c *session) planResend(w *worker, t *job.Task, r *run, now time.Time) {
-	if r.resendPlanned || !c.mayResend(w, t, r, now) {
-		return
-	}
-	r.resendPlanned = true
-	if !lateCovers(w, t, now) {
-		c.extendLate(t, now.Add(lateMax))
-	}
-	c.resends = append(c.resends, plannedResend{plannedStart{worker: w, task: t, run: r}, t.Job.Version})
-	c.sendResends(now)
-}
-
-// lateCovers reports whether the record of the task's LateUntil covers an attempt that is made now.
-func lateCovers(w *worker, t *job.Task, now time.Time) bool {
-	return w.BootID == 0 || !t.LateUntil.Add(lateMargin).Before(now.Add(lateMax))
-}
-
-// mayResend reports whether another attempt may be made to start a run.
-func (c *session) mayResend(w *worker, t *job.Task, r *run, now time.Time) bool {
-	if w.runs[t] != r || c.workers[w.Incarnation] != w || !r.unanswered || r.inFlight || t.Stopping || t.Job.State.Ended() {
-		return false
-	}
-	attempts := startAttempts
-	if w.BootID == 0 {
-		attempts = quickAttempts
-	}
-	return r.orderCount < attempts && w.usable(now) && (!t.Spec().Lasting || c.canStartLasting(w, now))
-}
-
-// sendResends sends the planned attempts that the next leader would know of.
-func (c *session) sendResends(now time.Time) {
-	var waiting []plannedResend
-	for _, p := range c.resends {
-		switch {
-		case !c.mayResend(p.worker, p.task, p.run, now), !lateCovers(p.worker, p.task, now):
-			p.run.resendPlanned = false // resolveUnanswered plans it again if it is still due
-		case p.task.Job.StoredVersion < p.version && p.worker.BootID != 0, !c.mayOrder(now), c.startsInFlight >= c.maxStartsInFlight():
-			waiting = append(waiting, p)
-		default:
-			p.run.resendPlanned = false
-			c.sendStart(p.worker, p.task, p.run, now)
-		}
-	}
-	c.resends = waiting
-}
-
 // ackAfter returns the time before which an end must not be acknowledged, or the zero time if the end only has to be stored first.
 func (c *session) ackAfter(w *worker, e work.EndedRun, now time.Time) time.Time {
 	t := c.task(e.Task)
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -89,8 +89,9 @@
 	// corrupts reports whether the next list entry of a worker is truncated. No entry is when corrupts is nil.
 	corrupts func(l *incarnation) bool
 	// crashDelays holds the tasks that crash their worker, and how long after their start they do. The instance is back
-	// after simRestartDelay.
-	crashDelays map[string]time.Duration
+	// after restartDelay, or after simRestartDelay if that is 0.
+	crashDelays  map[string]time.Duration
+	restartDelay time.Duration
 	// lastDisrupted is when an entry last started, was frozen, or got no answer from the store. Time-bounded rules do not
 	// apply to it until simContactGrace has passed.
 	lastDisrupted map[string]time.Time
