pool: a run whose open attempts have run out of time is settled; many resends cost one pass

Found by reading the change. A run of which an earlier leader may have made any number of attempts stayed unsettled for good, so that each further takeover held it to its worker's ID; it is settled once their time has passed.

--- a/pool/orders.go
+++ b/pool/orders.go
@@ -357,7 +357,6 @@
 
 // resolveUnanswered handles runs whose start got no answer: it resends the start or stops the run. It also repeats unanswered stops.
 func (c *session) resolveUnanswered(now time.Time) {
-	c.sendResends(now)
 	for _, w := range c.workers {
 		if len(w.runs) == 0 {
 			continue
@@ -374,4 +373,5 @@
 			}
 		}
 	}
+	c.sendResends(now)
 }
--- a/pool/pending.go
+++ b/pool/pending.go
@@ -151,9 +151,12 @@
 	return t.MayComeLate(now) && !t.Suspect
 }
 
-// settled reports whether the worker has the run and no start of it can be carried out any more.
+// settled reports whether the worker has the run and no start of it can be carried out any more: no attempt is open, or the time of the open ones has passed.
 func (w *worker) settled(t *job.Task, r *run, now time.Time) bool {
-	return w.BootID != 0 && r.confirmed > 0 && !r.inFlight && !r.handedOnInFlight && !r.pending.open() && !t.MayComeLate(now)
+	if w.BootID == 0 || r.confirmed == 0 || r.inFlight || r.handedOnInFlight || t.MayComeLate(now) {
+		return false
+	}
+	return !r.pending.open() || !t.LateUntil.IsZero()
 }
 
 // storeSettled has the store told of settled runs.
--- a/pool/resend.go
+++ b/pool/resend.go
@@ -14,17 +14,25 @@
 	version int64
 }
 
-// planResend plans another attempt to start an unanswered run.
+// planResend plans another attempt to start an unanswered run. It is made at once where no other incarnation can bear the worker's ID.
 func (c *session) planResend(w *worker, t *job.Task, r *run, now time.Time) {
 	if r.resendPlanned || !c.mayResend(w, t, r, now) {
 		return
 	}
+	if w.BootID == 0 && c.maySendStart(now) {
+		c.sendStart(w, t, r, now)
+		return
+	}
 	r.resendPlanned = true
 	if !lateCovers(w, t, now) {
 		c.extendLate(t, now.Add(lateMax))
 	}
 	c.resends = append(c.resends, plannedResend{plannedStart{worker: w, task: t, run: r}, t.Job.Version})
-	c.sendResends(now)
+}
+
+// maySendStart reports whether a start may be sent now.
+func (c *session) maySendStart(now time.Time) bool {
+	return c.mayOrder(now) && c.startsInFlight < c.maxStartsInFlight()
 }
 
 // lateCovers reports whether the record of the task's LateUntil covers an attempt that is made now.
@@ -51,7 +59,7 @@
 		switch {
 		case !c.mayResend(p.worker, p.task, p.run, now), !lateCovers(p.worker, p.task, now):
 			p.run.resendPlanned = false // resolveUnanswered plans it again if it is still due
-		case p.task.Job.StoredVersion < p.version && p.worker.BootID != 0, !c.mayOrder(now), c.startsInFlight >= c.maxStartsInFlight():
+		case p.task.Job.StoredVersion < p.version && p.worker.BootID != 0, !c.maySendStart(now):
 			waiting = append(waiting, p)
 		default:
 			p.run.resendPlanned = false
