--- a/pool/orders.go
+++ b/pool/orders.go
@@ -114,12 +114,11 @@
 	row := w.Worker
 	c.startsInFlight++
 	m := startResult{worker: w, task: t, run: r.number, token: o.Fence, earlier: r.orderCount - 1, sentAt: now}
-	timeout := c.answerTime.startTimeout(m.earlier)
+	timeout := startTimeout << min(m.earlier, quickAttempts-1)
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, timeout)
 		defer cancel()
 		m.answer, m.err = c.Calls.Start(ctx, &row, o)
-		m.took = c.exactNow().Sub(now)
 		c.post(m)
 	})
 }
@@ -133,7 +132,6 @@
 	// earlier counts the attempts before this one.
 	earlier int
 	sentAt  time.Time
-	took    time.Duration
 	answer  work.Answer
 	err     error
 }
@@ -153,7 +151,6 @@
 	if m.err == nil {
 		w.readClock(m.answer.Clock)
 	}
-	c.observeAnswer(m)
 	if m.unanswered() {
 		c.recordUnanswered(w, t, m.run, m.sentAt)
 	}
@@ -204,16 +201,6 @@
 	}
 }
 
-// observeAnswer takes the time of an answer into account for the timeouts of further starts.
-func (c *session) observeAnswer(m startResult) {
-	switch {
-	case m.err == nil:
-		c.answerTime.observe(m.took)
-	case m.unanswered():
-		c.answerTime.unanswered()
-	}
-}
-
 // startStillPending handles the outcome of an attempt that was not accepted while this or an earlier one may still be carried out: the run keeps its worker.
 func (c *session) startStillPending(w *worker, t *job.Task, r *run, m startResult, now time.Time) {
 	if m.err != nil {
--- a/pool/pending.go
+++ b/pool/pending.go
@@ -31,7 +31,7 @@
 	lateMax = 15 * time.Second
 	// lateMargin is added to LateUntil where it is stored, so that the record covers the next attempt too.
 	lateMargin = 3 * time.Second
-	// startTimeout is the least timeout of the first attempt to start a run, see answerTime. It doubles with the second and the third attempt.
+	// startTimeout is the timeout of the first attempt to start a run. It doubles with the second and the third attempt.
 	startTimeout = 120 * time.Millisecond
 	// quickAttempts is how many attempts are made without a pause. Each further one is made orderTimeout after the one before, up to startAttempts in all.
 	quickAttempts = 3
--- a/pool/session.go
+++ b/pool/session.go
@@ -76,8 +76,6 @@
 	// plannedStarts are the runs to order once they are stored. storedStarts are stored and wait until the leader may
 	// give orders.
 	plannedStarts, storedStarts []plannedStart
-	// answerTime is how long workers take to answer starts.
-	answerTime answerTime
 	// resends are the further attempts to start unanswered runs that wait until the next leader would know of them.
 	resends []plannedResend
 	// notDue holds the jobs with start times in the future.
