lead: count the silence of a leader only while the store answers

A failed read restarted the whole election timeout, so one long poll that a cut left without an answer hid the loss of the leader from large entries and a small one took over. Once a renewal is overdue, short second reads now go by other routes. Silence counts while reads are answered at most 0.45 s apart; after a longer gap the store counts as away and the timeout begins anew. A leader renews every 0.45 s also when the calls of an outage are lost, which before left it silent for up to 1.5 s after the outage. The deferral of small entries is 0.5 s in proportion, because they may notice the return of the store up to 0.3 s earlier.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -38,6 +38,8 @@
 	addresses []string
 	// preferred is the peer that last relayed a call successfully.
 	preferred string
+	// relaying counts the calls that each peer is making for this entry.
+	relaying map[string]int
 	// backoffUntil is when the backoff of the peers that did not reply ends.
 	backoffUntil map[string]time.Time
 }
@@ -106,6 +108,37 @@
 	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
+// began records that a peer makes a call for this entry, and returns the function that records its end.
+func (p *peerTable) began(address string) func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.relaying == nil {
+		p.relaying = make(map[string]int)
+	}
+	p.relaying[address]++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.relaying[address]--; p.relaying[address] == 0 {
+			delete(p.relaying, address)
+		}
+	}
+}
+
+// sortForDetour sorts peers so that those come last that are making a call for this entry, whose answer may be lost, and the
+// leader, whose silence is the usual reason for a detour.
+func (p *peerTable) sortForDetour(addresses []string, leader string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := func(a string) int {
+		if a == leader || p.relaying[a] > 0 {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // followLeader updates the links when the leader changes.
 func (n *Node) followLeader(lead.Record) { n.linkPeers() }
 
@@ -154,6 +187,9 @@
 	up := n.mesh.ConnectedPeers()
 	addresses := n.peerAddresses()
 	n.peers.sortByHealth(addresses)
+	if c.Detour {
+		n.peers.sortForDetour(addresses, n.elector.Latest().Address)
+	}
 	attempts := 0
 	last := platform.StoreResponse{}
 	for _, address := range addresses {
@@ -162,7 +198,9 @@
 		}
 		attempts++
 		var a peerpb.StoreAnswer
+		ended := n.peers.began(address)
 		err := n.callPeer(ctx, address, open, &a)
+		ended()
 		switch {
 		case errors.Is(err, errNoReply), err == nil && a.Status == 0 && !a.Unsent:
 			n.peers.markUnresponsive(address)
--- a/feed/topic.go
+++ b/feed/topic.go
@@ -53,6 +53,9 @@
 	Read func(ctx context.Context, from int64, wait time.Duration) (KeyedPage, error)
 	// Newest returns the newest record of each key. Reading on from the page's Next misses no record.
 	Newest func(ctx context.Context) (KeyedPage, error)
+	// Probe reads like Read without waiting, by another route than reads that are still unanswered; attempt numbers the probes
+	// of one read, which take different routes. Nil when the service has only one route.
+	Probe func(ctx context.Context, from int64, attempt int) (KeyedPage, error)
 }
 
 // ConditionError means that the topic did not end at the batch's ExpectedEnd; nothing was appended.
--- a/lead/elector.go
+++ b/lead/elector.go
@@ -32,6 +32,22 @@
 	// followerReadPause is the pause after each renewal at an entry that defers to larger ones, so that it reads about every
 	// second renewal. It is below electionTimeout, so that a read is already open when a renewal fails to arrive.
 	followerReadPause = 700 * time.Millisecond
+	// overdueMargin is how long after a renewal was due a second read is sent, and pollMargin how long after the end of its wait
+	// a long poll may be answered before one is.
+	overdueMargin = 100 * time.Millisecond
+	pollMargin    = 100 * time.Millisecond
+	// probeInterval is the time between second reads. From the third on it doubles up to maxProbeInterval, so that entries
+	// do not load a store that is failing. maxProbeInterval is below the deferral of small entries, so that they do not notice the
+	// store's return so much before larger ones that they take over first.
+	probeInterval    = 150 * time.Millisecond
+	maxProbeInterval = 300 * time.Millisecond
+	// probeGrace is how long an open long poll may still deliver the records that a second read has brought. After that it is
+	// cancelled, which marks its route as failing.
+	probeGrace = 50 * time.Millisecond
+	// maxAnswerGap is the longest time between two answered reads during which the store still counts as available. It is not
+	// above RenewTimeout, so that a store that answers nobody for that long delays a renewal by no more than one attempt, which
+	// electionTimeout allows for.
+	maxAnswerGap = RenewTimeout
 	// callTimeout bounds a call to the store, in addition to the wait that the call asks for.
 	callTimeout = 700 * time.Millisecond
 	// RenewTimeout is how long the first attempt of a renewal waits for its answer before the renewal is sent again. Together
@@ -46,8 +62,9 @@
 	renewalTransit = 100 * time.Millisecond
 	// renewRetryPause is the pause after a renewal that failed at once.
 	renewRetryPause = 50 * time.Millisecond
-	// maxRenewalsInFlight bounds the concurrent attempts of one renewal.
-	maxRenewalsInFlight = 4
+	// maxRenewalsInFlight bounds the concurrent attempts of one renewal. It lets one be sent every RenewTimeout even if none of
+	// the earlier ones is ever answered: with 4, a leader could not renew for 1.5 s after an outage in which its calls were lost.
+	maxRenewalsInFlight = int(renewCallTimeout/RenewTimeout) + 2
 	// maxReadDelay bounds the measured delay of reads by which candidates extend electionTimeout.
 	maxReadDelay = time.Second
 	// retakePause keeps an entry that lost leadership from taking it back while workers may still receive messages of both leaders.
@@ -58,7 +75,7 @@
 	// up to weightDelay longer, in proportion to the difference. Before the first term there is more time, and an entry
 	// waits up to firstTermDelay in proportion to what its weight lacks of 1.
 	maxJitter      = 80 * time.Millisecond
-	weightDelay    = 300 * time.Millisecond
+	weightDelay    = 500 * time.Millisecond
 	firstTermDelay = time.Second
 	// ConfirmedFor is how long a renewal proves that no other entry leads, counted from when it was sent. It is below
 	// electionTimeout.
@@ -97,7 +114,9 @@
 	mu            sync.Mutex
 	latest        Record
 	end           int64
-	lastHeard     time.Time     // start of the election timeout: when a leader's record was last read, or a read last failed
+	lastHeard     time.Time     // start of the election timeout: when a leader's record was last read, or the store was back
+	answeredAt    time.Time     // when the store last answered a read
+	pausedUntil   time.Time     // when the latest pause before a read ended
 	renewedAt     time.Time     // when the newest renewal was read, or the latest time at which it can have arrived
 	renewalOffset int64         // offset of the newest renewal
 	batch         Record        // leader's record of the newest batch that was read; zero when it was not read
@@ -197,7 +216,7 @@
 			known = false
 		}
 		if err != nil {
-			e.storeFailed(asked)
+			e.readFailed(asked)
 			sleep(ctx, 100*time.Millisecond)
 			continue
 		}
@@ -262,6 +281,9 @@
 	case <-e.readNow:
 	case <-t.C:
 	}
+	e.mu.Lock()
+	e.pausedUntil = e.Clock.Now()
+	e.mu.Unlock()
 	return since
 }
 
@@ -273,33 +295,6 @@
 	}
 }
 
-func (e *Elector) follow(ctx context.Context) error {
-	since := e.pauseBeforeRead(ctx)
-	wait := e.readWait()
-	asked := e.Clock.ExactNow()
-	defer func() {
-		if e.Clock.ExactNow().Sub(asked) > wait+outageThreshold { // this process was stalled, or its calls were
-			e.mu.Lock()
-			e.lastOutage = e.Clock.Now()
-			e.mu.Unlock()
-		}
-	}()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	page, err := e.Topic.Read(ctx, e.end, wait)
-	if err != nil {
-		return fmt.Errorf("follow the leader's record: %w", err)
-	}
-	if len(page.Records) == 0 {
-		e.recordReadDelay(e.Clock.Since(asked) - wait)
-	}
-	// The renewal was not there before the pause, and the leader renews every renewInterval. If the answer took longer, it may
-	// have waited in this process while it was stalled. Dating the renewal by the time of reading would then hide what the
-	// leader may have done since it was sent, so applyPage gets a latest date for it.
-	e.applyPage(page, since.Add(renewInterval+renewalTransit))
-	return nil
-}
-
 // recordReadDelay records by how much an empty read exceeded its wait. The leader's renewals take the same route and may be
 // as late.
 func (e *Elector) recordReadDelay(by time.Duration) {
@@ -316,6 +311,7 @@
 	var extras []extraRecord
 	e.mu.Lock()
 	e.end = max(e.end, page.Next)
+	e.storeAnswered()
 	if !e.failingSince.IsZero() && e.Clock.Since(e.failingSince) > outageThreshold {
 		e.lastOutage = e.Clock.Now()
 	}
@@ -356,32 +352,23 @@
 	if cbor.Unmarshal(r.Value, &rec) != nil {
 		return false
 	}
+	if r.Offset <= e.renewalOffset && r.Offset != 0 { // two reads may bring the same record
+		return false
+	}
 	e.batch = rec
 	if rec.Fence < e.latest.Fence {
 		return false
 	}
 	e.lastHeard = e.Clock.Now()
-	if r.Offset > e.renewalOffset || r.Offset == 0 { // the same record read again does not count as a renewal
-		e.renewedAt, e.renewalOffset = e.lastHeard, r.Offset
-		if newest.Before(e.renewedAt) {
-			e.renewedAt = newest
-		}
+	e.renewedAt, e.renewalOffset = e.lastHeard, r.Offset
+	if newest.Before(e.renewedAt) {
+		e.renewedAt = newest
 	}
 	changed := rec != e.latest
 	e.latest = rec
 	return changed
 }
 
-// storeFailed restarts the election timeout after a failed call: while the store does not answer, nothing is known about the leader.
-func (e *Elector) storeFailed(since time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lastHeard = e.Clock.Now()
-	if e.failingSince.IsZero() {
-		e.failingSince = since
-	}
-}
-
 // vacant reports whether this entry should try to take the next term.
 func (e *Elector) vacant() bool {
 	e.mu.Lock()
@@ -469,7 +456,7 @@
 func (e *Elector) verifyTerm(ctx context.Context, rec Record, end int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout) // a separate timeout, because a slow store may use up most of one for the append
 	defer cancel()
-	page, err := e.Topic.Read(ctx, end, minReadWait)
+	page, err := e.readBack(ctx, end)
 	var trimmed *feed.TrimmedError
 	if errors.As(err, &trimmed) { // the store has trimmed its history meanwhile; the newest record of the key is still there
 		page, err = e.Topic.Newest(ctx)
--- a/lead/elector_test.go
+++ b/lead/elector_test.go
@@ -132,6 +132,7 @@
 	mu       sync.Mutex
 	leading  map[string]Term
 	terms    []Term
+	holders  []*Elector // of the terms
 }
 
 func newGroup(t *testing.T, n int) *electorGroup {
@@ -140,6 +141,11 @@
 
 // newGroupWith returns a running group of n electors, each of which uses the topic that view returns for its entry.
 func newGroupWith(t *testing.T, n int, view func(t *memoryTopic, entry string) feed.Topic) *electorGroup {
+	return newSizedGroup(t, n, view, func(int, *Elector) {})
+}
+
+// newSizedGroup is like newGroupWith, with electors that set changes before they run.
+func newSizedGroup(t *testing.T, n int, view func(t *memoryTopic, entry string) feed.Topic, set func(i int, e *Elector)) *electorGroup {
 	g := &electorGroup{topic: newTopic(), leading: make(map[string]Term)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
@@ -149,13 +155,14 @@
 		e.Serve = func(ctx context.Context, term Term) {
 			g.mu.Lock()
 			g.leading[name] = term
-			g.terms = append(g.terms, term)
+			g.terms, g.holders = append(g.terms, term), append(g.holders, e)
 			g.mu.Unlock()
 			<-ctx.Done()
 			g.mu.Lock()
 			delete(g.leading, name)
 			g.mu.Unlock()
 		}
+		set(i, e)
 		g.electors = append(g.electors, e)
 	}
 	for _, e := range g.electors {
@@ -165,6 +172,19 @@
 	return g
 }
 
+func (g *electorGroup) termCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.terms)
+}
+
+// newestHolder returns the elector that has taken the newest term. An earlier one may not have noticed yet that its term is over.
+func (g *electorGroup) newestHolder() *Elector {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holders[len(g.holders)-1]
+}
+
 // leader returns the elector that leads; it fails the test unless there is exactly one.
 func (g *electorGroup) leader(c *quicktest.C) *Elector {
 	c.Helper()
