lead, pool, entry: prefer entries that are fit to lead and hand over to them

The leader measures what leading requires in its deployment and publishes it under the key capacity of the topic lead. An entry waits up to 0.5 s longer the less fit it is than the fittest one known; fit entries do not wait. Entries that are fitter than the leader report to it that they are well, and at a moment without unstored orders the leader hands over to the fittest of them, which it names under the key successor. The others leave the term to it for 0.4 s.

--- a/entry/node.go
+++ b/entry/node.go
@@ -111,7 +111,7 @@
 	var g run.Group
 	end := make(chan struct{})
 	g.Add(func() error { return waitStop(ctx, end, n.stop) }, func(error) { close(end) })
-	for _, component := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.reportDroppedLogs, n.reportTraffic} {
+	for _, component := range [...]func(context.Context) error{n.mesh.Run, n.elector.Run, n.follower.Run, n.watchSettings, n.reportDroppedLogs, n.reportTraffic, n.reportToLeader} {
 		ctx, cancel := context.WithCancel(componentsCtx)
 		g.Add(func() error { return component(ctx) }, func(error) { cancel() })
 	}
@@ -192,7 +192,8 @@
 		PutWave: platform.WaveStatusWriter(store.StatusTopic()), Events: n.Events,
 		MaxBatchBytes:  s.Store.MaxCallBytes / 2, // leaves a wide margin to the store's limit for a call
 		MaxRecordBytes: s.Store.MaxRecordBytes,
-		Processor:      s.Limits.Share * max(s.Limits.Cores, 1), LinkPerSecond: s.Limits.LinkMbps * bytesPerMegabit,
+		Capacity:       leadCapacity(s), LinkBytes: n.traffic.Total, CPUTime: processCPUTime, MemoryInUse: processMemory,
+		Processor: s.Limits.Share * max(s.Limits.Cores, 1), LinkPerSecond: s.Limits.LinkMbps * bytesPerMegabit,
 	}
 	n.scheduler.SetBounds(boundsOf(s))
 	if n.metrics.scope != nil {
@@ -204,10 +205,11 @@
 	n.elector = &lead.Elector{
 		Clock: n.Clock,
 		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.ProductTopic(leadTopic, 0), Events: n.Events,
-		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.scheduler.Serve, OnRecord: n.followLeader,
+		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.lead, OnRecord: n.followLeader, Capacity: leadCapacity(s),
 		Eligible: func() bool { return n.ingress.Ready() },
 	}
 	n.scheduler.ConfirmedAt, n.scheduler.Lost, n.scheduler.HandOver = n.elector.ConfirmedAt, n.elector.StepDown, n.elector.HandOver
+	n.scheduler.Require, n.scheduler.Successor, n.scheduler.HandOverTo = n.elector.SetRequirement, n.elector.Successor, n.handOverTo
 	n.scheduler.AnnounceUnstoredOrders, n.scheduler.UnstoredOrdersAnnounced, n.scheduler.PublishEarlierLeaders = n.elector.SetUnstored, n.elector.UnstoredPublished, n.elector.SetPredecessors
 	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Clock: n.Clock, Topic: intakes[intakePartition(s.Entry, len(intakes))]}, Query: n.queryJob, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.OperatorTopic(), Events: n.Events, Clock: n.Clock, ApplyDeadline: platform.Millis(s.Bounds.ApplyMillis), Wave: n.scheduler.SetWave, Drains: n.scheduler.SetDrains, Config: func(c *platform.Config) {
--- a/entry/peercall.go
+++ b/entry/peercall.go
@@ -86,6 +86,8 @@
 		reply = n.handleJobQuery(ctx, open.GetJob())
 	case open.GetStore() != nil:
 		reply = n.handleStoreCall(ctx, open.GetStore())
+	case open.GetLeadReport() != nil:
+		reply = n.handleLeadReport(open.GetLeadReport())
 	default:
 		return
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -93,6 +93,7 @@
 	TakeoverStep         Number = 852
 	LeadHandedOver       Number = 853
 	LinkUsed             Number = 854
+	LeadDeferred         Number = 855
 )
 
 // Kind is the catalogue entry of one Number.
@@ -187,8 +188,9 @@
 	{ModeBegun, "mode-begun", "The leader has begun to work in a degraded mode; the text names it and why.", "If it lasts, see docs/OPERATIONS.md."},
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", noAction},
 	{TakeoverStep, "takeover-step", "A new leader has reached a step of the takeover; the text has the time since its term began.", noAction},
-	{LeadHandedOver, "lead-handed-over", "A leader that is short of processor gives up the lead, so that another entry takes it.", "If it is often, look at the instance's processor share."},
+	{LeadHandedOver, "lead-handed-over", "A leader gives up the lead to another entry, because it is short of processor or the other one is fitter; the text says which and has both capacities.", "If it is often, look at the entry's limits; see docs/OPERATIONS.md."},
 	{LinkUsed, "link-used", "The bandwidth of this entry's link that its calls to the platform and to workers used, by kind of call.", "If the share stays over 0.7, give the entry a wider link, or the lead to one that has it."},
+	{LeadDeferred, "lead-deferred", "The leadership is vacant and this entry leaves it to fitter ones for a moment; the text has its fitness and for how long.", noAction},
 }
 
 // Name returns the event's name, or its decimal number when it is not in the catalogue.
--- a/lead/elector.go
+++ b/lead/elector.go
@@ -71,11 +71,12 @@
 	retakePause = 4 * time.Second
 	// handOverPause is how long an entry that has handed over leaves the next term to others, which normally take it at once.
 	handOverPause = time.Second
-	// maxJitter spreads the attempts of candidates over time. An entry with less weight than the largest leader so far waits
-	// up to weightDelay longer, in proportion to the difference. Before the first term there is more time, and an entry
+	// maxJitter spreads the attempts of candidates over time. An entry that is less fit to lead than the fittest one waits up to
+	// maxDeferral longer, in proportion to the difference. While nothing is known about what leading requires, its weight is
+	// compared with the largest leader so far. Before the first term there is more time, and an entry
 	// waits up to firstTermDelay in proportion to what its weight lacks of 1.
 	maxJitter      = 80 * time.Millisecond
-	weightDelay    = 500 * time.Millisecond
+	maxDeferral    = 500 * time.Millisecond
 	firstTermDelay = time.Second
 	// ConfirmedFor is how long a renewal proves that no other entry leads, counted from when it was sent. It is below
 	// electionTimeout.
@@ -95,7 +96,9 @@
 	Topic                feed.Topic
 	// Weight is the entry's processor share in cores; entries with more weight are preferred as leader.
 	Weight float64
-	Events *event.Ring
+	// Capacity is what this entry has for leading. Without it, only Weight counts.
+	Capacity Capacity
+	Events   *event.Ring
 	// Clock measures confirmations and timeouts; the steady clock when nil.
 	Clock *clock.Clock
 	// Serve does the leader's work until its context ends. It is called once for each term that this entry wins.
@@ -105,7 +108,7 @@
 	// Extra returns records under other keys that are appended in one batch with a renewal. It is called once for each renewal;
 	// nil means none.
 	Extra func() []feed.KeyedRecord
-	// OnExtra is called in order with each record under another key, from the goroutine of OnRecord. r is the leader's record
+	// OnExtra is called in order with each record under a key that is not the elector's own, from the goroutine of OnRecord. r is the leader's record
 	// of the same batch, or the zero Record when that one is not known because the topic has newer ones.
 	OnExtra func(key string, value []byte, r Record)
 	// Eligible reports whether this entry may become leader now; always true when nil.
@@ -126,6 +129,7 @@
 	failingSince  time.Time     // when the first call of the current run of failed calls was made; zero while calls succeed
 	lastOutage    time.Time     // when the latest outage of the store ended, see outageThreshold
 	jitter        time.Duration
+	deferredTerm  int64 // term after which this entry last reported that it waits for fitter ones
 	notBefore     time.Time
 	cancelTerm    context.CancelFunc
 	fence         int64
@@ -133,6 +137,15 @@
 	resigned      bool
 	// handingOver is set when this term is being given up and the next is left to other entries.
 	handingOver bool
+	// successor is the entry to which this term is handed over; named is the newest such record that was read, handedOverAt
+	// when.
+	successor    *successorRecord
+	named        successorRecord
+	handedOverAt time.Time
+	// requirement is what leading requires; reports holds the newest reports of other entries in this term, tookAt when it began.
+	requirement requirement
+	reports     map[string]report
+	tookAt      time.Time
 	// unstored is published with the next renewal; unstoredPublished is set once the store has accepted it. renewNow
 	// starts the next renewal without waiting.
 	unstored, unstoredPublished bool
@@ -239,15 +252,23 @@
 
 func (e *Elector) drawJitter() { e.jitter = rand.N(maxJitter) }
 
-// deferral returns how long this entry waits for entries with more weight to take leadership first.
+// deferral returns how long this entry waits for fitter ones to take leadership first.
 func (e *Elector) deferral() time.Duration {
-	if e.latest.Term == 0 {
+	switch p := e.requirement.published; {
+	case e.latest.Term == 0:
 		return time.Duration((1 - min(e.Weight, 1)) * float64(firstTermDelay))
+	case e.requirement.known && e.Capacity != Capacity{}:
+		return time.Duration(max(p.Fittest.Fitness(p.Required)-e.fitness(), 0) * float64(maxDeferral))
+	case e.Weight < e.latest.Weight:
+		return time.Duration((1 - e.Weight/e.latest.Weight) * float64(maxDeferral))
 	}
-	if e.Weight >= e.latest.Weight {
-		return 0
-	}
-	return time.Duration((1 - e.Weight/e.latest.Weight) * float64(weightDelay))
+	return 0
+}
+
+// readsLess reports whether this entry need not see each renewal at once, because larger ones do. One to which the leader may
+// hand over sees each. The caller holds mu.
+func (e *Elector) readsLess() bool {
+	return (e.Weight < e.latest.Weight || e.deferral() > 0) && !e.relieves()
 }
 
 func (e *Elector) readNewest(ctx context.Context) error {
@@ -269,7 +290,7 @@
 func (e *Elector) pauseBeforeRead(ctx context.Context) time.Time {
 	since := e.Clock.ExactNow()
 	e.mu.Lock()
-	pauses := e.cancelTerm == nil && !e.resigned && e.latest.Term > 0 && !e.latest.Released && e.deferral() > 0 && e.failingSince.IsZero() && e.Clock.Since(e.lastHeard) < renewInterval
+	pauses := e.cancelTerm == nil && !e.resigned && e.latest.Term > 0 && !e.latest.Released && e.readsLess() && e.failingSince.IsZero() && e.Clock.Since(e.lastHeard) < renewInterval
 	e.mu.Unlock()
 	if !pauses {
 		return since
@@ -318,7 +339,7 @@
 	e.failingSince = time.Time{}
 	for _, r := range records {
 		if r.Key != key {
-			if e.newExtra(r) {
+			if e.newExtra(r) && !e.applyOwn(r) {
 				extras = append(extras, extraRecord{KeyedRecord: r, leader: e.batch})
 			}
 			continue
@@ -377,14 +398,41 @@
 	if e.cancelTerm != nil || e.resigned || now.Before(e.notBefore) || (e.Eligible != nil && !e.Eligible()) {
 		return false
 	}
-	return now.Sub(e.lastHeard) >= e.vacancyTimeout()
+	silent, timeout := now.Sub(e.lastHeard), e.vacancyTimeout()
+	if silent < timeout && silent >= timeout-e.deferral() && e.deferredTerm < e.latest.Term {
+		e.deferredTerm = e.latest.Term
+		e.Events.Emit(event.LeadDeferred, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d %s", e.latest.Term+1, e.candidacy()))
+	}
+	return silent >= timeout
+}
+
+// candidacy says for the log why this entry stands for election, or waits. The caller holds mu.
+func (e *Elector) candidacy() string {
+	why := "no renewal"
+	switch {
+	case e.latest.Term == 0:
+		why = "no leader yet"
+	case e.latest.Released && e.named.Fence == e.latest.Fence && e.named.Entry == e.Entry:
+		why = "named by the leader"
+	case e.latest.Released:
+		why = "given up"
+	case e.ledByEarlierBoot():
+		why = "led by an earlier boot"
+	}
+	return fmt.Sprintf("why=%q silent=%v fitness=%.2f waits=%v", why, e.Clock.Since(e.lastHeard).Round(time.Millisecond), e.fitness(), e.deferral().Round(time.Millisecond))
 }
 
 // vacancyTimeout returns how long after lastHeard the leadership counts as vacant.
 func (e *Elector) vacancyTimeout() time.Duration {
 	switch {
-	case e.latest.Term == 0 || e.latest.Released:
+	case e.latest.Term == 0:
 		return e.deferral() + e.jitter
+	case e.latest.Released:
+		wait, receiver := e.successorDelay()
+		if receiver {
+			return 0
+		}
+		return wait + e.deferral() + e.jitter
 	case e.ledByEarlierBoot() && e.deferral() == 0:
 		return 0
 	}
@@ -415,6 +463,7 @@
 	e.mu.Lock()
 	term, weight := e.latest.Term+1, e.latest.Weight
 	end := e.end
+	why := e.candidacy()
 	e.mu.Unlock()
 	// Until the first renewal nothing is known about the earlier leaders, so the record assumes the worst of them.
 	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Weight: max(e.Weight, weight), Term: term, Fence: term<<fenceBits | rand.Int64N(1<<(fenceBits-1)), PredecessorsActive: term > 1, PredecessorsUnstored: term > 1}
@@ -428,7 +477,7 @@
 	e.drawJitter()
 	if err != nil {
 		// If only the answer was lost, the record may still appear. Its fence is never used, so it merely delays the next term.
-		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d err=%q", term, err))
+		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d %s err=%q", term, why, err))
 		return
 	}
 	serveCtx, cancelTerm := context.WithCancel(ctx)
@@ -441,11 +490,14 @@
 	e.latest, e.end = rec, next
 	e.cancelTerm, e.fence = cancelTerm, rec.Fence
 	e.lastHeard, e.confirmedAt = e.Clock.Now(), sent
+	e.tookAt, e.successor = e.lastHeard, nil
+	clear(e.reports)
+	e.requirement.lowSince = [4]time.Time{}
 	e.mu.Unlock()
 	if e.OnRecord != nil {
 		e.OnRecord(rec)
 	}
-	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d", term, rec.Fence))
+	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d %s", term, rec.Fence, why))
 	go e.serveTerm(serveCtx, rec, t)
 }
 
@@ -500,6 +552,7 @@
 	sent := e.Clock.Now()
 	for ctx.Err() == nil {
 		e.awaitRenewal(ctx, renewInterval-e.Clock.Since(sent))
+		e.endForSuccessor()
 		if ctx.Err() == nil {
 			sent = e.Clock.Now()
 			next = e.renew(ctx, next)
@@ -550,9 +603,9 @@
 	e.mu.Lock()
 	r.record.Unstored, r.record.PredecessorsActive, r.record.PredecessorsUnstored = e.unstored, e.predecessorsActive, e.predecessorsUnstored
 	e.mu.Unlock()
-	r.extra = nil
+	r.extra = e.takeCapacityRecord()
 	if e.Extra != nil {
-		r.extra = e.Extra()
+		r.extra = append(r.extra, e.Extra()...)
 	}
 	first := e.Clock.ExactNow()
 	answers := make(chan error, maxRenewalsInFlight)
@@ -611,7 +664,7 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if _, err := e.append(ctx, renewal{record: rec, sequence: sequence}, -1); err != nil {
+	if _, err := e.append(ctx, renewal{record: rec, extra: e.takeSuccessorRecord(), sequence: sequence}, -1); err != nil {
 		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("release term=%d err=%q", rec.Term, err))
 	}
 }
--- a/lead/extra.go
+++ b/lead/extra.go
@@ -18,3 +18,16 @@
 	e.extraOffset = r.Offset
 	return true
 }
+
+// applyOwn applies a record under one of the elector's other keys, and reports whether it is one. The caller holds mu.
+func (e *Elector) applyOwn(r feed.KeyedRecord) bool {
+	switch r.Key {
+	case capacityKey:
+		e.applyCapacity(r.Value)
+	case successorKey:
+		e.applySuccessor(r.Value)
+	default:
+		return false
+	}
+	return true
+}
--- a/lead/read_pause_test.go
+++ b/lead/read_pause_test.go
@@ -66,7 +66,7 @@
 		next := <-led
 		c.Check(next == "small" || next == "tiny", quicktest.IsTrue, quicktest.Commentf("%s leads", next))
 		took := time.Since(at)
-		c.Check(took < electionTimeout+followerReadPause+weightDelay+2*maxJitter+maxReadWait, quicktest.IsTrue, quicktest.Commentf("after %v", took))
+		c.Check(took < electionTimeout+followerReadPause+maxDeferral+2*maxJitter+maxReadWait, quicktest.IsTrue, quicktest.Commentf("after %v", took))
 		for range 3 {
 			electors["tiny"].ReadNow() // must not block
 		}
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -94,6 +94,7 @@
 		}
 		done.versions[j] = j.Version
 	}
+	c.requirement.storedJobs(len(done.versions), recordsSize(records))
 	return records
 }
 
--- a/pool/cpushortage.go
+++ b/pool/cpushortage.go
@@ -54,7 +54,7 @@
 	if !c.cpuShortage.observe(waited, now) || now.Sub(c.startedAt) < minLeadTime {
 		return
 	}
-	c.emit(event.LeadHandedOver, event.Subject{Entry: c.Entry}, "term=%d waited=%v", c.term.Number, waited.Round(time.Millisecond))
+	c.emit(event.LeadHandedOver, event.Subject{Entry: c.Entry}, "term=%d why=\"short of processor\" waited=%v", c.term.Number, waited.Round(time.Millisecond))
 	c.HandOver(c.term.Fence)
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -137,6 +137,18 @@
 	// HandOver gives up the term with the given fencing token, so that another entry takes the lead. If nil, the lead
 	// is never handed over.
 	HandOver func(fence int64)
+	// Successor returns an entry that is fitter to lead by enough for a handover; HandOverTo gives up the term with the
+	// given fencing token in its favour. Without them, the lead is not handed over for lack of capacity.
+	Successor  func() (lead.Candidate, bool)
+	HandOverTo func(fence int64, to lead.Candidate)
+	// Require receives what leading requires, as the leader measures it. LinkBytes and CPUTime return the totals that this
+	// process has used so far, MemoryInUse what it uses now; nil where that is not known.
+	Require     func(lead.Capacity)
+	LinkBytes   func() int64
+	CPUTime     func() time.Duration
+	MemoryInUse func() int64
+	// Capacity is what this entry has for leading, for the log.
+	Capacity lead.Capacity
 	// Clock is used for everything that proves or limits something. The default is the steady clock.
 	Clock *clock.Clock
 	// CPUWait returns how long goroutines waited for a processor since its previous call. The default is the figure
--- a/pool/session.go
+++ b/pool/session.go
@@ -149,6 +149,7 @@
 	moves              map[string]*pendingMove
 	machineCalls       machineCallLimiter
 	cpuShortage        cpuShortage
+	requirement        requirementMeter
 	fleetScan          scanPacer      // paces the scans over all instances: waves and the sizes of pools
 	surplus            map[string]int // number of instances that each pool could give up, according to the latest sizing
 	bursts             maintenance.Bursts
@@ -238,6 +239,8 @@
 	c.updateModes(now)
 	c.updateIdlePolling(now)
 	c.handOverIfShortOfCPU(now)
+	c.measureRequirement(now)
+	c.handOverToFitter(now)
 	c.evacuateLeaving(now)
 	c.evacuateDrained(now)
 	if began := c.now(); c.fleetScan.due(began) {
