--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -58,6 +58,15 @@
 	simMachineAPI = "machines"
 )
 
+// The two sizes of entries. Those in simSmallZone are small: they have fewer connections than there are workers, so that they
+// are unfit to lead and hand over to large ones.
+var (
+	simLarge = lead.Capacity{Processor: 0.8, Descriptors: 1000}
+	simSmall = lead.Capacity{Processor: 0.192, Descriptors: 3}
+)
+
+const simSmallZone = "z2"
+
 // simulation is everything around the leaders: links, the store, workers and the machine interface. Its oracle judges by
 // what workers ran alone.
 type simulation struct {
@@ -71,6 +80,7 @@
 	suspensions  map[string]*suspensions
 	startedAt    time.Time // when the simulation began
 	killed       map[string]bool
+	electors     map[string]*lead.Elector // by the entry's name
 	incarnations map[string]*incarnation
 	machines     map[string]*machine
 	specs        map[string]*job.Spec
@@ -192,7 +202,7 @@
 		r: r, ctx: ctx, startedAt: time.Now(), events: new(event.Ring),
 		capacity: simCapacity, idReuseRate: idReuseRate, maxExtraTime: 2500 * time.Millisecond,
 		topics: make(map[string]*topic), zones: make(map[string]string),
-		frozen: make(map[string]time.Time), suspensions: make(map[string]*suspensions),
+		electors: make(map[string]*lead.Elector), frozen: make(map[string]time.Time), suspensions: make(map[string]*suspensions),
 		lastDisrupted: make(map[string]time.Time), killed: make(map[string]bool),
 		incarnations: make(map[string]*incarnation), machines: make(map[string]*machine),
 		specs: make(map[string]*job.Spec), runsByTask: make(map[string][]*taskRun),
@@ -448,8 +458,12 @@
 	}
 	s.SetDrains(sim.drained)
 	sim.mu.Unlock()
+	size := simLarge
+	if zone == simSmallZone {
+		size = simSmall
+	}
 	e.elector = &lead.Elector{
-		Entry: name, Address: name, Boot: fmt.Sprint(boot), Topic: sim.topicFor(name, "lead"), Weight: 1,
+		Entry: name, Address: name, Boot: fmt.Sprint(boot), Topic: sim.topicFor(name, "lead"), Weight: size.Processor, Capacity: size,
 		Events: sim.events, Serve: s.Serve, Clock: clock,
 	}
 	e.scheduler = s
@@ -460,13 +474,42 @@
 	for _, x := range waves {
 		s.SetWave(x)
 	}
+	sim.mu.Lock()
+	sim.electors[name] = e.elector
+	sim.mu.Unlock()
 	go func() {
 		defer close(e.ended)
 		_ = e.elector.Run(ctx)
 	}()
+	go sim.reportToLeader(ctx, e)
 	return e
 }
 
+// reportToLeader reports to a leader that is less fit, as entries do over their links.
+func (sim *simulation) reportToLeader(ctx context.Context, e *entry) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(lead.ReportInterval):
+		}
+		if !e.elector.ShouldReport() {
+			continue
+		}
+		to := e.elector.Latest().Entry
+		call, cancel := context.WithTimeout(ctx, lead.ReportInterval)
+		_ = sim.call(call, e.name, to, 0, 0, func(bool, bool) { // a lost report is not repeated
+			sim.mu.Lock()
+			leader, killed := sim.electors[to], sim.killed[to]
+			sim.mu.Unlock()
+			if !killed {
+				leader.Report(lead.Candidate{Entry: e.name, Boot: e.elector.Boot, Capacity: e.elector.Capacity})
+			}
+		})
+		cancel()
+	}
+}
+
 // kill ends the process as a crash does: it sends nothing more.
 func (sim *simulation) kill(e *entry) {
 	sim.mu.Lock()
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -42,6 +42,7 @@
 // connect connects a scheduler and an elector as an entry does.
 func connect(s *pool.Scheduler, e *lead.Elector) {
 	s.ConfirmedAt, s.Lost = e.ConfirmedAt, e.StepDown
+	s.Require, s.Successor, s.HandOverTo = e.SetRequirement, e.Successor, e.HandOverTo
 	s.AnnounceUnstoredOrders, s.UnstoredOrdersAnnounced, s.PublishEarlierLeaders = e.SetUnstored, e.UnstoredPublished, e.SetPredecessors
 }
 
@@ -150,10 +151,11 @@
 
 // leader returns the entry that the store's newest lead record names, or the first entry if there is none.
 func (h *history) leader() *entry {
-	page := h.newest("lead")
-	for _, e := range h.entries {
-		if len(page.Records) > 0 && strings.Contains(string(page.Records[0].Value), e.name) {
-			return e
+	for _, r := range h.newest("lead").Records {
+		for _, e := range h.entries {
+			if r.Key == "leader" && strings.Contains(string(r.Value), e.name) {
+				return e
+			}
 		}
 	}
 	return h.entries[0]
