--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -38,6 +38,8 @@
 	ctx      context.Context
 	// rules are the optional rules of the platform that are set in the nodes' settings.
 	rules []string
+	// changeSettings changes the settings of a node before it starts; optional.
+	changeSettings func(i int, s *platform.Settings)
 }
 
 // testNode is a running node with the function that stops it and a channel that is closed when it has stopped.
@@ -102,6 +104,9 @@
 	s.Limits.Share = 0.4
 	s.Bounds = platform.Bounds{LeaseMillis: int(testLease.Milliseconds()), StopMillis: 400, StatusSeconds: 120, GraceSeconds: 4, UpkeepSeconds: 2, MoveSeconds: 1.5, NoticeMillis: 4500, HarmMillis: 4000, ApplyMillis: int(testApply.Milliseconds()), SkewMillis: int(testSkew.Milliseconds())}
 	s.Rules = d.rules
+	if d.changeSettings != nil {
+		d.changeSettings(i, s)
+	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	r := &testNode{cancel: cancel, ended: make(chan struct{}), node: &Node{
 		Settings: s, Events: &event.Ring{Entry: s.Entry}, Listen: d.network.Listen, Dial: d.network.Dial,
