pool: let a start without an answer occupy the link for longer

A start counted as in flight until its first timeout of 0.12 s, which is less than the 0.15 s of the link that starts may fill. On a saturated link the leader thus sent more than the link carries and kept it saturated.

--- a/pool/orders.go
+++ b/pool/orders.go
@@ -63,8 +63,8 @@
 	starts := c.storedStarts
 	c.storedStarts = nil
 	for i, p := range starts {
-		if c.startsInFlight >= c.maxStartsInFlight() {
-			c.storedStarts = append(c.storedStarts, starts[i:]...) // sent when earlier starts have been answered
+		if !c.canSendStart(now) {
+			c.storedStarts = append(c.storedStarts, starts[i:]...) // sent when earlier starts have been answered, or count no longer
 			return
 		}
 		c.sendIfValid(p, now)
@@ -112,7 +112,7 @@
 		c.counts.firstStarts.RecordDuration(c.now().Sub(t.Job.Received))
 	}
 	row := w.Worker
-	c.startsInFlight++
+	c.startSlots.sent()
 	m := startResult{worker: w, task: t, run: r.number, token: o.Fence, earlier: r.orderCount - 1, sentAt: now}
 	timeout := startTimeout << min(m.earlier, quickAttempts-1)
 	c.background.Go(func() {
@@ -145,7 +145,7 @@
 }
 
 func (m startResult) apply(c *session) {
-	c.startsInFlight--
+	c.startSlots.ended(!m.unanswered(), m.sentAt)
 	defer func() { c.sendStored(c.now()) }()
 	w, t := m.worker, m.task
 	if m.err == nil {
--- a/pool/resend.go
+++ b/pool/resend.go
@@ -32,7 +32,7 @@
 
 // maySendStart reports whether a start may be sent now.
 func (c *session) maySendStart(now time.Time) bool {
-	return c.mayOrder(now) && c.startsInFlight < c.maxStartsInFlight()
+	return c.mayOrder(now) && c.canSendStart(now)
 }
 
 // lateCovers reports whether the record of the task's LateUntil covers an attempt that is made now.
--- a/pool/session.go
+++ b/pool/session.go
@@ -111,9 +111,8 @@
 	previousInstances int
 
 	startCount int64
-	// startsInFlight counts the starts that have been sent and not answered.
-	startsInFlight int
-	committing     bool
+	startSlots    startSlots // the starts in flight
+	committing bool
 	// inFlight is the batch being appended; commitStartedAt is when its append began.
 	inFlight           *commitBatch
 	commitStartedAt    time.Time
--- a/pool/slowlink_test.go
+++ b/pool/slowlink_test.go
@@ -137,8 +137,70 @@
 				synctest.Wait()
 				c.Check(total, quicktest.Equals, 200)
 				c.Check(peak, quicktest.Equals, x.peak)
-				c.Check(b.startsInFlight, quicktest.Equals, 0)
+				c.Check(b.startSlots.inUse(time.Now()), quicktest.Equals, 0)
 			})
 		})
 	}
 }
+
+// TestStartsDoNotKeepALinkSaturated fills a link of 10 Mbit/s for a while, so that starts get their answers late. When the link is free
+// again, the leader must not keep it saturated with repeated starts: all tasks must be accepted soon. With starts that stopped
+// counting at their first timeout, the leader sent up to 1,950 a second, which is more than the link carries.
+func TestStartsDoNotKeepALinkSaturated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		j := job.New(&job.Spec{ID: "00000000000000a1", Queue: "q", Pool: "p", Steps: []job.Step{{Count: 3000, Need: job.Need{MilliCPU: 1}}}}, time.Now())
+		b := newFixture(c, []*job.Job{j}, "w1")
+		b.LinkPerSecond = 1.25e6
+		b.report("w1", 10, nil)
+		link := &sharedLink{perSecond: b.LinkPerSecond}
+		var mu sync.Mutex
+		accepted, attempts := make(map[string]bool), 0
+		b.Calls.Start = func(ctx context.Context, _ *work.Worker, o work.Start) (work.Answer, error) {
+			arrived := make(chan struct{})
+			go func() {
+				link.transfer(startBytes)
+				close(arrived)
+			}()
+			mu.Lock()
+			attempts++
+			mu.Unlock()
+			select {
+			case <-arrived:
+				mu.Lock()
+				accepted[o.Task] = true
+				mu.Unlock()
+				return work.Answer{Clock: 20}, nil
+			case <-ctx.Done():
+				return work.Answer{}, work.ErrNoAnswer
+			}
+		}
+		link.transfer(0)
+		go link.transfer(0.4 * b.LinkPerSecond) // other traffic fills the link for 0.4 s
+		synctest.Wait()
+		c.Assert(b.placeAndCount(), quicktest.Equals, 3000)
+		b.commitAll()
+		began, last := time.Now(), time.Now()
+		var done time.Duration
+		for time.Since(began) < 20*time.Second && done == 0 {
+			time.Sleep(10 * time.Millisecond)
+			synctest.Wait()
+			for _, m := range b.inbox.takeAll() {
+				m.apply(b.session)
+			}
+			if time.Since(last) >= tickInterval {
+				last = time.Now()
+				b.sendStored(last)
+				b.sendResends(last)
+				b.commitAll()
+			}
+			mu.Lock()
+			if len(accepted) == 3000 {
+				done = time.Since(began)
+			}
+			mu.Unlock()
+		}
+		c.Check(done > 0 && done < 6*time.Second, quicktest.IsTrue, quicktest.Commentf("after %v", done))
+		c.Check(attempts < 5000, quicktest.IsTrue, quicktest.Commentf("%d attempts", attempts))
+	})
+}
