--- a/event/leads.go
+++ b/event/leads.go
@@ -21,6 +21,11 @@
 	From, Until time.Time
 	// Resigned reports whether the leader gave up the term itself.
 	Resigned bool
+	// Why says why the entry stood for election, Fitness how far it has what leading requires, at most 1. They are empty in logs
+	// of earlier versions.
+	Why, Fitness string
+	// HandedTo is the entry to which the leader handed over, HandedWhy why.
+	HandedTo, HandedWhy string
 	// Steps holds the time from the start of the term to each step of the takeover, by the step's name.
 	Steps map[string]time.Duration
 }
@@ -74,11 +79,15 @@
 func (s *leaderScan) observe(l LogLine) {
 	switch l.Number {
 	case LeadTaken:
-		s.result.Terms = append(s.result.Terms, LeaderTerm{Entry: l.Entry, Term: textField(l.Text, "term"), From: l.Time, Steps: make(map[string]time.Duration)})
+		s.result.Terms = append(s.result.Terms, LeaderTerm{Entry: l.Entry, Term: textField(l.Text, "term"), From: l.Time, Why: textField(l.Text, "why"), Fitness: textField(l.Text, "fitness"), Steps: make(map[string]time.Duration)})
 	case LeadLost:
 		if t := s.term(l); t != nil {
 			t.Until, t.Resigned = l.Time, textField(l.Text, "resigned") == "true"
 		}
+	case LeadHandedOver:
+		if t := s.term(l); t != nil {
+			t.HandedTo, t.HandedWhy = textField(l.Text, "to"), textField(l.Text, "why")
+		}
 	case TakeoverStep:
 		if t := s.term(l); t != nil {
 			t.Steps[textField(l.Text, "step")] = textDuration(l.Text, "after")
@@ -141,9 +150,9 @@
 // Write writes the terms, the degraded modes and the pauses between starts to w as three tables; the longest pause comes first.
 func (x Leadership) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "TERM\tLEADER\tFROM\tUNTIL\tENDED\t"+strings.ToUpper(strings.Join(takeoverSteps[:], "\t")))
+	fmt.Fprintln(t, "TERM\tLEADER\tFITNESS\tBECAUSE\tFROM\tUNTIL\tENDED\t"+strings.ToUpper(strings.Join(takeoverSteps[:], "\t")))
 	for _, l := range x.Terms {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s", l.Term, l.Entry, formatClock(l.From), formatClock(l.Until), l.endReason())
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s", l.Term, l.Entry, cmp.Or(l.Fitness, "-"), cmp.Or(l.Why, "-"), formatClock(l.From), formatClock(l.Until), l.endReason())
 		for _, step := range takeoverSteps {
 			fmt.Fprintf(t, "\t%s", l.stepTime(step))
 		}
@@ -168,6 +177,8 @@
 	switch {
 	case l.Until.IsZero():
 		return "not told"
+	case l.HandedTo != "":
+		return "handed to " + l.HandedTo + ": " + l.HandedWhy
 	case l.Resigned:
 		return "given up"
 	}
--- a/event/leads_test.go
+++ b/event/leads_test.go
@@ -61,3 +61,19 @@
 		c.Assert(b.String(), quicktest.Contains, want)
 	}
 }
+
+// TestTermsShowWhyAnEntryLeadsAndToWhomItHandedOver guards against an operator who can't see from the logs that the leader was unfit.
+func TestTermsShowWhyAnEntryLeadsAndToWhomItHandedOver(t *testing.T) {
+	c := quicktest.New(t)
+	lines, _, err := ReadLog(strings.NewReader(formatLog("e1",
+		`01.000 event=800 name=lead-taken text="term=7 fence=65537 why=\"no renewal\" silent=1.4s fitness=0.25 waits=375ms"`,
+		`09.100 event=853 name=lead-handed-over text="term=7 to=e2 own=\"0.19 cores\" its=\"0.80 cores\" why=\"the other entry is fitter\""`,
+		`09.200 event=802 name=lead-lost text="term=7 resigned=true"`,
+	)))
+	c.Assert(err, quicktest.IsNil)
+	var b strings.Builder
+	c.Assert(Leaders(lines).Write(&b), quicktest.IsNil)
+	for _, want := range []string{"0.25", "no renewal", "handed to e2: the other entry is fitter"} {
+		c.Assert(b.String(), quicktest.Contains, want)
+	}
+}
--- a/pool/session.go
+++ b/pool/session.go
@@ -111,7 +111,7 @@
 	previousInstances int
 
 	startCount int64
-	startSlots    startSlots // the starts in flight
+	startSlots startSlots // the starts in flight
 	committing bool
 	// inFlight is the batch being appended; commitStartedAt is when its append began.
 	inFlight           *commitBatch
