--- a/lead/elector.go
+++ b/lead/elector.go
@@ -3,10 +3,12 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +32,22 @@
 	// followerReadPause is the pause after each renewal at an entry that defers to larger ones, so that it reads about every
 	// second renewal. It is below electionTimeout, so that a read is already open when a renewal fails to arrive.
 	followerReadPause = 700 * time.Millisecond
+	// overdueMargin is how long after a renewal was due a second read is sent, and pollMargin how long after the end of its wait
+	// a long poll may be answered before one is.
+	overdueMargin = 100 * time.Millisecond
+	pollMargin    = 100 * time.Millisecond
+	// probeInterval is the time between second reads. From the third on it doubles up to maxProbeInterval, so that entries
+	// do not load a store that is failing. maxProbeInterval is below the deferral of small entries, so that they do not notice the
+	// store's return so much before larger ones that they take over first.
+	probeInterval    = 150 * time.Millisecond
+	maxProbeInterval = 300 * time.Millisecond
+	// probeGrace is how long an open long poll may still deliver the records that a second read has brought. After that it is
+	// cancelled, which marks its route as failing.
+	probeGrace = 50 * time.Millisecond
+	// maxAnswerGap is the longest time between two answered reads during which the store still counts as available. It is not
+	// above RenewTimeout, so that a store that answers nobody for that long delays a renewal by no more than one attempt, which
+	// electionTimeout allows for.
+	maxAnswerGap = RenewTimeout
 	// callTimeout bounds a call to the store, in addition to the wait that the call asks for.
 	callTimeout = 700 * time.Millisecond
 	// RenewTimeout is how long the first attempt of a renewal waits for its answer before the renewal is sent again. Together
@@ -44,26 +62,28 @@
 	renewalTransit = 100 * time.Millisecond
 	// renewRetryPause is the pause after a renewal that failed at once.
 	renewRetryPause = 50 * time.Millisecond
-	// maxRenewalsInFlight bounds the concurrent attempts of one renewal.
-	maxRenewalsInFlight = 4
+	// maxRenewalsInFlight bounds the concurrent attempts of one renewal. It lets one be sent every RenewTimeout even if none of
+	// the earlier ones is ever answered: with 4, a leader could not renew for 1.5 s after an outage in which its calls were lost.
+	maxRenewalsInFlight = int(renewCallTimeout/RenewTimeout) + 2
 	// maxReadDelay bounds the measured delay of reads by which candidates extend electionTimeout.
 	maxReadDelay = time.Second
 	// retakePause keeps an entry that lost leadership from taking it back while workers may still receive messages of both leaders.
 	retakePause = 4 * time.Second
 	// handOverPause is how long an entry that has handed over leaves the next term to others, which normally take it at once.
 	handOverPause = time.Second
-	// maxJitter spreads the attempts of candidates over time. An entry with less weight than the largest leader so far waits
-	// up to weightDelay longer, in proportion to the difference. Before the first term there is more time, and an entry
+	// maxJitter spreads the attempts of candidates over time. An entry that is less fit to lead than the fittest one waits up to
+	// maxDeferral longer, in proportion to the difference. While nothing is known about what leading requires, its weight is
+	// compared with the largest leader so far. Before the first term there is more time, and an entry
 	// waits up to firstTermDelay in proportion to what its weight lacks of 1.
 	maxJitter      = 80 * time.Millisecond
-	weightDelay    = 300 * time.Millisecond
+	maxDeferral    = 500 * time.Millisecond
 	firstTermDelay = time.Second
 	// ConfirmedFor is how long a renewal proves that no other entry leads, counted from when it was sent. It is below
 	// electionTimeout.
 	ConfirmedFor = time.Second
 )
 
-// key is the only key of the topic.
+// key is the key of the leader's record. The topic's other keys hold records that accompany renewals.
 const key = "leader"
 
 // writer is the name under which leaders write to the store, which fences earlier terms by it.
@@ -76,27 +96,40 @@
 	Topic                feed.Topic
 	// Weight is the entry's processor share in cores; entries with more weight are preferred as leader.
 	Weight float64
-	Events *event.Ring
+	// Capacity is what this entry has for leading. Without it, only Weight counts.
+	Capacity Capacity
+	Events   *event.Ring
 	// Clock measures confirmations and timeouts; the steady clock when nil.
 	Clock *clock.Clock
 	// Serve does the leader's work until its context ends. It is called once for each term that this entry wins.
 	Serve func(ctx context.Context, t Term)
 	// OnRecord is called with every new leader's record that differs from the one before, from one goroutine.
 	OnRecord func(r Record)
+	// Extra returns records under other keys that are appended in one batch with a renewal. It is called once for each renewal;
+	// nil means none.
+	Extra func() []feed.KeyedRecord
+	// OnExtra is called in order with each record under a key that is not the elector's own, from the goroutine of OnRecord. r is the leader's record
+	// of the same batch, or the zero Record when that one is not known because the topic has newer ones.
+	OnExtra func(key string, value []byte, r Record)
 	// Eligible reports whether this entry may become leader now; always true when nil.
 	Eligible func() bool
 
 	mu            sync.Mutex
 	latest        Record
 	end           int64
-	lastHeard     time.Time     // start of the election timeout: when a leader's record was last read, or a read last failed
+	lastHeard     time.Time     // start of the election timeout: when a leader's record was last read, or the store was back
+	answeredAt    time.Time     // when the store last answered a read
+	pausedUntil   time.Time     // when the latest pause before a read ended
 	renewedAt     time.Time     // when the newest renewal was read, or the latest time at which it can have arrived
 	renewalOffset int64         // offset of the newest renewal
+	batch         Record        // leader's record of the newest batch that was read; zero when it was not read
+	extraOffset   int64         // offset of the newest record under another key
 	startedAt     time.Time     // when Run was called
 	readDelay     time.Duration // by how much the latest empty read exceeded its wait
 	failingSince  time.Time     // when the first call of the current run of failed calls was made; zero while calls succeed
 	lastOutage    time.Time     // when the latest outage of the store ended, see outageThreshold
 	jitter        time.Duration
+	deferredTerm  int64 // term after which this entry last reported that it waits for fitter ones
 	notBefore     time.Time
 	cancelTerm    context.CancelFunc
 	fence         int64
@@ -104,6 +137,15 @@
 	resigned      bool
 	// handingOver is set when this term is being given up and the next is left to other entries.
 	handingOver bool
+	// successor is the entry to which this term is handed over; named is the newest such record that was read, handedOverAt
+	// when.
+	successor    *successorRecord
+	named        successorRecord
+	handedOverAt time.Time
+	// requirement is what leading requires; reports holds the newest reports of other entries in this term, tookAt when it began.
+	requirement requirement
+	reports     map[string]report
+	tookAt      time.Time
 	// unstored is published with the next renewal; unstoredPublished is set once the store has accepted it. renewNow
 	// starts the next renewal without waiting.
 	unstored, unstoredPublished bool
@@ -187,7 +229,7 @@
 			known = false
 		}
 		if err != nil {
-			e.storeFailed(asked)
+			e.readFailed(asked)
 			sleep(ctx, 100*time.Millisecond)
 			continue
 		}
@@ -210,15 +252,23 @@
 
 func (e *Elector) drawJitter() { e.jitter = rand.N(maxJitter) }
 
-// deferral returns how long this entry waits for entries with more weight to take leadership first.
+// deferral returns how long this entry waits for fitter ones to take leadership first.
 func (e *Elector) deferral() time.Duration {
-	if e.latest.Term == 0 {
+	switch p := e.requirement.published; {
+	case e.latest.Term == 0:
 		return time.Duration((1 - min(e.Weight, 1)) * float64(firstTermDelay))
+	case e.requirement.known && e.Capacity != Capacity{}:
+		return time.Duration(max(p.Fittest.Fitness(p.Required)-e.fitness(), 0) * float64(maxDeferral))
+	case e.Weight < e.latest.Weight:
+		return time.Duration((1 - e.Weight/e.latest.Weight) * float64(maxDeferral))
 	}
-	if e.Weight >= e.latest.Weight {
-		return 0
-	}
-	return time.Duration((1 - e.Weight/e.latest.Weight) * float64(weightDelay))
+	return 0
+}
+
+// readsLess reports whether this entry need not see each renewal at once, because larger ones do. One to which the leader may
+// hand over sees each. The caller holds mu.
+func (e *Elector) readsLess() bool {
+	return (e.Weight < e.latest.Weight || e.deferral() > 0) && !e.relieves()
 }
 
 func (e *Elector) readNewest(ctx context.Context) error {
@@ -228,6 +278,9 @@
 	if err != nil {
 		return fmt.Errorf("read the leader's record: %w", err)
 	}
+	e.mu.Lock()
+	e.batch = Record{} // the page omits the leader's records of earlier batches
+	e.mu.Unlock()
 	e.applyPage(page, e.Clock.Now())
 	return nil
 }
@@ -237,7 +290,7 @@
 func (e *Elector) pauseBeforeRead(ctx context.Context) time.Time {
 	since := e.Clock.ExactNow()
 	e.mu.Lock()
-	pauses := e.cancelTerm == nil && !e.resigned && e.latest.Term > 0 && !e.latest.Released && e.deferral() > 0 && e.failingSince.IsZero() && e.Clock.Since(e.lastHeard) < renewInterval
+	pauses := e.cancelTerm == nil && !e.resigned && e.latest.Term > 0 && !e.latest.Released && e.readsLess() && e.failingSince.IsZero() && e.Clock.Since(e.lastHeard) < renewInterval
 	e.mu.Unlock()
 	if !pauses {
 		return since
@@ -249,6 +302,9 @@
 	case <-e.readNow:
 	case <-t.C:
 	}
+	e.mu.Lock()
+	e.pausedUntil = e.Clock.Now()
+	e.mu.Unlock()
 	return since
 }
 
@@ -260,33 +316,6 @@
 	}
 }
 
-func (e *Elector) follow(ctx context.Context) error {
-	since := e.pauseBeforeRead(ctx)
-	wait := e.readWait()
-	asked := e.Clock.ExactNow()
-	defer func() {
-		if e.Clock.ExactNow().Sub(asked) > wait+outageThreshold { // this process was stalled, or its calls were
-			e.mu.Lock()
-			e.lastOutage = e.Clock.Now()
-			e.mu.Unlock()
-		}
-	}()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	page, err := e.Topic.Read(ctx, e.end, wait)
-	if err != nil {
-		return fmt.Errorf("follow the leader's record: %w", err)
-	}
-	if len(page.Records) == 0 {
-		e.recordReadDelay(e.Clock.Since(asked) - wait)
-	}
-	// The renewal was not there before the pause, and the leader renews every renewInterval. If the answer took longer, it may
-	// have waited in this process while it was stalled. Dating the renewal by the time of reading would then hide what the
-	// leader may have done since it was sent, so applyPage gets a latest date for it.
-	e.applyPage(page, since.Add(renewInterval+renewalTransit))
-	return nil
-}
-
 // recordReadDelay records by how much an empty read exceeded its wait. The leader's renewals take the same route and may be
 // as late.
 func (e *Elector) recordReadDelay(by time.Duration) {
@@ -297,28 +326,26 @@
 
 // applyPage applies the records that were read. No renewal among them is dated later than newest.
 func (e *Elector) applyPage(page feed.KeyedPage, newest time.Time) {
-	var updated *Record
+	records := slices.Clone(page.Records)
+	slices.SortStableFunc(records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) }) // Newest sorts by key
+	updated := false
+	var extras []extraRecord
 	e.mu.Lock()
 	e.end = max(e.end, page.Next)
+	e.storeAnswered()
 	if !e.failingSince.IsZero() && e.Clock.Since(e.failingSince) > outageThreshold {
 		e.lastOutage = e.Clock.Now()
 	}
 	e.failingSince = time.Time{}
-	for _, r := range page.Records {
-		var rec Record
-		if r.Key != key || cbor.Unmarshal(r.Value, &rec) != nil || rec.Fence < e.latest.Fence {
-			continue
-		}
-		e.lastHeard = e.Clock.Now()
-		if r.Offset > e.renewalOffset || r.Offset == 0 { // the same record read again does not count as a renewal
-			e.renewedAt, e.renewalOffset = e.lastHeard, r.Offset
-			if newest.Before(e.renewedAt) {
-				e.renewedAt = newest
+	for _, r := range records {
+		if r.Key != key {
+			if e.newExtra(r) && !e.applyOwn(r) {
+				extras = append(extras, extraRecord{KeyedRecord: r, leader: e.batch})
 			}
+			continue
 		}
-		if rec != e.latest {
-			e.latest = rec
-			updated = &rec
+		if e.applyRenewal(r, newest) {
+			updated = true
 		}
 	}
 	if e.lastHeard.IsZero() {
@@ -328,20 +355,39 @@
 		e.notBefore = e.Clock.Now().Add(retakePause)
 		e.cancelTerm()
 	}
+	latest := e.latest
 	e.mu.Unlock()
-	if updated != nil && e.OnRecord != nil {
-		e.OnRecord(*updated)
+	if updated && e.OnRecord != nil {
+		e.OnRecord(latest)
+	}
+	for _, x := range extras {
+		if e.OnExtra != nil {
+			e.OnExtra(x.Key, x.Value, x.leader)
+		}
 	}
 }
 
-// storeFailed restarts the election timeout after a failed call: while the store does not answer, nothing is known about the leader.
-func (e *Elector) storeFailed(since time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// applyRenewal applies a leader's record and reports whether it differs from the one before.
+func (e *Elector) applyRenewal(r feed.KeyedRecord, newest time.Time) bool {
+	var rec Record
+	if cbor.Unmarshal(r.Value, &rec) != nil {
+		return false
+	}
+	if r.Offset <= e.renewalOffset && r.Offset != 0 { // two reads may bring the same record
+		return false
+	}
+	e.batch = rec
+	if rec.Fence < e.latest.Fence {
+		return false
+	}
 	e.lastHeard = e.Clock.Now()
-	if e.failingSince.IsZero() {
-		e.failingSince = since
+	e.renewedAt, e.renewalOffset = e.lastHeard, r.Offset
+	if newest.Before(e.renewedAt) {
+		e.renewedAt = newest
 	}
+	changed := rec != e.latest
+	e.latest = rec
+	return changed
 }
 
 // vacant reports whether this entry should try to take the next term.
@@ -352,14 +398,41 @@
 	if e.cancelTerm != nil || e.resigned || now.Before(e.notBefore) || (e.Eligible != nil && !e.Eligible()) {
 		return false
 	}
-	return now.Sub(e.lastHeard) >= e.vacancyTimeout()
+	silent, timeout := now.Sub(e.lastHeard), e.vacancyTimeout()
+	if silent < timeout && silent >= timeout-e.deferral() && e.deferredTerm < e.latest.Term {
+		e.deferredTerm = e.latest.Term
+		e.Events.Emit(event.LeadDeferred, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d %s", e.latest.Term+1, e.candidacy()))
+	}
+	return silent >= timeout
+}
+
+// candidacy says for the log why this entry stands for election, or waits. The caller holds mu.
+func (e *Elector) candidacy() string {
+	why := "no renewal"
+	switch {
+	case e.latest.Term == 0:
+		why = "no leader yet"
+	case e.latest.Released && e.named.Fence == e.latest.Fence && e.named.Entry == e.Entry:
+		why = "named by the leader"
+	case e.latest.Released:
+		why = "given up"
+	case e.ledByEarlierBoot():
+		why = "led by an earlier boot"
+	}
+	return fmt.Sprintf("why=%q silent=%v fitness=%.2f waits=%v", why, e.Clock.Since(e.lastHeard).Round(time.Millisecond), e.fitness(), e.deferral().Round(time.Millisecond))
 }
 
 // vacancyTimeout returns how long after lastHeard the leadership counts as vacant.
 func (e *Elector) vacancyTimeout() time.Duration {
 	switch {
-	case e.latest.Term == 0 || e.latest.Released:
+	case e.latest.Term == 0:
 		return e.deferral() + e.jitter
+	case e.latest.Released:
+		wait, receiver := e.successorDelay()
+		if receiver {
+			return 0
+		}
+		return wait + e.deferral() + e.jitter
 	case e.ledByEarlierBoot() && e.deferral() == 0:
 		return 0
 	}
@@ -390,12 +463,13 @@
 	e.mu.Lock()
 	term, weight := e.latest.Term+1, e.latest.Weight
 	end := e.end
+	why := e.candidacy()
 	e.mu.Unlock()
 	// Until the first renewal nothing is known about the earlier leaders, so the record assumes the worst of them.
 	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Weight: max(e.Weight, weight), Term: term, Fence: term<<fenceBits | rand.Int64N(1<<(fenceBits-1)), PredecessorsActive: term > 1, PredecessorsUnstored: term > 1}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	sent := e.Clock.ExactNow()
-	next, err := e.append(call, rec, end, 0)
+	next, err := e.append(call, renewal{record: rec}, end)
 	cancel()
 	if err == nil {
 		err = e.verifyTerm(ctx, rec, end)
@@ -403,7 +477,7 @@
 	e.drawJitter()
 	if err != nil {
 		// If only the answer was lost, the record may still appear. Its fence is never used, so it merely delays the next term.
-		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d err=%q", term, err))
+		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d %s err=%q", term, why, err))
 		return
 	}
 	serveCtx, cancelTerm := context.WithCancel(ctx)
@@ -416,11 +490,14 @@
 	e.latest, e.end = rec, next
 	e.cancelTerm, e.fence = cancelTerm, rec.Fence
 	e.lastHeard, e.confirmedAt = e.Clock.Now(), sent
+	e.tookAt, e.successor = e.lastHeard, nil
+	clear(e.reports)
+	e.requirement.lowSince = [4]time.Time{}
 	e.mu.Unlock()
 	if e.OnRecord != nil {
 		e.OnRecord(rec)
 	}
-	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d", term, rec.Fence))
+	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d %s", term, rec.Fence, why))
 	go e.serveTerm(serveCtx, rec, t)
 }
 
@@ -431,7 +508,7 @@
 func (e *Elector) verifyTerm(ctx context.Context, rec Record, end int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout) // a separate timeout, because a slow store may use up most of one for the append
 	defer cancel()
-	page, err := e.Topic.Read(ctx, end, minReadWait)
+	page, err := e.readBack(ctx, end)
 	var trimmed *feed.TrimmedError
 	if errors.As(err, &trimmed) { // the store has trimmed its history meanwhile; the newest record of the key is still there
 		page, err = e.Topic.Newest(ctx)
@@ -452,14 +529,15 @@
 	return fmt.Errorf("the record of term %d is missing from the topic", rec.Term)
 }
 
-func (e *Elector) append(ctx context.Context, rec Record, at, sequence int64) (int64, error) {
-	value, err := cbor.Marshal(rec)
+// append appends a leader's record and the records that accompany it in one batch.
+func (e *Elector) append(ctx context.Context, r renewal, at int64) (int64, error) {
+	value, err := cbor.Marshal(r.record)
 	if err != nil {
 		return 0, fmt.Errorf("encode the leader's record: %w", err)
 	}
 	return e.Topic.Append(ctx, feed.Batch{
-		Records: []feed.KeyedRecord{{Key: key, Value: value}}, ExpectedEnd: at,
-		Writer: feed.Writer{Name: writer, Epoch: rec.Fence, Sequence: sequence},
+		Records: append([]feed.KeyedRecord{{Key: key, Value: value}}, r.extra...), ExpectedEnd: at,
+		Writer: feed.Writer{Name: writer, Epoch: r.record.Fence, Sequence: r.sequence},
 	})
 }
 
@@ -474,6 +552,7 @@
 	sent := e.Clock.Now()
 	for ctx.Err() == nil {
 		e.awaitRenewal(ctx, renewInterval-e.Clock.Since(sent))
+		e.endForSuccessor()
 		if ctx.Err() == nil {
 			sent = e.Clock.Now()
 			next = e.renew(ctx, next)
@@ -506,9 +585,10 @@
 	}
 }
 
-// renewal is a leader's record that is being written to the store.
+// renewal is a leader's record that is being written to the store, with the records that accompany it.
 type renewal struct {
 	record   Record
+	extra    []feed.KeyedRecord
 	sequence int64
 }
 
@@ -523,13 +603,17 @@
 	e.mu.Lock()
 	r.record.Unstored, r.record.PredecessorsActive, r.record.PredecessorsUnstored = e.unstored, e.predecessorsActive, e.predecessorsUnstored
 	e.mu.Unlock()
+	r.extra = e.takeCapacityRecord()
+	if e.Extra != nil {
+		r.extra = append(r.extra, e.Extra()...)
+	}
 	first := e.Clock.ExactNow()
 	answers := make(chan error, maxRenewalsInFlight)
 	inFlight, timeout := 0, RenewTimeout
 	for ctx.Err() == nil {
 		if inFlight < maxRenewalsInFlight {
 			inFlight++
-			go func(timeout time.Duration) { answers <- e.sendRenewal(ctx, r, timeout) }(timeout)
+			go func(r renewal, timeout time.Duration) { answers <- e.sendRenewal(ctx, r, timeout) }(r, timeout)
 			timeout = renewCallTimeout
 		}
 		retry := time.NewTimer(RenewTimeout)
@@ -539,7 +623,10 @@
 		case err := <-answers:
 			inFlight--
 			var fenced *feed.FencedError
+			var refused *feed.RefusedError
 			switch {
+			case errors.As(err, &refused) && len(r.extra) > 0: // records that the store refuses must not end the term
+				r.extra = nil
 			case err == nil:
 				e.renewalConfirmed(r, first)
 				retry.Stop()
@@ -558,7 +645,7 @@
 func (e *Elector) sendRenewal(ctx context.Context, r renewal, timeout time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := e.append(call, r.record, -1, r.sequence)
+	_, err := e.append(call, r, -1)
 	return err
 }
 
@@ -577,7 +664,7 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if _, err := e.append(ctx, rec, -1, sequence); err != nil {
+	if _, err := e.append(ctx, renewal{record: rec, extra: e.takeSuccessorRecord(), sequence: sequence}, -1); err != nil {
 		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("release term=%d err=%q", rec.Term, err))
 	}
 }
--- a/lead/elector_test.go
+++ b/lead/elector_test.go
@@ -5,8 +5,11 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -82,7 +85,10 @@
 		return 0, &feed.ConditionError{End: int64(len(t.records))}
 	}
 	t.epoch = b.Epoch
-	t.records = append(t.records, b.Records...)
+	for _, r := range b.Records {
+		r.Offset = int64(len(t.records))
+		t.records = append(t.records, r)
+	}
 	close(t.appended)
 	t.appended = make(chan struct{})
 	return int64(len(t.records)), nil
@@ -91,8 +97,11 @@
 func (t *memoryTopic) newest() feed.KeyedPage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := len(t.records)
-	return feed.KeyedPage{Records: t.records[max(n-1, 0):], Next: int64(n)}
+	byKey := make(map[string]feed.KeyedRecord)
+	for _, r := range t.records {
+		byKey[r.Key] = r
+	}
+	return feed.KeyedPage{Records: slices.SortedFunc(maps.Values(byKey), func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Key, b.Key) }), Next: int64(len(t.records))}
 }
 
 func (t *memoryTopic) read(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
@@ -123,6 +132,7 @@
 	mu       sync.Mutex
 	leading  map[string]Term
 	terms    []Term
+	holders  []*Elector // of the terms
 }
 
 func newGroup(t *testing.T, n int) *electorGroup {
@@ -131,6 +141,11 @@
 
 // newGroupWith returns a running group of n electors, each of which uses the topic that view returns for its entry.
 func newGroupWith(t *testing.T, n int, view func(t *memoryTopic, entry string) feed.Topic) *electorGroup {
+	return newSizedGroup(t, n, view, func(int, *Elector) {})
+}
+
+// newSizedGroup is like newGroupWith, with electors that set changes before they run.
+func newSizedGroup(t *testing.T, n int, view func(t *memoryTopic, entry string) feed.Topic, set func(i int, e *Elector)) *electorGroup {
 	g := &electorGroup{topic: newTopic(), leading: make(map[string]Term)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
@@ -140,13 +155,14 @@
 		e.Serve = func(ctx context.Context, term Term) {
 			g.mu.Lock()
 			g.leading[name] = term
-			g.terms = append(g.terms, term)
+			g.terms, g.holders = append(g.terms, term), append(g.holders, e)
 			g.mu.Unlock()
 			<-ctx.Done()
 			g.mu.Lock()
 			delete(g.leading, name)
 			g.mu.Unlock()
 		}
+		set(i, e)
 		g.electors = append(g.electors, e)
 	}
 	for _, e := range g.electors {
@@ -156,6 +172,19 @@
 	return g
 }
 
+func (g *electorGroup) termCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.terms)
+}
+
+// newestHolder returns the elector that has taken the newest term. An earlier one may not have noticed yet that its term is over.
+func (g *electorGroup) newestHolder() *Elector {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holders[len(g.holders)-1]
+}
+
 // leader returns the elector that leads; it fails the test unless there is exactly one.
 func (g *electorGroup) leader(c *quicktest.C) *Elector {
 	c.Helper()
--- a/pool/session.go
+++ b/pool/session.go
@@ -111,9 +111,8 @@
 	previousInstances int
 
 	startCount int64
-	// startsInFlight counts the starts that have been sent and not answered.
-	startsInFlight int
-	committing     bool
+	startSlots startSlots // the starts in flight
+	committing bool
 	// inFlight is the batch being appended; commitStartedAt is when its append began.
 	inFlight           *commitBatch
 	commitStartedAt    time.Time
@@ -149,6 +148,7 @@
 	moves              map[string]*pendingMove
 	machineCalls       machineCallLimiter
 	cpuShortage        cpuShortage
+	requirement        requirementMeter
 	fleetScan          scanPacer      // paces the scans over all instances: waves and the sizes of pools
 	surplus            map[string]int // number of instances that each pool could give up, according to the latest sizing
 	bursts             maintenance.Bursts
@@ -238,6 +238,8 @@
 	c.updateModes(now)
 	c.updateIdlePolling(now)
 	c.handOverIfShortOfCPU(now)
+	c.measureRequirement(now)
+	c.handOverToFitter(now)
 	c.evacuateLeaving(now)
 	c.evacuateDrained(now)
 	if began := c.now(); c.fleetScan.due(began) {
