maintenance: allot instances by gain during a shortage

When the pools together wanted more instances than there were, the first one kept all of them: its minimum is its own recent need, however late its work is. Targets are now limited to what each pool can use for work in time, and an instance moves if it yields more elsewhere, net of its move. Nothing changes while the wants are met.

--- /dev/null
+++ b/maintenance/shortage_test.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+
+package maintenance
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestAllot guards against a pool keeping all instances during a shortage because it wanted them first, and against moves that do not pay.
+func TestAllot(t *testing.T) {
+	terms := ShiftTerms{Delay: 1650 * time.Millisecond, PayOff: 4 * time.Second}
+	steady := func(n float64) Class { return Class{Instances: n, For: terms.PayOff, Value: 1} }
+	backlog := func(n float64, within time.Duration) Class { return Class{Instances: n, For: within, Value: 1} }
+	claim := func(movable int, timely ...Class) *Claim {
+		return &Claim{Lasting: 10, Timely: timely, LateValue: 0.07, Movable: movable, Emptying: time.Second / 2}
+	}
+	for _, test := range [...]struct {
+		name                string
+		wantA, wantB        float64
+		haveA, haveB, spare int
+		a, b                *Claim
+		fromA, toB          [2]int // bounds of the instances that a gives and that b gets
+	}{
+		{"hopeless work keeps nothing that timely work needs", 4500, 500, 270, 20, 0, claim(270), claim(20, steady(150)), [2]int{140, 141}, [2]int{140, 141}},
+		{"both are short: the one with little gets a part", 900, 500, 270, 20, 0, claim(270, steady(200)), claim(20, steady(200)), [2]int{50, 120}, [2]int{50, 120}},
+		{"both are short alike: nothing moves", 900, 500, 150, 140, 0, claim(150, steady(300)), claim(140, steady(300)), [2]int{0, 0}, [2]int{0, 0}},
+		{"what arrives too late for a move moves nothing from timely work", 900, 500, 270, 20, 0, claim(270, steady(260)), claim(20, backlog(200, time.Second)), [2]int{0, 0}, [2]int{0, 0}},
+		{"the last second of a burst keeps what it can finish", 300, 500, 100, 60, 0, claim(100, backlog(90, 3*time.Second)), claim(60, steady(70)), [2]int{0, 0}, [2]int{0, 0}},
+		{"lasting tasks are a floor", 100, 500, 12, 100, 0, claim(12), claim(100, steady(400)), [2]int{2, 2}, [2]int{2, 2}},
+		{"the headroom goes first", 200, 500, 100, 20, 20, claim(100, steady(90)), claim(20, steady(30)), [2]int{0, 0}, [2]int{20, 20}},
+		{"what can't move stays", 4500, 500, 270, 20, 0, claim(7), claim(20, steady(150)), [2]int{7, 7}, [2]int{7, 7}},
+		{"no more than it wants", 4500, 40, 270, 20, 0, claim(270), claim(20, steady(150)), [2]int{20, 20}, [2]int{20, 20}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pools := []Pool{
+				{Name: "a", Want: test.wantA, Min: test.wantA, Have: test.haveA},
+				{Name: "b", Want: test.wantB, Min: test.wantB, Have: test.haveB},
+				{Name: "off", Headroom: true, Have: test.spare},
+			}
+			claims := map[string]*Claim{"a": test.a, "b": test.b, "off": {Movable: test.spare}}
+			shifts := Allot(slices.Clone(pools), claims, terms)
+			fromA, toB := shifted(shifts)
+			comment := quicktest.Commentf("shifts %+v", shifts)
+			quicktest.Check(t, fromA >= test.fromA[0] && fromA <= test.fromA[1], quicktest.IsTrue, comment)
+			quicktest.Check(t, toB >= test.toB[0] && toB <= test.toB[1], quicktest.IsTrue, comment)
+			pools[0].Have -= fromA
+			pools[1].Have += toB
+			test.a.Movable -= fromA
+			test.b.Movable += toB
+			claims["off"].Movable -= toB - fromA
+			quicktest.Check(t, Allot(pools, claims, terms), quicktest.HasLen, 0) // once done, none of them is reversed
+		})
+	}
+}
+
+// shifted returns the numbers of instances that pool a gives and that pool b gets.
+func shifted(shifts []Shift) (fromA, toB int) {
+	for _, s := range shifts {
+		if s.From == "a" {
+			fromA += s.Instances
+		}
+		if s.To == "b" {
+			toB += s.Instances
+		}
+	}
+	return fromA, toB
+}
--- a/place/outlook.go
+++ b/place/outlook.go
@@ -31,10 +31,10 @@
 // 0.690 of the total value on average. A hard cut-off at no slack yields 0.647, and changing any one of the values
 // 0.68 to 0.69.
 const (
-	// A late job yields latePart of its value until lateFactor times its target time, and nothing afterwards, as
+	// A late job yields LatePart of its value until lateFactor times its target time, and nothing afterwards, as
 	// defined by the users' rules.
 	lateFactor = 3
-	latePart   = 0.07
+	LatePart   = 0.07
 	// The error of an estimate is taken to be errorPart of the remaining time plus minError.
 	errorPart = 0.35
 	minError  = 100 * time.Millisecond
@@ -54,18 +54,36 @@
 // factor of up to three. Of two jobs of the same value, one that can only just be in time goes before one that can
 // wait.
 func (e Estimate) At(now time.Time) Outlook {
-	slack := e.From.Add(e.Target).Sub(now) - e.Remaining
+	slack := e.slack(now)
 	untilWorthless := slack + (lateFactor-1)*e.Target
-	estimateError := time.Duration(errorPart*float64(e.Remaining)) + minError
+	estimateError := e.error()
 	inTime := probability(slack+tolerance, estimateError)
 	late := (1 - inTime) * probability(untilWorthless, estimateError)
 	slackPart := 0.0
 	if spare := e.Target - e.Total; spare > 0 {
 		slackPart = min(max(slack.Seconds()/spare.Seconds(), 0), 1)
 	}
-	return Outlook{Slack: slack, Expected: e.Density * (inTime*(1-maxDeferral*slackPart) + latePart*late)}
+	return Outlook{Slack: slack, Expected: e.Density * (inTime*(1-maxDeferral*slackPart) + LatePart*late)}
 }
 
+func (e Estimate) slack(now time.Time) time.Duration {
+	return e.From.Add(e.Target).Sub(now) - e.Remaining
+}
+
+func (e Estimate) error() time.Duration {
+	return time.Duration(errorPart*float64(e.Remaining)) + minError
+}
+
+// InTime returns the probability that the job ends in time if it continues now, and the time for which it can wait
+// before that is less likely than not.
+func (e Estimate) InTime(now time.Time) (probable float64, wait time.Duration) {
+	margin := e.slack(now) + tolerance
+	return probability(margin, e.error()), max(margin, 0)
+}
+
+// MayBeInTime reports whether a job that continued with the given slack was more likely than not to be in time.
+func MayBeInTime(slack time.Duration) bool { return slack+tolerance >= 0 }
+
 // probability returns the probability that a condition holds that is estimated to hold by the given margin, with an
 // error of the given size.
 func probability(margin, estimateError time.Duration) float64 {
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -134,24 +134,13 @@
 func (c *session) countWaiting(p *poolRow, instance job.Need) {
 	blocked := c.hasUnansweredWorkers(p.name)
 	for _, g := range p.open {
-		if blocked && c.inheritedJobs[g.Job.Spec.ID] {
-			continue // its tasks can't start yet, so that instances for them would be idle
-		}
-		if g.Capped || g.OverRate {
-			continue // more instances don't help a capped group, and a group over its rate limit is entitled to none
+		if !c.usesInstances(g, blocked) {
+			continue
 		}
 		step := &g.Job.Spec.Steps[g.Step]
 		each := instanceShare(place.Charge(step), instance)
-		n := 0
-		for _, t := range g.Tasks {
-			switch {
-			case !startable(t):
-			case t.Suspect && !step.Gang:
-				p.load.suspects++
-			default:
-				n++
-			}
-		}
+		n, suspects := waitingTasks(g, step)
+		p.load.suspects += suspects
 		if step.Lasting {
 			p.load.lasting += float64(n) * each
 			continue
@@ -161,6 +150,28 @@
 	}
 }
 
+// usesInstances reports whether more instances would let tasks of the group start. blocked is the result of hasUnansweredWorkers for its pool.
+func (c *session) usesInstances(g *place.Group, blocked bool) bool {
+	if blocked && c.inheritedJobs[g.Job.Spec.ID] {
+		return false // its tasks can't start yet, so that instances for them would be idle
+	}
+	return !g.Capped && !g.OverRate // more instances don't help a capped group, and a group over its rate limit is entitled to none
+}
+
+// waitingTasks returns the number of tasks of the group that may start, and the number of suspects among them, which are tried in isolation.
+func waitingTasks(g *place.Group, step *job.Step) (waiting, suspects int) {
+	for _, t := range g.Tasks {
+		switch {
+		case !startable(t):
+		case t.Suspect && !step.Gang:
+			suspects++
+		default:
+			waiting++
+		}
+	}
+	return waiting, suspects
+}
+
 // rate returns the work recently submitted to the pool, in instance-seconds per second.
 //
 // It is the mean over rateWindow, or the mean over a shorter period if that is significantly higher. Job sizes vary, so a few large jobs that arrive
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -80,6 +80,11 @@
 
 // updateOutlook recomputes the slack and the expected value of a group.
 func (c *session) updateOutlook(g *place.Group, now time.Time) {
+	g.Outlook = c.estimate(g, now).At(now)
+}
+
+// estimate returns the estimated run time and value of the job of a group.
+func (c *session) estimate(g *place.Group, now time.Time) place.Estimate {
 	j := g.Job
 	q := c.queue(j)
 	from := j.From
@@ -87,11 +92,10 @@
 		from = now.Add(j.Due(g.Time).Sub(wallClock()))
 	}
 	whole, left, work := c.criticalPath(j, g.Time, q.Name)
-	e := place.Estimate{
+	return place.Estimate{
 		From: from, Target: time.Duration(q.Stretch*float64(whole)) + q.Target, Total: whole, Remaining: left,
 		Density: relativeValue(c.jobWork(j, q.Name)/max(c.statsOf(q.Name).work, minWork)) / max(work, minWork),
 	}
-	g.Outlook = e.At(now)
 }
 
 // outlookTTL is the time for which a group's outlook is reused before it is recomputed.
--- a/pool/size.go
+++ b/pool/size.go
@@ -46,6 +46,7 @@
 	c.cancelQueuedMoves()
 	pools, instances := c.sizingInputs(now)
 	c.surplus = maintenance.Surplus(pools)
+	c.allotShortage(pools, instances, now)
 	for _, m := range maintenance.Moves(pools, instances) {
 		c.startMove(m, now)
 	}
