maintenance: a shift during a shortage must yield twice what it loses

What pools keep because of their recent need counts as a want, too: a pool that ran late work to the end held its instances although its own want was small.

--- a/maintenance/shortage.go
+++ b/maintenance/shortage.go
@@ -52,26 +52,29 @@
 	// moveCost is the yield, in seconds of an instance at work, by which a move must exceed its loss. It stands for
 	// the price of a move.
 	moveCost = 0.1
+	// minGainRatio is how many times its loss a move must yield. Both are made from estimates of run times and of rates,
+	// which are off by as much.
+	minGainRatio = 2
 	// maxScarcity bounds the weight of a pool that has a small part of the instances that its timely work needs.
-	maxScarcity = 4
+	maxScarcity = 8
 	// lastingYield is the yield of an instance that lasting tasks need. It exceeds that of all other work.
 	lastingYield = 1e6
 )
 
-// Short reports whether the pools together want more instances than there are, by more than the given fraction.
+// Short reports whether what the pools want or keep is together more than there is, by more than the given fraction.
 func Short(pools []Pool, margin float64) bool {
 	want, have := 0.0, 0
 	for i := range pools {
-		want += math.Ceil(pools[i].Want)
+		want += math.Ceil(max(pools[i].Want, pools[i].Min))
 		have += pools[i].Have
 	}
 	return want > float64(have)*(1+margin)
 }
 
 // Allot limits the targets of the pools to what each is to have during a shortage, and returns the shifts that lead
-// there. An instance moves if it yields more in its new pool than in its old one, net of its move. Both its delay and
-// moveCost count against a move in either direction, so that a change of the load has to outweigh two moves before an
-// instance returns.
+// there. An instance moves if it yields more in its new pool than in its old one, net of its move. Its delay, moveCost
+// and minGainRatio count against a move in either direction, so that a change of the load has to outweigh two moves
+// before an instance returns.
 //
 // The weight of a pool's timely work is the ratio of the instances that it needs to those that it has. Pools that are
 // all short therefore get like parts of what their timely work needs, instead of one getting everything. Work that
@@ -178,7 +181,7 @@
 				from, loss = a, l
 			}
 		}
-		if to == nil || from == nil || from == to || gain <= loss+moveCost {
+		if to == nil || from == nil || from == to || gain <= minGainRatio*loss+moveCost {
 			return shifts
 		}
 		to.granted++
--- a/maintenance/shortage_test.go
+++ b/maintenance/shortage_test.go
@@ -26,7 +26,7 @@
 		fromA, toB          [2]int // bounds of the instances that a gives and that b gets
 	}{
 		{"hopeless work keeps nothing that timely work needs", 4500, 500, 270, 20, 0, claim(270), claim(20, steady(150)), [2]int{140, 141}, [2]int{140, 141}},
-		{"both are short: the one with little gets a part", 900, 500, 270, 20, 0, claim(270, steady(200)), claim(20, steady(200)), [2]int{50, 120}, [2]int{50, 120}},
+		{"both are short: the one with little gets a part", 900, 500, 270, 20, 0, claim(270, steady(200)), claim(20, steady(200)), [2]int{60, 90}, [2]int{60, 90}},
 		{"both are short alike: nothing moves", 900, 500, 150, 140, 0, claim(150, steady(300)), claim(140, steady(300)), [2]int{0, 0}, [2]int{0, 0}},
 		{"what arrives too late for a move moves nothing from timely work", 900, 500, 270, 20, 0, claim(270, steady(260)), claim(20, backlog(200, time.Second)), [2]int{0, 0}, [2]int{0, 0}},
 		{"the last second of a burst keeps what it can finish", 300, 500, 100, 60, 0, claim(100, backlog(90, 3*time.Second)), claim(60, steady(70)), [2]int{0, 0}, [2]int{0, 0}},
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -108,12 +108,12 @@
 // the later steps of its job follow.
 func (c *session) addRunning(p *poolRow, add func(work, value float64, within time.Duration)) {
 	for _, w := range c.workers {
-		if w.Pool != p.name {
-			continue
+		if w.Pool != p.name || w.drained {
+			continue // what runs in a drained data centre ends there and needs no other instance
 		}
 		for t, r := range w.runs {
 			step := t.Spec()
-			if step.Lasting || !place.MayBeInTime(r.slack) {
+			if step.Lasting || t.Job.OverRate || !place.MayBeInTime(r.slack) {
 				continue
 			}
 			took := c.estimateRunTime(step, t.Job.Spec.Queue)
--- /dev/null
+++ b/pool/shortage_test.go
@@ -0,0 +1,369 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"rackstep.dev/job"
+	"rackstep.dev/org"
+	"rackstep.dev/work"
+)
+
+// The deployment of the load tests below. Jobs have 1.6 steps on average, of 8 tasks each.
+const (
+	overlapInstances = 48 // of which overlapOff are off at the start
+	overlapOff       = 8
+	overlapCores     = 16
+	overlapTaskTime  = 0.64 // mean, in seconds
+	overlapTaskCores = 1.4
+	overlapPass      = 20 * time.Millisecond
+	overlapEnd       = 20 * time.Second
+	overlapMove      = 1500 * time.Millisecond
+	overlapTarget    = 600 * time.Millisecond
+	overlapStretch   = 1.6
+	overlapLate      = 0.07 // part of its value that a late job yields
+)
+
+// overlapBurst is a burst of jobs of one queue. perCapacity is its load as a multiple of what all instances can do.
+type overlapBurst struct {
+	queue, organisation string
+	from, to            time.Duration
+	perCapacity         float64
+}
+
+// overlapJob is a job with its true run times, which the leader does not know.
+type overlapJob struct {
+	spec        *job.Spec
+	at          time.Duration
+	runTimes    [][]time.Duration
+	work, value float64
+	target      time.Duration
+	left        int
+	ended       time.Duration
+}
+
+// overlapRun is a run on a fake worker.
+type overlapRun struct {
+	run work.RunStatus
+	end time.Time
+}
+
+// overlap is a leader with fake workers that run what it starts, and a machine interface that moves them.
+type overlap struct {
+	*fixture
+	mu    sync.Mutex
+	begin time.Time
+	jobs  []*overlapJob
+	byID  map[string]*overlapJob
+	runs  map[string]map[string]overlapRun // by incarnation and task
+	seq   map[string]int64
+	lives map[string]int
+	// returns holds when each instance that is away returns, and to which pool.
+	returns map[string]time.Time
+	pools   map[string]string
+	moves   int
+	// refuse decides on the fate of the move of an instance: the error it is answered with, and whether the instance ever arrives.
+	refuse func(machine string) (err error, arrives bool)
+}
+
+// newOverlapJobs draws the jobs of the bursts.
+func newOverlapJobs(bursts []overlapBurst, r *rand.Rand) []*overlapJob {
+	const steps, width = 1.6, 8
+	perSecond := overlapInstances * overlapCores / (steps * width * overlapTaskTime * overlapTaskCores)
+	var jobs []*overlapJob
+	for _, b := range bursts {
+		for at := b.from.Seconds(); at < b.to.Seconds(); at += r.ExpFloat64() / (perSecond * b.perCapacity) {
+			x := &overlapJob{at: time.Duration(at * float64(time.Second))}
+			x.spec = &job.Spec{ID: fmt.Sprintf("%016x", len(jobs)+1), Queue: b.queue, Pool: b.queue, Organisation: b.organisation}
+			var path time.Duration
+			for i := range 1 + int(r.Float64()+0.6) {
+				milliCPU := int(1000 * overlapTaskCores * math.Exp(0.3*r.NormFloat64()))
+				mean := overlapTaskTime * math.Exp(0.4*r.NormFloat64()-0.08)
+				step := job.Step{Count: 4 + r.IntN(9), Need: job.Need{MilliCPU: milliCPU, MemoryMB: 1}, Estimate: job.Milli(1000 * mean * math.Exp(0.6*r.NormFloat64()))}
+				if i > 0 {
+					step.After = []int{i - 1}
+				}
+				var runTimes []time.Duration
+				for range step.Count {
+					runTimes = append(runTimes, time.Duration(mean*math.Exp(0.2*r.NormFloat64())*float64(time.Second)))
+					x.work += runTimes[len(runTimes)-1].Seconds() * float64(milliCPU) / 1000
+				}
+				path += slices.Max(runTimes)
+				x.left += step.Count
+				x.runTimes = append(x.runTimes, runTimes)
+				x.spec.Steps = append(x.spec.Steps, step)
+			}
+			x.target = time.Duration(overlapStretch*float64(path)) + overlapTarget
+			jobs = append(jobs, x)
+		}
+	}
+	mean := 0.0
+	for _, x := range jobs {
+		mean += x.work / float64(len(jobs))
+	}
+	for _, x := range jobs {
+		x.value = min(0.3+0.7*x.work/mean, 4)
+	}
+	slices.SortStableFunc(jobs, func(a, b *overlapJob) int { return cmp.Compare(a.at, b.at) })
+	return jobs
+}
+
+// newOverlap returns a leader of the pools of the bursts, which share the instances, and a headroom.
+func newOverlap(c *quicktest.C, seed uint64, bursts []overlapBurst) *overlap {
+	o := &overlap{
+		fixture: newFixture(c, nil), begin: time.Now(), jobs: newOverlapJobs(bursts, rand.New(rand.NewPCG(seed, 3))), byID: make(map[string]*overlapJob),
+		runs: make(map[string]map[string]overlapRun), seq: make(map[string]int64), lives: make(map[string]int), returns: make(map[string]time.Time), pools: make(map[string]string),
+		refuse: func(string) (error, bool) { return nil, true },
+	}
+	for _, x := range o.jobs {
+		o.byID[x.spec.ID] = x
+	}
+	b := o.Bounds()
+	b.Move, b.Maintenance = overlapMove, time.Second
+	o.SetBounds(b)
+	o.config = &job.Catalog{Queues: make(map[string]job.Queue), Pools: map[string]job.Pool{"off": {Headroom: true}}}
+	for _, x := range bursts {
+		o.config.Queues[x.queue] = job.Queue{Name: x.queue, Pool: x.queue, Attempts: 3, Stretch: overlapStretch, Target: overlapTarget}
+		o.config.Pools[x.queue] = job.Pool{}
+	}
+	pools := slices.Sorted(maps.Keys(o.config.Queues))
+	d, err := org.NewDirectory([]org.Organisation{{Name: "hot", Weight: 20}, {Name: "cold", Weight: 100}})
+	c.Assert(err, quicktest.IsNil)
+	organisationsChanged{d}.apply(o.session)
+	o.ParseWorker = func(incarnation string, _ []byte) (work.Worker, error) {
+		name, _, _ := strings.Cut(incarnation, "/")
+		return work.Worker{Incarnation: incarnation, ID: incarnation, Machine: name, Pool: o.pools[name], DataCentre: o.dataCentre(name), Capacity: job.Need{MilliCPU: 1000 * overlapCores, MemoryMB: 1 << 16}}, nil
+	}
+	o.Calls.Start = o.start
+	o.Machines.Move = o.move
+	o.Machines.Maintenance = func(_ context.Context, machine string, _, _ int64) error {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.takeAway(machine, time.Second)
+		return nil
+	}
+	o.PutWave = func(context.Context, int64, bool) error { return nil }
+	o.machinesListedAt = time.Now()
+	for i := range overlapInstances {
+		name := fmt.Sprintf("m%02d", i)
+		o.pools[name] = pools[i%len(pools)]
+		if i < overlapOff {
+			o.pools[name] = "off"
+		}
+		o.machines[name] = Machine{Name: name, Pool: o.pools[name], DataCentre: o.dataCentre(name)}
+		o.arrive(name)
+	}
+	return o
+}
+
+// dataCentre returns the data centre of an instance, one of three.
+func (o *overlap) dataCentre(machine string) string { return string('x' + machine[2]%3) }
+
+// arrive starts a worker on an instance unless its pool is off.
+func (o *overlap) arrive(machine string) {
+	if o.pools[machine] == "off" {
+		return
+	}
+	o.lives[machine]++
+	incarnation := fmt.Sprintf("%s/%d", machine, o.lives[machine])
+	o.runs[incarnation] = make(map[string]overlapRun)
+	o.applyWorkerRecord(incarnation, []byte{1})
+	m := o.machines[machine]
+	m.ID, m.Pool, m.State = incarnation, o.pools[machine], MachineUp
+	o.machines[machine] = m
+	o.hear(incarnation)
+}
+
+// takeAway ends the worker of an instance until it returns. The lock must be held.
+func (o *overlap) takeAway(machine string, d time.Duration) {
+	delete(o.runs, fmt.Sprintf("%s/%d", machine, o.lives[machine]))
+	o.returns[machine] = time.Now().Add(d)
+}
+
+func (o *overlap) move(_ context.Context, machine, to string, _ int64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	err, arrives := o.refuse(machine)
+	if err != nil {
+		return err
+	}
+	o.moves++
+	o.pools[machine] = to
+	o.takeAway(machine, overlapMove)
+	if !arrives {
+		o.returns[machine] = o.begin.Add(time.Hour)
+	}
+	return nil
+}
+
+func (o *overlap) start(_ context.Context, w *work.Worker, s work.Start) (work.Answer, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var step, index int
+	id, rest, _ := strings.Cut(s.Task, ".")
+	_, err := fmt.Sscanf(rest, "0.%d.%d", &step, &index)
+	runs := o.runs[w.Incarnation]
+	if err != nil || runs == nil {
+		return work.Answer{}, work.ErrNoAnswer
+	}
+	runs[s.Task] = overlapRun{work.RunStatus{Task: s.Task, Run: s.Run, Percent: fullPercent}, time.Now().Add(o.byID[id].runTimes[step][index])}
+	return work.Answer{Clock: o.clock()}, nil
+}
+
+func (o *overlap) clock() work.Clock { return work.Clock(10 + time.Since(o.begin).Milliseconds()) }
+
+// hear applies a report of a worker, with the runs that have ended.
+func (o *overlap) hear(incarnation string) {
+	var running []work.RunStatus
+	var ended []work.EndedRun
+	for task, x := range o.runs[incarnation] {
+		if time.Now().Before(x.end) {
+			running = append(running, x.run)
+			continue
+		}
+		o.seq[incarnation]++
+		ended = append(ended, work.EndedRun{Seq: o.seq[incarnation], Task: task, Run: x.run.Run, Outcome: work.Succeeded})
+		delete(o.runs[incarnation], task)
+		j := o.byID[task[:16]]
+		if j.left--; j.left == 0 {
+			j.ended = time.Since(o.begin)
+		}
+	}
+	o.report(incarnation, o.clock(), running, ended...)
+}
+
+// simulate runs the leader until overlapEnd. each is called before every pass.
+func (o *overlap) simulate(each func(at time.Duration)) {
+	next := 0
+	for pass := 0; ; pass++ {
+		at := time.Since(o.begin)
+		if at > overlapEnd {
+			return
+		}
+		each(at)
+		for ; next < len(o.jobs) && o.jobs[next].at <= at; next++ {
+			s := *o.jobs[next].spec
+			s.Taken = job.UnixMilli(time.Now().UnixMilli())
+			j := o.readIntake(0, record(o.c, job.Qualify(s.Organisation, s.ID).SubmissionKey(), &s), time.Now())
+			o.checkRate(j)
+			o.recordJobWork(j)
+			o.openJob(j, time.Now())
+		}
+		o.mu.Lock()
+		for machine, when := range o.returns {
+			if !time.Now().Before(when) {
+				delete(o.returns, machine)
+				o.arrive(machine)
+			}
+		}
+		for incarnation := range o.runs {
+			if w := o.workers[incarnation]; w != nil {
+				o.hear(incarnation)
+			}
+		}
+		o.mu.Unlock()
+		if pass%5 == 0 {
+			o.checkLeases(time.Now())
+			o.runWaves(time.Now())
+			o.sizePools(time.Now())
+		}
+		o.placeAll(time.Now())
+		o.commitAll()
+		time.Sleep(overlapPass)
+	}
+}
+
+// earned returns the part of their value that the jobs yield for which in returns true.
+func (o *overlap) earned(in func(s *job.Spec) bool) float64 {
+	got, total := 0.0, 0.0
+	for _, x := range o.jobs {
+		if !in(x.spec) {
+			continue
+		}
+		total += x.value
+		switch took := x.ended - x.at; {
+		case x.ended == 0 || took > 3*x.target:
+		case took > x.target:
+			got += overlapLate * x.value
+		default:
+			got += x.value
+		}
+	}
+	return got / total
+}
+
+// bound returns an upper bound of the part of their value that all jobs can yield. Jobs that come and must end within the same period can do so only as far
+// as the instances have the time; the densest of them are taken to be in time, and the others to yield what late jobs do.
+func (o *overlap) bound() float64 {
+	total := 0.0
+	for _, x := range o.jobs {
+		total += x.value
+	}
+	dense := slices.SortedFunc(slices.Values(o.jobs), func(a, b *overlapJob) int { return cmp.Compare(b.value/b.work, a.value/a.work) })
+	most := 0.0
+	for from := time.Duration(0); from < overlapEnd; from += overlapMove / 3 {
+		for to := from + overlapMove; to < overlapEnd; to += overlapMove / 3 {
+			capacity, lost := overlapInstances*overlapCores*(to-from).Seconds(), 0.0
+			for _, x := range dense {
+				if x.at < from || x.at+x.target > to {
+					continue
+				}
+				if capacity -= x.work; capacity < 0 {
+					lost += (1 - overlapLate) * x.value
+				}
+			}
+			most = max(most, lost)
+		}
+	}
+	return 1 - most/total
+}
+
+// TestAPoolDoesNotWaitForTheEndOfAnothersBurst guards against the pool whose burst comes first keeping all instances for work that is late, while the jobs of the
+// next burst wait.
+func TestAPoolDoesNotWaitForTheEndOfAnothersBurst(t *testing.T) {
+	const second = time.Second
+	bursts := []overlapBurst{
+		{"a", "hot", second, 6 * second, 1.5}, {"a", "cold", second, 6 * second, 0.5},
+		{"b", "cold", 5 * second, 9500 * time.Millisecond, 0.7},
+	}
+	for _, test := range [...]struct {
+		name string
+		wave bool
+	}{
+		{"two bursts and a hot organisation", false},
+		{"and a wave", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				o := newOverlap(c, 7, bursts)
+				if test.wave {
+					w := Wave{Number: 1, MaxAway: 4, Within: 15 * second}
+					for i := range 16 {
+						w.Machines = append(w.Machines, fmt.Sprintf("m%02d", 3*i))
+					}
+					waveRequested{wave: w}.apply(o.session)
+				}
+				o.simulate(func(time.Duration) {})
+				all, bound := o.earned(func(*job.Spec) bool { return true }), o.bound()
+				a, b := o.earned(func(s *job.Spec) bool { return s.Queue == "a" }), o.earned(func(s *job.Spec) bool { return s.Queue == "b" })
+				cold := o.earned(func(s *job.Spec) bool { return s.Queue == "a" && s.Organisation == "cold" })
+				t.Logf("all %.3f of at most %.3f; queue a %.3f, its cold organisation %.3f; queue b %.3f; moves %d", all, bound, a, cold, b, o.moves)
+			})
+		})
+	}
+}
