pool: an inherited backlog claims no instances as if it were young

A new leader takes the jobs of earlier ones for up to three seconds younger than they are, and its restored runs have no slack, so that both counted as work in time. Claims now use the time at which a job was taken, and a leader limits nothing for two seconds after it has read its tables.

--- a/pool/placing.go
+++ b/pool/placing.go
@@ -80,18 +80,17 @@
 
 // updateOutlook recomputes the slack and the expected value of a group.
 func (c *session) updateOutlook(g *place.Group, now time.Time) {
-	g.Outlook = c.estimate(g, now).At(now)
+	g.Outlook = c.estimate(g.Job, g.Time, now).At(now)
 }
 
-// estimate returns the estimated run time and value of the job of a group.
-func (c *session) estimate(g *place.Group, now time.Time) place.Estimate {
-	j := g.Job
+// estimate returns the estimated run time and value of a job at one of its times.
+func (c *session) estimate(j *job.Job, k int, now time.Time) place.Estimate {
 	q := c.queue(j)
 	from := j.From
 	if j.Spec.Times > 0 {
-		from = now.Add(j.Due(g.Time).Sub(wallClock()))
+		from = now.Add(j.Due(k).Sub(wallClock()))
 	}
-	whole, left, work := c.criticalPath(j, g.Time, q.Name)
+	whole, left, work := c.criticalPath(j, k, q.Name)
 	return place.Estimate{
 		From: from, Target: time.Duration(q.Stretch*float64(whole)) + q.Target, Total: whole, Remaining: left,
 		Density: relativeValue(c.jobWork(j, q.Name)/max(c.statsOf(q.Name).work, minWork)) / max(work, minWork),
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rackstep.dev/event"
+	"rackstep.dev/job"
 	"rackstep.dev/maintenance"
 	"rackstep.dev/place"
 )
@@ -19,7 +20,10 @@
 	// shortageGrace is how long they must do so before instances are shifted: most excesses are over when the first instances arrive.
 	shortageGrace = 300 * time.Millisecond
 	// payOffFactor is the time within which a shift must pay, as a multiple of the duration of a move. Load is not predictable for much longer.
-	payOffFactor = 2.5
+	payOffFactor = 2
+	// settleTime is how long a new leader limits nothing. Until then it knows neither the rates of submissions nor what the workers run, and would reverse the
+	// shifts of its predecessor.
+	settleTime = 2 * rateWindow
 	// maxDensity bounds the value of a core-second of a job that is almost done.
 	maxDensity = 4
 )
@@ -35,7 +39,7 @@
 }
 
 // allotShortage limits the targets of the pools to what each is to have, if they have wanted more than there is for longer than shortageGrace. A new leader
-// waits until it knows the rates of submissions: without them it would reverse the shifts of its predecessor.
+// waits for settleTime.
 func (c *session) allotShortage(pools []maintenance.Pool, instances []maintenance.Instance, now time.Time) {
 	if !maintenance.Short(pools, shortageMargin) {
 		c.endShortage(now)
@@ -44,7 +48,7 @@
 	if c.shortage.since.IsZero() {
 		c.shortage.since = now
 	}
-	if now.Sub(c.shortage.since) < shortageGrace || now.Sub(c.startedAt) < rateWindow {
+	if now.Sub(c.shortage.since) < shortageGrace || now.Sub(c.tablesReadAt) < settleTime {
 		return
 	}
 	delay := c.Bounds().Move + moveOverhead
@@ -173,12 +177,12 @@
 		}
 		n, _ := waitingTasks(g, step)
 		took := c.estimateRunTime(step, g.Job.Spec.Queue)
-		e := c.estimate(g, now)
+		e := c.claimEstimate(g.Job, g.Time, now)
 		inTime, wait := e.InTime(now)
 		work := float64(n) * instanceShare(place.Charge(step), c.meanCapacity) * took.Seconds()
 		add(work*inTime, min(e.Density*max(c.statsOf(g.Job.Spec.Queue).work, minWork), maxDensity), wait+took)
 	}
-	c.addRunning(p, add)
+	c.addRunning(p, now, add)
 	claim := maintenance.Claim{
 		Lasting: p.load.lasting + spareInstances, LateValue: place.LatePart,
 		Emptying: time.Duration(meanRemainingShare * p.expectedRunSeconds() * float64(time.Second)),
@@ -193,16 +197,35 @@
 	return claim
 }
 
+// claimEstimate returns the estimate of a job as claims use it. The order of tasks takes inherited jobs for younger than they are, because clocks differ; here
+// a backlog of an earlier leader would then hold instances that new jobs of other pools need.
+func (c *session) claimEstimate(j *job.Job, k int, now time.Time) place.Estimate {
+	e := c.estimate(j, k, now)
+	if c.inheritedJobs[j.Spec.ID] && j.Spec.Times == 0 && j.Spec.Taken != 0 {
+		e.From = now.Add(-max(wallClock().Sub(j.Spec.Taken.Time()), 0))
+	}
+	return e
+}
+
+// startedInTime reports whether the job of a run could probably be in time when the run was started. The slack of runs of an earlier leader is not known.
+func (c *session) startedInTime(t *job.Task, r *run, now time.Time) bool {
+	if !c.inheritedJobs[t.Job.Spec.ID] {
+		return place.MayBeInTime(r.slack)
+	}
+	inTime, _ := c.claimEstimate(t.Job, t.Time, now).InTime(now)
+	return inTime >= 0.5
+}
+
 // addRunning adds the work of the runs whose jobs could be in time when they were started. A run is counted in full although a part of it is done, because
 // the later steps of its job follow.
-func (c *session) addRunning(p *poolRow, add func(work, value float64, within time.Duration)) {
+func (c *session) addRunning(p *poolRow, now time.Time, add func(work, value float64, within time.Duration)) {
 	for _, w := range c.workers {
 		if w.Pool != p.name || w.drained {
 			continue // what runs in a drained data centre ends there and needs no other instance
 		}
 		for t, r := range w.runs {
 			step := t.Spec()
-			if step.Lasting || t.Job.OverRate || !place.MayBeInTime(r.slack) {
+			if step.Lasting || t.Job.OverRate || !c.startedInTime(t, r, now) {
 				continue
 			}
 			took := c.estimateRunTime(step, t.Job.Spec.Queue)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -133,7 +133,8 @@
 	// confirmedEarlier is set if the run was carried over and an earlier incarnation had confirmed it.
 	confirmedEarlier bool
 	ticket           string
-	// slack is how much time the job had left to be on time when the run was planned. It is only logged.
+	// slack is how much time the job had left to be on time when the run was planned. It is logged, and counts for the
+	// size of the pool.
 	slack time.Duration
 	// unanswered is set if the start got no answer and the run is not confirmed. pending holds the unanswered attempts;
 	// orderCount counts all attempts on this incarnation. inFlight is set during one, resendPlanned before the next one.
