maintenance: during a shortage, what nobody uses goes wherever it yields anything

The price of a move was more than late work yields where moves are short, so that instances stayed switched off while late work waited; before, they went.

--- a/maintenance/shortage.go
+++ b/maintenance/shortage.go
@@ -50,7 +50,8 @@
 
 const (
 	// moveCost is the yield, in seconds of an instance at work, by which a move must exceed its loss. It stands for
-	// the price of a move.
+	// the price of a move. Instances that yield nothing where they are go wherever they yield something, as they do
+	// without a shortage.
 	moveCost = 0.1
 	// minGainRatio is how many times its loss a move must yield. Both are made from estimates of run times and of rates,
 	// which are off by as much.
@@ -164,6 +165,14 @@
 	return a.yield(a.granted, 0, t.PayOff) * (1 + a.Emptying.Seconds()/t.PayOff.Seconds())
 }
 
+// pays reports whether a move is worth its cost.
+func pays(gain, loss float64) bool {
+	if loss == 0 {
+		return gain > 0
+	}
+	return gain > minGainRatio*loss+moveCost
+}
+
 // shiftInstances grants instances of the headroom and of the pools that lose least to the pools that gain most, while
 // that pays. What an instance yields never rises with the number in its pool, so that no other pair pays once the
 // best one does not.
@@ -181,7 +190,7 @@
 				from, loss = a, l
 			}
 		}
-		if to == nil || from == nil || from == to || gain <= minGainRatio*loss+moveCost {
+		if to == nil || from == nil || from == to || !pays(gain, loss) {
 			return shifts
 		}
 		to.granted++
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -21,9 +21,8 @@
 	shortageGrace = 300 * time.Millisecond
 	// payOffFactor is the time within which a shift must pay, as a multiple of the duration of a move. Load is not predictable for much longer.
 	payOffFactor = 2
-	// settleTime is how long a new leader limits nothing. Until then it knows neither the rates of submissions nor what the workers run, and would reverse the
-	// shifts of its predecessor.
-	settleTime = 2 * rateWindow
+	// settleTime is how long a new leader limits nothing. Until then it does not know the rates of submissions, and would reverse the shifts of its predecessor.
+	settleTime = rateWindow
 	// maxDensity bounds the value of a core-second of a job that is almost done.
 	maxDensity = 4
 )
@@ -180,7 +179,7 @@
 		e := c.claimEstimate(g.Job, g.Time, now)
 		inTime, wait := e.InTime(now)
 		work := float64(n) * instanceShare(place.Charge(step), c.meanCapacity) * took.Seconds()
-		add(work*inTime, min(e.Density*max(c.statsOf(g.Job.Spec.Queue).work, minWork), maxDensity), wait+took)
+		add(work*inTime, c.relativeDensity(e, g.Job.Spec.Queue), wait+took)
 	}
 	c.addRunning(p, now, add)
 	claim := maintenance.Claim{
@@ -197,6 +196,15 @@
 	return claim
 }
 
+// relativeDensity returns the value of a core-second of a job as a multiple of that of the queue's mean job.
+func (c *session) relativeDensity(e place.Estimate, queue string) float64 {
+	mean := c.statsOf(queue).work
+	if mean == 0 {
+		return 1 // not known yet
+	}
+	return min(e.Density*mean, maxDensity)
+}
+
 // claimEstimate returns the estimate of a job as claims use it. The order of tasks takes inherited jobs for younger than they are, because clocks differ; here
 // a backlog of an earlier leader would then hold instances that new jobs of other pools need.
 func (c *session) claimEstimate(j *job.Job, k int, now time.Time) place.Estimate {
