maintenance: waves leave a pool its instances during its burst

A wave took the idle and headroom instances at its start and went on at a steady pace whatever the load, also through bursts that would have ended in time. It now takes what no burst needs first, then instances of pools without a burst. Those that a burst needs, of the headroom too, wait until the rest of the wave fits into its planned time with MaxAway instances out at once.

A wave that waits changes nothing else that is stored, so the time for which it has been known is stored again each second, and counted from when the entry read of the wave if that is longer: the next leader would wait as long again.

Waiting is logged as event 846 at its begin and end, and the gauge upkeeps_held is the number of instances that wait.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,6 +88,7 @@
 	InstanceMoved        Number = 843
 	DrainChanged         Number = 844
 	PoolSized            Number = 845
+	WaveHeld             Number = 846
 	ModeBegun            Number = 850
 	ModeEnded            Number = 851
 	TakeoverStep         Number = 852
@@ -183,6 +184,7 @@
 	{WaveChanged, "wave-changed", "A wave of upkeep was read, or its state was written.", noAction},
 	{InstanceMoved, "instance-moved", "An instance was moved to another pool.", noAction},
 	{PoolSized, "pool-sized", "What a pool wants and keeps has changed; the text has the load that decided it, in instances.", noAction},
+	{WaveHeld, "wave-held", "A wave of upkeep has begun or ended to leave instances at work that a burst of load needs; the text says which pools need them, how long they can wait at most, and why the wait ended.", noAction},
 	{DrainChanged, "drain-changed", "A data centre was drained, so that its instances get no work, or its drain was ended; the text says what remains there and what delays it.", "If it does not become empty, see docs/operations/maintenance.md."},
 	{ModeBegun, "mode-begun", "The leader has begun to work in a degraded mode; the text names it and why.", "If it lasts, see docs/OPERATIONS.md."},
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", noAction},
--- a/maintenance/wave_test.go
+++ b/maintenance/wave_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,7 +39,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			got := ""
-			for _, x := range Next(test.wave, all, map[string]int{"a": test.surplus, "h": 1}) {
+			for _, x := range Next(test.wave, all, map[string]PoolLoad{"a": {Surplus: test.surplus}, "h": {Surplus: 1}}).Take {
 				got += " " + x.Name
 			}
 			quicktest.Assert(t, got, quicktest.Equals, " "+test.want)
@@ -45,6 +47,60 @@
 	}
 }
 
+// TestNextHoldsWhatABurstNeeds guards against instances that leave a pool during its burst while the wave has time, and
+// against a wave that holds them longer than it can.
+func TestNextHoldsWhatABurstNeeds(t *testing.T) {
+	all := []Candidate{
+		{Name: "burst1", Pool: "b", Runs: 1},
+		{Name: "burst0", Pool: "b"},
+		{Name: "calm", Pool: "c", Runs: 7},
+		{Name: "idle", Pool: "c"},
+		{Name: "lasting-b", Pool: "b", Runs: 1, Lasting: 1},
+		{Name: "lasting-c", Pool: "c", Runs: 2, Lasting: 2},
+		{Name: "off0", Pool: "h"},
+		{Name: "off1", Pool: "h"},
+		{Name: "soon0", Pool: "s"},
+		{Name: "soon1", Pool: "s", Runs: 1},
+		{Name: "drained", Pool: "b", Drained: true},
+	}
+	loads := map[string]PoolLoad{
+		"b": {Burst: true},
+		"c": {Surplus: 1},
+		"h": {Surplus: 1, Burst: true},
+		"s": {Surplus: 1, Burst: true, BurstIn: 3 * time.Second},
+	}
+	n := len(all)
+	wave := func(mostAway, out int, elapsed time.Duration) Wave {
+		return Wave{MaxAway: mostAway, Remaining: n + out, Out: out, Within: 40 * time.Second, Elapsed: elapsed, Each: 2 * time.Second}
+	}
+	for _, test := range [...]struct {
+		name       string
+		wave       Wave
+		take, held string
+	}{
+		{"what nobody needs at once", wave(9, 0, 0), "drained idle off0 soon0 lasting-c", "b:2 h:1 s:1"},
+		{"lasting tasks at their pace, those of the burst's pool last", wave(9, 0, 21*time.Second), "drained idle off0 soon0 lasting-c lasting-b", "b:2 h:1 s:1"},
+		{"held ones when the time requires it, the calm one first", wave(9, 0, 25*time.Second), "drained idle off0 soon0 lasting-c lasting-b calm burst0 off1", ""},
+		{"all when the time is over", wave(9, 0, 31*time.Second), "drained idle off0 soon0 lasting-c lasting-b calm burst0 off1 burst1 soon1", ""},
+		{"a narrow wave can't hold them for long", wave(2, 0, 16*time.Second), "drained idle lasting-c soon0", ""},
+		{"those beyond the number that may be away wait like the others", wave(2, 0, 0), "drained idle lasting-c", "b:2 h:2 s:1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got := Next(test.wave, all, loads)
+			var names, held []string
+			for _, x := range got.Take {
+				names = append(names, x.Name)
+			}
+			for _, pool := range slices.Sorted(maps.Keys(got.Held)) {
+				held = append(held, fmt.Sprintf("%s:%d", pool, got.Held[pool]))
+			}
+			quicktest.Check(t, strings.Join(names, " "), quicktest.Equals, test.take)
+			quicktest.Check(t, strings.Join(held, " "), quicktest.Equals, test.held)
+			quicktest.Check(t, got.HeldFor > 0, quicktest.Equals, test.held != "")
+		})
+	}
+}
+
 // Simulates a wave without idle instances, in which each maintenance takes as long as planned.
 func TestAWaveIsInTimeAtItsPace(t *testing.T) {
 	for _, n := range []int{1, 7, 27, 60} {
@@ -61,7 +117,7 @@
 					w.Remaining--
 					w.Out--
 				}
-				next := Next(w, waiting, nil)
+				next := Next(w, waiting, nil).Take
 				waiting = waiting[len(next):]
 				w.Out += len(next)
 				for range next {
@@ -101,7 +157,7 @@
 	var outs []*out
 	var away [steps][]time.Duration // when the missing tasks are back
 	for ; w.Remaining > 0 && w.Elapsed < time.Minute; w.Elapsed += tick {
-		for _, x := range Next(w, waiting, nil) {
+		for _, x := range Next(w, waiting, nil).Take {
 			i, _ := strconv.Atoi(x.Name)
 			outs = append(outs, &out{steps: holds[i], ready: w.Elapsed + emptyTime})
 			waiting = slices.DeleteFunc(waiting, func(o Candidate) bool { return o.Name == x.Name })
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -29,6 +29,8 @@
 	// maxWaitShare is the share of a wave's time during which it waits for a failing store to recover, and for capacity for the lasting tasks
 	// that have to be moved.
 	maxWaitShare = 0.6
+	// waveStoreInterval is the maximum age of the stored time for which an unfinished wave has been known.
+	waveStoreInterval = time.Second
 )
 
 // waveState is the state of a maintenance wave.
@@ -37,6 +39,10 @@
 	// since is the time at which this leader learned of the wave, earlier the stored time for which earlier leaders had known it.
 	since   time.Time
 	earlier time.Duration
+	// learned is when this entry first read of the wave, as the leader or before. It is zero if that is not known.
+	learned time.Time
+	// storedKnown is the time for which the wave had been known when it was last added to a batch.
+	storedKnown time.Duration
 	// begun holds the instances whose maintenance has begun. It is stored, so that no instance is emptied twice.
 	begun map[string]bool
 	// steps holds the instances that are being emptied or are under maintenance.
@@ -52,6 +58,8 @@
 	running  bool
 	finished bool
 	writing  bool
+	// wait is its waiting for bursts to end.
+	wait waveWait
 }
 
 // markRequested records that a maintenance call is about to be made, and reports whether this is already stored.
@@ -92,8 +100,11 @@
 	notBefore time.Time
 }
 
-// waveRequested is a request for a maintenance wave.
-type waveRequested struct{ wave Wave }
+// waveRequested is a request for a maintenance wave. Learned is when this entry first read it, which may be long before it leads.
+type waveRequested struct {
+	wave    Wave
+	learned time.Time
+}
 
 func (m waveRequested) apply(c *session) {
 	row := c.wave(m.wave.Number)
@@ -101,7 +112,7 @@
 		row.since = c.now()
 		c.emit(event.WaveChanged, event.Subject{}, "wave=%d machines=%d most=%d within=%v", m.wave.Number, len(m.wave.Machines), m.wave.MaxAway, m.wave.Within)
 	}
-	row.Wave = m.wave
+	row.Wave, row.learned = m.wave, m.learned
 }
 
 func (c *session) wave(n int64) *waveState {
@@ -130,7 +141,7 @@
 		return
 	}
 	row := c.wave(n)
-	row.earlier = kept.Known
+	row.earlier, row.storedKnown = kept.Known, kept.Known
 	for _, m := range kept.Begun {
 		row.begun[m] = true
 	}
@@ -139,8 +150,27 @@
 	}
 }
 
-// known returns the time for which the wave has been known, to this leader and earlier ones.
-func (w *waveState) known(now time.Time) time.Duration { return w.earlier + now.Sub(w.since) }
+// known returns the time for which the wave has been known, to this leader and earlier ones or to this entry. The time in which there was no leader
+// is known only to the entry.
+func (w *waveState) known(now time.Time) time.Duration {
+	d := w.earlier + now.Sub(w.since)
+	if !w.learned.IsZero() {
+		d = max(d, now.Sub(w.learned))
+	}
+	return d
+}
+
+// refreshStored makes an unfinished wave be stored again if the stored time for which it has been known is out of date. While a wave waits, nothing
+// else of it changes, and the next leader would wait as long again.
+func (w *waveState) refreshStored(now time.Time) {
+	if w.version > w.storedVersion || len(w.begun) >= len(w.Machines) {
+		return
+	}
+	if w.known(now)-w.storedKnown >= waveStoreInterval {
+		w.storedKnown = w.known(now)
+		w.version++
+	}
+}
 
 func (c *session) wavesDirty() bool {
 	for _, row := range c.waveStates {
@@ -157,7 +187,8 @@
 		if row.version <= row.storedVersion {
 			continue
 		}
-		kept := storedWave{Begun: slices.Sorted(maps.Keys(row.begun)), Known: row.known(c.now()), Asked: slices.Sorted(maps.Keys(row.requested))}
+		row.storedKnown = row.known(c.now())
+		kept := storedWave{Begun: slices.Sorted(maps.Keys(row.begun)), Known: row.storedKnown, Asked: slices.Sorted(maps.Keys(row.requested))}
 		value, err := job.Encode(kept)
 		if err != nil {
 			c.emit(event.RecordRefused, event.Subject{}, "wave=%d not stored: %v", n, err)
@@ -178,13 +209,16 @@
 
 // runWaves advances all waves: it selects the next instances, empties them and requests their maintenance.
 func (c *session) runWaves(now time.Time) {
+	held := 0
 	for _, row := range c.waveStates {
 		if row.finished || row.since.IsZero() {
 			continue
 		}
 		c.runWave(row, now)
 		c.publishWave(row)
+		held += row.wait.held
 	}
+	c.counts.heldInWaves.Update(float64(held))
 }
 
 func (c *session) runWave(row *waveState, now time.Time) {
@@ -197,12 +231,15 @@
 		}
 	}
 	c.markDue(row)
+	row.refreshStored(now)
 	away := c.countAway(row)
 	storeFailing := c.storeFailing(now) && row.known(now) < time.Duration(maxWaitShare*float64(row.Within))
 	if !storeFailing {
-		for _, x := range c.nextInWave(row, now) {
+		next := c.nextInWave(row, now)
+		for _, x := range next.Take {
 			c.startEmptying(row, x.Name, now)
 		}
+		c.updateWaveWait(row, next, now)
 	}
 	for m, s := range row.steps {
 		if s.away || s.inFlight || now.Before(s.notBefore) {
@@ -234,7 +271,7 @@
 }
 
 // nextInWave returns the instances of the wave that are to be emptied next.
-func (c *session) nextInWave(row *waveState, now time.Time) []maintenance.Candidate {
+func (c *session) nextInWave(row *waveState, now time.Time) maintenance.Selection {
 	w := maintenance.Wave{MaxAway: row.MaxAway, Out: len(row.steps), Remaining: len(row.steps), Within: row.Within, Elapsed: row.known(now), Each: c.Bounds().Maintenance}
 	var waiting []maintenance.Candidate
 	for _, m := range row.Machines {
@@ -251,16 +288,13 @@
 		if c.moves[m] != nil {
 			continue
 		}
-		x := maintenance.Candidate{Name: m, Pool: c.machines[m].Pool}
+		x := maintenance.Candidate{Name: m, Pool: c.machines[m].Pool, Drained: c.drains[c.machines[m].DataCentre] != nil}
 		if incarnation := c.listedWorkerOn(m); incarnation != nil {
 			x.Runs, x.Lasting = len(incarnation.runs), incarnation.candidate.Serving+incarnation.candidate.Filling
 		}
 		waiting = append(waiting, x)
 	}
-	if len(waiting) == 0 {
-		return nil
-	}
-	return maintenance.Next(w, waiting, c.surplus)
+	return maintenance.Next(w, waiting, c.waveLoads)
 }
 
 // countAway returns the number of instances that are or may be under maintenance, and removes the steps of those that have returned.
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -24,6 +24,8 @@
 	restartedWorkers tally.Counter
 	// rejectedRecords counts the records that the store permanently rejects.
 	recordsAside tally.Counter
+	// heldInWaves is the number of instances of maintenance waves that wait for a burst to end.
+	heldInWaves tally.Gauge
 	// unreadableEntries is the number of unreadable entries in the list of workers.
 	unreadableEntries tally.Gauge
 }
@@ -41,7 +43,7 @@
 		batch: scope.Histogram("state_batch", buckets), ordered: scope.Counter("runs_ordered"), lost: scope.Counter("workers_lost"),
 		runsLost: scope.Counter("runs_lost"), givenUp: scope.Counter("jobs_given_up"),
 		moves: scope.Counter("instances_moved"), maintenances: scope.Counter("upkeeps_begun"), unstoredStarts: scope.Counter("runs_ordered_unkept"),
-		capped: scope.Counter("steps_capped"), restartedWorkers: scope.Counter("workers_reborn"), recordsAside: scope.Counter("records_aside"), unreadableEntries: scope.Gauge("entries_misread"), silentWorkers: scope.Gauge("workers_silent"), uncertainRuns: scope.Gauge("runs_on_silent_workers"),
+		capped: scope.Counter("steps_capped"), restartedWorkers: scope.Counter("workers_reborn"), recordsAside: scope.Counter("records_aside"), unreadableEntries: scope.Gauge("entries_misread"), heldInWaves: scope.Gauge("upkeeps_held"), silentWorkers: scope.Gauge("workers_silent"), uncertainRuns: scope.Gauge("runs_on_silent_workers"),
 	}
 }
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -155,7 +155,7 @@
 	organisations atomic.Pointer[org.Directory]
 	bounds        atomic.Pointer[Bounds]
 	mu            sync.Mutex
-	waves         map[int64]Wave
+	waves         map[int64]waveRequested
 	drained       []string // the drained data centres
 	current       *session
 	counts        *metrics
@@ -197,11 +197,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.waves == nil {
-		s.waves = make(map[int64]Wave)
+		s.waves = make(map[int64]waveRequested)
 	}
-	s.waves[w.Number] = w
+	m := waveRequested{wave: w, learned: s.now()}
+	if earlier, ok := s.waves[w.Number]; ok {
+		m.learned = earlier.learned
+	}
+	s.waves[w.Number] = m
 	if s.current != nil {
-		s.current.post(waveRequested{w})
+		s.current.post(m)
 	}
 }
 
@@ -244,8 +248,8 @@
 	if !slices.Equal(s.drained, slices.Sorted(maps.Keys(c.drains))) {
 		c.post(drainsChanged{s.drained})
 	}
-	for _, w := range s.waves {
-		c.post(waveRequested{w})
+	for _, m := range s.waves {
+		c.post(m)
 	}
 }
 
--- a/pool/session.go
+++ b/pool/session.go
@@ -149,8 +149,8 @@
 	moves              map[string]*pendingMove
 	machineCalls       machineCallLimiter
 	cpuShortage        cpuShortage
-	fleetScan          scanPacer      // paces the scans over all instances: waves and the sizes of pools
-	surplus            map[string]int // number of instances that each pool could give up, according to the latest sizing
+	fleetScan          scanPacer                       // paces the scans over all instances: waves and the sizes of pools
+	waveLoads          map[string]maintenance.PoolLoad // what waves have to know of each pool, according to the latest sizing
 	bursts             maintenance.Bursts
 	meanCapacity       job.Need // mean capacity of an instance
 	startedAt          time.Time
--- a/pool/size.go
+++ b/pool/size.go
@@ -45,7 +45,7 @@
 	c.advanceMoves(now)
 	c.cancelQueuedMoves()
 	pools, instances := c.sizingInputs(now)
-	c.surplus = maintenance.Surplus(pools)
+	c.observeWaveLoads(pools, now)
 	for _, m := range maintenance.Moves(pools, instances) {
 		c.startMove(m, now)
 	}
