maintenance: play a wave over bursts, and reserve the headroom once

A test plays a wave of half of 349 instances over bursts that pass from pool to pool, have pauses, end soon or never, with failing calls, a failing store and a drained data centre.

The play showed that the headroom was reserved twice, for the burst under way and for the next one, and that instances that would be back before the next burst were held. The same instances now serve both, and idle instances are spare until the burst is expected.

--- a/maintenance/poolload.go
+++ b/maintenance/poolload.go
@@ -9,21 +9,27 @@
 	"time"
 )
 
-// Limits of what is taken for a burst whose end is worth waiting for.
-const (
-	// lastingLoadAfter and lastingLoadIntervals are the time, and the number of intervals between bursts, after which
-	// a load is no longer expected to end soon: that of a pool with a steady load never does.
-	lastingLoadAfter     = 10 * time.Second
-	lastingLoadIntervals = 2
-)
+// lastingLoadAfter is the time after which a load is no longer expected to end soon: that of a pool with a steady load
+// never does.
+const lastingLoadAfter = 30 * time.Second
 
 // PoolLoad is what a wave has to know of the load of a pool.
 type PoolLoad struct {
-	// Surplus is the number of instances that the pool can spare, also in the bursts that are under way or expected.
+	// Surplus is the number of instances that the pool can spare now.
 	Surplus int
-	// Burst reports that the other instances are needed for a burst that begins in BurstIn. It has begun if that is 0.
-	Burst   bool
-	BurstIn time.Duration
+	// Burst reports that there is a burst that needs its instances. It begins in BurstIn, or has begun if that is 0, and
+	// leaves the pool BurstSurplus instances to spare.
+	Burst        bool
+	BurstIn      time.Duration
+	BurstSurplus int
+}
+
+// surplusWithin returns the number of instances that the pool can spare during the given time.
+func (l PoolLoad) surplusWithin(d time.Duration) int {
+	if l.neededWithin(d) {
+		return l.BurstSurplus
+	}
+	return l.Surplus
 }
 
 // neededWithin reports whether the pool's instances are needed for a burst within the given time.
@@ -32,47 +38,62 @@
 // PoolLoads returns the load of each pool. A burst is taken into account if it is under way or expected within the
 // given time. Lasting is the number of instances that the lasting tasks of each pool use.
 //
-// A pool in a burst needs what its tasks want now or what its bursts usually need, whichever is more. What it lacks is
-// reserved first in the headroom, then in the surplus of other pools.
+// A pool whose burst is expected, or has just begun, needs what its bursts usually need, if that is more than its tasks
+// want now. What it lacks is reserved first in the headroom, then in the surplus of other pools. A burst that is
+// expected needs its instances after those that are under way, so that the same ones can serve both.
 func PoolLoads(pools []Pool, b *Bursts, lasting map[string]float64, within time.Duration, now time.Time) map[string]PoolLoad {
-	pools = slices.Clone(pools)
 	loads := make(map[string]PoolLoad, len(pools))
-	lack, lackIn, headroom := 0, within, 0
-	for i := range pools {
-		p := &pools[i]
+	current, later, other := 0, 0, 0 // what bursts under way lack, those that are expected, and pools without one
+	lackIn, headroom := within, 0
+	for _, p := range pools {
 		if p.Headroom {
 			headroom += p.Have
 			continue
 		}
 		in, burst := b.needsSoon(p.Name, within, now)
+		l := PoolLoad{Burst: burst, BurstIn: in}
+		over := p.Have - int(math.Ceil(p.Want))
+		l.Surplus = max(over, 0)
 		if burst {
-			need, _, _ := b.FullDemand(p.Name, now)
-			p.Want = max(p.Want, need+lasting[p.Name])
+			over = p.Have - int(math.Ceil(max(p.Want, b.usualNeed(p.Name, now)+lasting[p.Name])))
+			l.BurstSurplus = max(over, 0)
+		}
+		switch lack := max(-over, 0); {
+		case !burst:
+			other += lack
+		case in > 0:
+			later += lack
+		default:
+			current += lack
 		}
-		if n := int(math.Ceil(p.Want)) - p.Have; burst && n > 0 {
-			lack += n
+		if burst && over < 0 {
 			lackIn = min(lackIn, in)
 		}
-		loads[p.Name] = PoolLoad{Burst: burst, BurstIn: in}
+		loads[p.Name] = l
 	}
-	surplus := Surplus(pools)
 	for _, p := range pools {
-		l := loads[p.Name]
-		l.Surplus = surplus[p.Name]
-		if p.Headroom && lack > 0 {
-			l.Burst, l.BurstIn = true, lackIn
+		if !p.Headroom {
+			continue
+		}
+		l := PoolLoad{Surplus: max(p.Have-current-other, 0)}
+		if lack := max(current, later); lack > 0 {
+			l.Burst, l.BurstIn, l.BurstSurplus = true, lackIn, max(p.Have-lack-other, 0)
 		}
 		loads[p.Name] = l
 	}
-	reserve(loads, pools, lack-headroom)
+	reserve(loads, pools, current-headroom)
 	return loads
 }
 
-// reserve takes what bursts lack beyond the headroom from the surplus of the pools. It sorts the pools by name.
+// reserve takes what bursts under way lack beyond the headroom from the surplus of the other pools.
 func reserve(loads map[string]PoolLoad, pools []Pool, lack int) {
+	pools = slices.Clone(pools)
 	slices.SortFunc(pools, func(a, b Pool) int { return strings.Compare(a.Name, b.Name) })
 	for _, p := range pools {
 		l := loads[p.Name]
+		if l.neededWithin(0) {
+			continue
+		}
 		n := min(l.Surplus, max(lack, 0))
 		l.Surplus -= n
 		lack -= n
@@ -80,11 +101,20 @@
 	}
 }
 
+// usualNeed returns what the pool's bursts usually need, or 0 if one has lasted long enough to show its own need.
+func (t *Bursts) usualNeed(pool string, now time.Time) float64 {
+	if p := t.Pools[pool]; p != nil && p.Active && now.Sub(p.Began) >= settledAfter {
+		return 0
+	}
+	need, _, _ := t.FullDemand(pool, now)
+	return need
+}
+
 // needsSoon reports whether the pool has a burst that is expected to end, or is the only one that may have the next
 // burst, within the given time, and how long that is away.
 func (t *Bursts) needsSoon(pool string, within time.Duration, now time.Time) (time.Duration, bool) {
 	if p := t.Pools[pool]; p != nil && p.Active {
-		return 0, now.Sub(p.Began) < max(lastingLoadAfter, lastingLoadIntervals*t.Interval)
+		return 0, now.Sub(p.Began) < lastingLoadAfter
 	}
 	next := t.Next(within, now)
 	if len(next) != 1 || next[0].Pool != pool {
--- a/maintenance/wave.go
+++ b/maintenance/wave.go
@@ -23,6 +23,8 @@
 	// pacedRounds is the number of maintenances that follow each other for which time is kept when instances wait for
 	// a burst to end: the last ones are then taken out in two parts instead of all at once.
 	pacedRounds = 2
+	// returnTime is the assumed time from the end of a maintenance until the instance has its first tasks.
+	returnTime = 500 * time.Millisecond
 )
 
 // Wave is the progress of a wave of instance maintenance.
@@ -72,9 +74,9 @@
 // back returns how long the instance will be out if it is taken now.
 func (w Wave) back(x Candidate) time.Duration {
 	if x.Runs == 0 {
-		return w.Each
+		return w.Each + returnTime
 	}
-	return w.Each + emptyTime
+	return w.Each + emptyTime + returnTime
 }
 
 // width returns how many of the given number of instances must be out at the same time for the wave to end in time,
@@ -135,7 +137,7 @@
 	})
 	spare := make(map[string]int, len(loads))
 	for name, l := range loads {
-		spare[name] = l.Surplus
+		spare[name] = l.surplusWithin(s.Wave.back(Candidate{}))
 	}
 	var heldLasting []Candidate
 	for _, x := range all {
