--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -29,7 +29,7 @@
 	// maxWaitShare is the share of a wave's time during which it waits for a failing store to recover, and for capacity for the lasting tasks
 	// that have to be moved.
 	maxWaitShare = 0.6
-	// waveStoreInterval is the maximum age of the stored time for which an unfinished wave has been known.
+	// waveStoreInterval is the maximum age of the stored time for which a wave that waits has been known.
 	waveStoreInterval = time.Second
 )
 
@@ -160,16 +160,14 @@
 	return d
 }
 
-// refreshStored makes an unfinished wave be stored again if the stored time for which it has been known is out of date. While a wave waits, nothing
-// else of it changes, and the next leader would wait as long again.
+// refreshStored makes a wave that waits for a burst be stored again if the stored time for which it has been known is out of date. Nothing else of a
+// waiting wave changes, and the next leader would wait as long again.
 func (w *waveState) refreshStored(now time.Time) {
-	if w.version > w.storedVersion || len(w.begun) >= len(w.Machines) {
+	if w.wait.held == 0 || w.version > w.storedVersion || w.known(now)-w.storedKnown < waveStoreInterval {
 		return
 	}
-	if w.known(now)-w.storedKnown >= waveStoreInterval {
-		w.storedKnown = w.known(now)
-		w.version++
-	}
+	w.storedKnown = w.known(now)
+	w.version++
 }
 
 func (c *session) wavesDirty() bool {
--- a/pool/wavewait_test.go
+++ b/pool/wavewait_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// held returns the texts of the events about the waiting of waves.
+// heldEvents returns the texts of the events about the waiting of waves.
 func (b *fixture) heldEvents() (texts []string) {
 	for _, e := range b.Events.Since(0) {
 		if e.Number == event.WaveHeld {
