--- a/pool/session.go
+++ b/pool/session.go
@@ -203,7 +203,10 @@
 	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	defer func() { c.endModes(c.now()) }()
+	defer func() {
+		c.endModes(c.now())
+		c.counts.heldInWaves.Update(0) // only the leader's waves wait
+	}()
 	for {
 		select {
 		case <-ctx.Done():
