--- a/pool/wavewait_test.go
+++ b/pool/wavewait_test.go
@@ -16,6 +16,7 @@
 
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
+	"rackstep.dev/job"
 	"rackstep.dev/maintenance"
 )
 
@@ -257,3 +258,27 @@
 		c.Assert(b.waveStates[1].finished, quicktest.IsTrue)
 	})
 }
+
+// TestSizingTellsWavesWhatABurstNeeds guards against waves that do not learn of bursts: the burst needs two instances of the headroom and all of its own.
+func TestSizingTellsWavesWhatABurstNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b, _ := newWaveFixture(c)
+		b.Machines.Move = func(context.Context, string, string, int64) error { return ErrBusy }
+		b.config.Pools = map[string]job.Pool{"p": {}, "spare": {Headroom: true}}
+		for i := range 6 {
+			m := fmt.Sprintf("m%d", i)
+			x := b.machines[m]
+			x.Pool = "spare"
+			b.machines[m] = x
+		}
+		b.bursts.Pools = map[string]*maintenance.Burst{"p": {Active: true, Began: time.Now(), Ended: true, Need: 2}}
+		b.sizePools(time.Now())
+		c.Assert(b.waveLoads["p"].Burst, quicktest.IsTrue)
+		c.Assert(b.waveLoads["spare"], quicktest.Equals, maintenance.PoolLoad{Surplus: 4, Burst: true, BurstSurplus: 4})
+		waveRequested{wave: testWave(1)}.apply(b.session)
+		b.runWaves(time.Now())
+		c.Assert(b.moves, quicktest.HasLen, 1)
+		c.Assert(b.waveStates[1].wait.held, quicktest.Equals, 1, quicktest.Commentf("the other one is moving to the pool"))
+	})
+}
