--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -3,34 +3,20 @@
 package pool
 
 import (
-	"context"
-	"errors"
-	"maps"
-	"slices"
-	"strconv"
 	"time"
 
 	"rackstep.dev/event"
-	"rackstep.dev/feed"
-	"rackstep.dev/job"
 	"rackstep.dev/maintenance"
-	"rackstep.dev/place"
 )
 
 // Timing of maintenance waves.
 const (
-	// maintenanceRetryPause is the pause after a maintenance call that was refused or not answered.
-	maintenanceRetryPause = 500 * time.Millisecond
 	// maintenanceMargin is added to the stated duration of a maintenance, which is counted from the answer to the call, to allow for the delivery
 	// time of that answer.
 	maintenanceMargin = 200 * time.Millisecond
-	// shortWorkGrace is how long the tasks of an instance may take to end before they are stopped for its maintenance.
-	shortWorkGrace = 2500 * time.Millisecond
 	// maxWaitShare is the share of a wave's time during which it waits for a failing store to recover, and for capacity for the lasting tasks
 	// that have to be moved.
 	maxWaitShare = 0.6
-	// waveStoreInterval is the maximum age of the stored time for which a wave that waits has been known.
-	waveStoreInterval = time.Second
 )
 
 // waveState is the state of a maintenance wave.
@@ -62,30 +48,6 @@
 	wait waveWait
 }
 
-// markRequested records that a maintenance call is about to be made, and reports whether this is already stored.
-func (w *waveState) markRequested(machine string) bool {
-	if !w.requested[machine] {
-		w.version++
-		w.requested[machine], w.requestedVersion[machine] = true, w.version
-	}
-	return w.storedVersion >= w.requestedVersion[machine]
-}
-
-// clearRequested records that the maintenance has certainly not begun.
-func (w *waveState) clearRequested(machine string) {
-	w.version++
-	delete(w.requested, machine)
-}
-
-// markBegun records that the maintenance has begun, or is not needed any more.
-func (w *waveState) markBegun(machine string) {
-	if !w.begun[machine] {
-		w.version++
-	}
-	w.begun[machine] = true
-	delete(w.requested, machine)
-}
-
 // maintenanceStep is the progress of one instance through a wave.
 type maintenanceStep struct {
 	// incarnation is the incarnation that the maintenance ends.
@@ -125,86 +87,6 @@
 	return row
 }
 
-// storedWave is the stored form of a wave.
-type storedWave struct {
-	Begun []string `cbor:"1,keyasint,omitempty"`
-	// Known is the time for which the wave had been known.
-	Known time.Duration `cbor:"2,keyasint,omitempty"`
-	Asked []string      `cbor:"3,keyasint,omitempty"`
-}
-
-// restoreWave restores the wave that an earlier leader stored.
-func (c *session) restoreWave(r feed.KeyedRecord) {
-	var kept storedWave
-	n, err := strconv.ParseInt(r.Key[len(waveKey):], 10, 64)
-	if err != nil || !c.decodeRecord(r, &kept) {
-		return
-	}
-	row := c.wave(n)
-	row.earlier, row.storedKnown = kept.Known, kept.Known
-	for _, m := range kept.Begun {
-		row.begun[m] = true
-	}
-	for _, m := range kept.Asked {
-		row.requested[m] = true
-	}
-}
-
-// known returns the time for which the wave has been known, to this leader and earlier ones or to this entry. The time in which there was no leader
-// is known only to the entry.
-func (w *waveState) known(now time.Time) time.Duration {
-	d := w.earlier + now.Sub(w.since)
-	if !w.learned.IsZero() {
-		d = max(d, now.Sub(w.learned))
-	}
-	return d
-}
-
-// refreshStored makes a wave that waits for a burst be stored again if the stored time for which it has been known is out of date. Nothing else of a
-// waiting wave changes, and the next leader would wait as long again.
-func (w *waveState) refreshStored(now time.Time) {
-	if w.wait.held == 0 || w.version > w.storedVersion || w.known(now)-w.storedKnown < waveStoreInterval {
-		return
-	}
-	w.storedKnown = w.known(now)
-	w.version++
-}
-
-func (c *session) wavesDirty() bool {
-	for _, row := range c.waveStates {
-		if row.version > row.storedVersion {
-			return true
-		}
-	}
-	return false
-}
-
-// storeWaves adds the changed waves to a batch.
-func (c *session) storeWaves(done *commitBatch, records []feed.KeyedRecord) []feed.KeyedRecord {
-	for n, row := range c.waveStates {
-		if row.version <= row.storedVersion {
-			continue
-		}
-		row.storedKnown = row.known(c.now())
-		kept := storedWave{Begun: slices.Sorted(maps.Keys(row.begun)), Known: row.storedKnown, Asked: slices.Sorted(maps.Keys(row.requested))}
-		value, err := job.Encode(kept)
-		if err != nil {
-			c.emit(event.RecordRefused, event.Subject{}, "wave=%d not stored: %v", n, err)
-			continue
-		}
-		records = append(records, feed.KeyedRecord{Key: waveKeyOf(n), Value: value})
-		done.waves[n] = row.version
-	}
-	return records
-}
-
-// waveKeyOf returns the key of the stored record of a wave.
-func waveKeyOf(n int64) string { return waveKey + strconv.FormatInt(n, 10) }
-
-func (c *session) waveStored(n int64, version int) {
-	c.waveStates[n].storedVersion = max(c.waveStates[n].storedVersion, version)
-}
-
 // runWaves advances all waves: it selects the next instances, empties them and requests their maintenance.
 func (c *session) runWaves(now time.Time) {
 	held := 0
@@ -330,182 +212,3 @@
 	x, ok := c.machines[machine]
 	return ok && c.machinesListedAt.After(end) && x.State != MachineInMaintenance
 }
-
-// startEmptying starts to empty an instance. If an earlier leader began its maintenance without storing that, the maintenance is requested again: the
-// repeated call may be answered like the first one.
-func (c *session) startEmptying(row *waveState, machine string, now time.Time) {
-	begun := c.machines[machine].State == MachineInMaintenance && !c.inOtherWave(row, machine)
-	s := &maintenanceStep{since: now, uncertain: row.requested[machine] || begun}
-	if w := c.workerOn(machine); w != nil {
-		w.beingEmptied = true
-		s.incarnation = w.Incarnation
-	}
-	row.steps[machine] = s
-}
-
-// inOtherWave reports whether another wave has begun or requested the maintenance of the instance. The machine interface does not tell for which wave
-// an instance is under maintenance. Without this check, the instance would be taken for one already begun by this wave, and its maintenance would be
-// requested in excess of the wave's limit.
-func (c *session) inOtherWave(row *waveState, machine string) bool {
-	for _, o := range c.waveStates {
-		if o != row && (o.begun[machine] || o.requested[machine]) {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *session) listedWorkerOn(machine string) *worker {
-	for _, w := range c.incarnationsByMachine[machine] {
-		if w.listed {
-			return w
-		}
-	}
-	return nil
-}
-
-// workerOn returns the incarnation on an instance, preferring a listed one, or nil.
-func (c *session) workerOn(machine string) *worker {
-	if w := c.listedWorkerOn(machine); w != nil {
-		return w
-	}
-	if incarnations := c.incarnationsByMachine[machine]; len(incarnations) > 0 {
-		return incarnations[0]
-	}
-	return nil
-}
-
-// isKnownIdle reports whether an instance without a known incarnation certainly runs nothing: it has no worker, its worker is known to have ended, or
-// all leases granted by earlier leaders have expired.
-func (c *session) isKnownIdle(machine string, now time.Time) bool {
-	x := c.machines[machine]
-	return x.ID == "" || c.endedIncarnations[x.ID] || c.term.Number == 1 || c.earlierLeasesOver(now)
-}
-
-// tryEmpty reports whether the instance is empty, so that its maintenance interrupts nothing. It stops lasting tasks that their step may miss
-// and that fit elsewhere, or that the wave can't wait for, and other tasks after shortWorkGrace.
-func (c *session) tryEmpty(machine string, s *maintenanceStep, now time.Time) bool {
-	w := c.workers[s.incarnation]
-	if w == nil {
-		w = c.workerOn(machine) // it may have been restarted or listed in the meantime
-	}
-	if w == nil {
-		return c.isKnownIdle(machine, now)
-	}
-	if !w.answered || w.unreadRuns > 0 || !w.silentSince.IsZero() {
-		return false // it is not known what runs there
-	}
-	s.incarnation = w.Incarnation
-	w.beingEmptied = true
-	for t := range w.runs {
-		switch {
-		case t.Stopping:
-		case t.Spec().Lasting:
-			if c.canDisrupt(t, now) && (s.noTimeLeft || c.fitsElsewhere(t, now)) {
-				c.stopTask(w, t, "upkeep")
-			}
-		case now.Sub(s.since) > shortWorkGrace:
-			c.stopTask(w, t, "upkeep")
-		}
-	}
-	return len(w.runs) == 0
-}
-
-// fitsElsewhere reports whether another worker has capacity for the task now.
-func (c *session) fitsElsewhere(t *job.Task, now time.Time) bool {
-	g := &place.Group{Job: t.Job, Time: t.Time, Step: t.Step, Lasting: true}
-	c.countPlacedTasks(g, t.Spec())
-	pool := c.queue(t.Job).Pool
-	for _, w := range c.workers {
-		if w.Pool == pool && w.usable(now) && g.Fits(&w.candidate) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// requestMaintenance calls the machine interface to begin the maintenance of the instance.
-func (c *session) requestMaintenance(row *waveState, machine string, s *maintenanceStep) {
-	now := c.now()
-	if !c.confirmed(now) || !c.machineCalls.tryAcquire(c.Machines.PerSecond, now) {
-		return
-	}
-	s.inFlight = true
-	c.background.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-		defer cancel()
-		err := c.callIfConfirmed(func() error { return c.Machines.Maintenance(ctx, machine, row.Number, c.term.Fence) })
-		c.post(maintenanceAnswered{row: row, machine: machine, step: s, err: err})
-	})
-}
-
-// maintenanceAnswered is the result of a maintenance call.
-type maintenanceAnswered struct {
-	row     *waveState
-	machine string
-	step    *maintenanceStep
-	err     error
-}
-
-func (m maintenanceAnswered) apply(c *session) {
-	m.step.inFlight = false
-	now := c.now()
-	c.machineCalls.release()
-	switch {
-	case m.err == nil:
-		m.step.away, m.step.uncertain, m.step.begun = true, false, now
-		m.row.markBegun(m.machine)
-		if w := c.workers[m.step.incarnation]; w != nil {
-			c.endIncarnation(w, "its upkeep has begun")
-		}
-		c.counts.maintenances.Inc(1)
-		c.emit(event.UpkeepBegun, event.Subject{Instance: m.machine}, "wave=%d done=%d of %d", m.row.Number, len(m.row.begun), len(m.row.Machines))
-		return
-	case errors.Is(m.err, ErrTooMany):
-		c.machineCalls.pause(now) // the step is retried unchanged
-	case errors.Is(m.err, ErrBusy):
-		m.step.uncertain = false
-		m.row.clearRequested(m.machine) // it has not begun, and calls with a lower fencing token can't begin it any more
-	case errors.Is(m.err, ErrFenced):
-		c.Lost(c.term.Fence)
-	case errors.Is(m.err, ErrNotInWave):
-		m.row.markBegun(m.machine) // the instance no longer exists or does not belong to the wave
-		delete(m.row.steps, m.machine)
-	default:
-		m.step.uncertain = true
-	}
-	m.step.notBefore = now.Add(maintenanceRetryPause)
-	c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "wave=%d err=%q", m.row.Number, m.err)
-}
-
-// publishWave writes the state of the wave for the operator after a change.
-func (c *session) publishWave(row *waveState) {
-	done := len(row.begun) >= len(row.Machines) && row.storedVersion >= row.version
-	if row.writing || (row.running && !done) {
-		return
-	}
-	row.writing = true
-	c.background.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-		defer cancel()
-		err := c.PutWave(ctx, row.Number, done)
-		c.post(wavePublished{row: row, done: done, err: err})
-	})
-}
-
-// wavePublished is the result of writing the state of a wave.
-type wavePublished struct {
-	row  *waveState
-	done bool
-	err  error
-}
-
-func (m wavePublished) apply(c *session) {
-	m.row.writing = false
-	if m.err != nil {
-		return // retried with the next tick
-	}
-	m.row.running = true
-	m.row.finished = m.done
-	c.emit(event.WaveChanged, event.Subject{}, "wave=%d finished=%t", m.row.Number, m.done)
-}
