--- a/pool/simdrains_test.go
+++ b/pool/simdrains_test.go
@@ -17,7 +17,8 @@
 // simDrainGrace is how long after a data centre was drained tasks may still start there.
 const simDrainGrace = 5 * time.Second
 
-// setDrain drains a data centre or ends its drain. Each entry learns of it at its own time within simConfigDelay.
+// setDrain drains a data centre or ends its drain. Each entry learns of it at its own time within simConfigDelay, unless it has learned of a later
+// change before.
 func (h *history) setDrain(zone string, on bool) {
 	h.mu.Lock()
 	delete(h.drainedSince, zone)
@@ -26,6 +27,8 @@
 	}
 	h.drained = slices.Sorted(maps.Keys(h.drainedSince))
 	now := h.drained
+	h.drainsVersion++
+	version := h.drainsVersion
 	h.mu.Unlock()
 	for _, e := range h.entries {
 		h.mu.Lock()
@@ -33,9 +36,9 @@
 		h.mu.Unlock()
 		time.AfterFunc(after, func() {
 			h.mu.Lock()
-			current := slices.Equal(h.drained, now) && !h.killed[e.name]
-			h.mu.Unlock()
-			if current {
+			defer h.mu.Unlock()
+			if version > e.drainsVersion && !h.killed[e.name] {
+				e.drainsVersion = version
 				e.scheduler.SetDrains(now)
 			}
 		})
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -112,6 +112,8 @@
 	// drainedSince maps each drained data centre to when it was drained; drained holds their names, as entries are told.
 	drainedSince map[string]time.Time
 	drained      []string
+	// drainsVersion counts the changes of drained.
+	drainsVersion int
 	// tracef writes a line of the trace. It is nil when tracing is off.
 	tracef func(text string, args ...any)
 	// waveRequests holds the maintenance waves that the operator has requested.
@@ -414,6 +416,8 @@
 	scheduler *pool.Scheduler
 	cancel    context.CancelFunc
 	ended     chan struct{}
+	// drainsVersion is the version of the drained data centres that it has learned of.
+	drainsVersion int
 }
 
 // start starts an entry in a zone.
@@ -447,6 +451,7 @@
 		s.SetOrganisations(sim.caps[len(sim.caps)-1].directory)
 	}
 	s.SetDrains(sim.drained)
+	e.drainsVersion = sim.drainsVersion
 	sim.mu.Unlock()
 	e.elector = &lead.Elector{
 		Entry: name, Address: name, Boot: fmt.Sprint(boot), Topic: sim.topicFor(name, "lead"), Weight: 1,
