--- a/pool/simmachines_test.go
+++ b/pool/simmachines_test.go
@@ -87,7 +87,7 @@
 	defer sim.mu.Unlock()
 	var out []pool.Machine
 	for _, m := range sim.machines {
-		x := pool.Machine{Name: m.name, Pool: m.pool}
+		x := pool.Machine{Name: m.name, Pool: m.pool, DataCentre: m.zone}
 		if m.incarnation != nil {
 			x.ID = m.incarnation.name
 		}
