--- a/maintenance/moves.go
+++ b/maintenance/moves.go
@@ -300,23 +300,3 @@
 		m.moves = append(m.moves, Move{Instance: x.Name, From: x.Pool, To: m.headroom})
 	}
 }
-
-// Surplus returns the number of instances that each pool can spare: what it has beyond its wants, and for a headroom
-// pool what it has beyond the other pools' shortage.
-func Surplus(pools []Pool) map[string]int {
-	surplus := make(map[string]int, len(pools))
-	shortage := 0
-	for i := range pools {
-		if p := &pools[i]; !p.Headroom {
-			over := p.Have - int(math.Ceil(p.Want))
-			surplus[p.Name] = max(over, 0)
-			shortage += max(-over, 0)
-		}
-	}
-	for i := range pools {
-		if p := &pools[i]; p.Headroom {
-			surplus[p.Name] = max(p.Have-shortage, 0)
-		}
-	}
-	return surplus
-}
--- a/pool/session.go
+++ b/pool/session.go
@@ -150,8 +150,8 @@
 	cpuShortage        cpuShortage
 	handedOver         bool // the lead has been given up for want of processor time
 	requirement        requirementMeter
-	fleetScan          scanPacer      // paces the scans over all instances: waves and the sizes of pools
-	surplus            map[string]int // number of instances that each pool could give up, according to the latest sizing
+	fleetScan          scanPacer                       // paces the scans over all instances: waves and the sizes of pools
+	waveLoads          map[string]maintenance.PoolLoad // what waves have to know of each pool, according to the latest sizing
 	shortage           shortage
 	poolGaugesAt       time.Time // time of the latest update of the gauges by pool
 	bursts             maintenance.Bursts
@@ -206,7 +206,10 @@
 	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	defer func() { c.endModes(c.now()) }()
+	defer func() {
+		c.endModes(c.now())
+		c.counts.heldInWaves.Update(0) // only the leader's waves wait
+	}()
 	for {
 		select {
 		case <-ctx.Done():
--- a/pool/size.go
+++ b/pool/size.go
@@ -45,7 +45,7 @@
 	c.advanceMoves(now)
 	c.cancelQueuedMoves()
 	pools, instances := c.sizingInputs(now)
-	c.surplus = maintenance.Surplus(pools)
+	c.observeWaveLoads(pools, now) // before the wants are limited
 	wanted := make(map[string]float64, len(pools))
 	for i := range pools {
 		wanted[pools[i].Name] = math.Ceil(pools[i].Want)
