pool: instances that nobody uses move on at once during a shortage

Instances beyond what their pool wants and keeps are movable now. The new test fails without the change.

--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// claims returns what instances yield in each pool. An instance that has moved lately does not count as movable until its move has paid.
+// claims returns what instances yield in each pool. An instance that has moved lately does not count as movable until its move has paid, unless its pool does not need it.
 func (c *session) claims(pools []maintenance.Pool, instances []maintenance.Instance, terms maintenance.ShiftTerms, now time.Time) map[string]*maintenance.Claim {
 	claims := make(map[string]*maintenance.Claim, len(pools))
 	for i := range pools {
@@ -146,10 +146,15 @@
 			*claims[pools[i].Name] = c.claim(c.pool(pools[i].Name), terms, now)
 		}
 	}
+	excess := excessInstances(pools)
 	for i := range instances {
 		x := &instances[i]
 		if now.Sub(c.movedAt[x.Name]) < terms.PayOff && !c.config.Pools[x.Pool].Headroom {
-			x.Fixed = true
+			if x.Runs == 0 && excess[x.Pool] > 0 {
+				excess[x.Pool]-- // nobody uses it, so that its move can't pay any more
+			} else {
+				x.Fixed = true
+			}
 		}
 		if claim := claims[x.Pool]; claim != nil && !x.Fixed && !x.Drained && x.Lasting == 0 {
 			claim.Movable++
@@ -158,6 +163,16 @@
 	return claims
 }
 
+// excessInstances returns, by pool, the number of instances beyond what it wants and keeps.
+func excessInstances(pools []maintenance.Pool) map[string]int {
+	excess := make(map[string]int, len(pools))
+	for i := range pools {
+		p := &pools[i]
+		excess[p.Name] = max(p.Have-int(math.Ceil(max(p.Want, p.Min))), 0)
+	}
+	return excess
+}
+
 // claim returns what instances yield in a pool. Work that can still be in time is split by whether it can be so on an instance whose move begins now.
 func (c *session) claim(p *poolRow, terms maintenance.ShiftTerms, now time.Time) maintenance.Claim {
 	var urgent, patient timelyWork
--- a/pool/shortage_test.go
+++ b/pool/shortage_test.go
@@ -22,6 +22,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/maintenance"
 	"rackstep.dev/org"
 	"rackstep.dev/work"
 )
@@ -471,3 +472,28 @@
 		return nil, true
 	}
 }
+
+// TestInstancesThatNobodyUsesMoveAgainAtOnce guards against instances that were moved for a burst that did not come, and stay in their pool until
+// their move could have paid, while another pool is short.
+func TestInstancesThatNobodyUsesMoveAgainAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	b := newFixture(c, nil)
+	b.config = &job.Catalog{Pools: map[string]job.Pool{"idle": {Name: "idle"}, "short": {Name: "short"}}}
+	now := time.Now()
+	terms := maintenance.ShiftTerms{Delay: time.Second, PayOff: 4 * time.Second}
+	pools := []maintenance.Pool{{Name: "idle", Have: 10, Want: 2, Min: 3}, {Name: "short", Have: 10, Want: 90, Min: 9}}
+	var instances []maintenance.Instance
+	for _, p := range pools {
+		for i := range p.Have {
+			x := maintenance.Instance{Name: fmt.Sprint(p.Name, i), Pool: p.Name}
+			if p.Name == "short" {
+				x.Runs = 1
+			}
+			b.movedAt[x.Name] = now.Add(-time.Second)
+			instances = append(instances, x)
+		}
+	}
+	claims := b.claims(pools, instances, terms, now)
+	c.Check(claims["idle"].Movable, quicktest.Equals, 7)
+	c.Check(claims["short"].Movable, quicktest.Equals, 0)
+}
