lead: append and pass on records that accompany renewals

Other parts publish facts under keys of their own in the topic lead. The elector appends them in one batch with a renewal and passes records under other keys on in order, once each, with the leader record of their batch. They do not count as renewals; a batch that the store refuses is renewed without them, so that they can not end a term.

--- a/lead/elector.go
+++ b/lead/elector.go
@@ -3,10 +3,12 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +65,7 @@
 	ConfirmedFor = time.Second
 )
 
-// key is the only key of the topic.
+// key is the key of the leader's record. The topic's other keys hold records that accompany renewals.
 const key = "leader"
 
 // writer is the name under which leaders write to the store, which fences earlier terms by it.
@@ -83,6 +85,12 @@
 	Serve func(ctx context.Context, t Term)
 	// OnRecord is called with every new leader's record that differs from the one before, from one goroutine.
 	OnRecord func(r Record)
+	// Extra returns records under other keys that are appended in one batch with a renewal. It is called once for each renewal;
+	// nil means none.
+	Extra func() []feed.KeyedRecord
+	// OnExtra is called in order with each record under another key, from the goroutine of OnRecord. r is the leader's record
+	// of the same batch, or the zero Record when that one is not known because the topic has newer ones.
+	OnExtra func(key string, value []byte, r Record)
 	// Eligible reports whether this entry may become leader now; always true when nil.
 	Eligible func() bool
 
@@ -92,6 +100,8 @@
 	lastHeard     time.Time     // start of the election timeout: when a leader's record was last read, or a read last failed
 	renewedAt     time.Time     // when the newest renewal was read, or the latest time at which it can have arrived
 	renewalOffset int64         // offset of the newest renewal
+	batch         Record        // leader's record of the newest batch that was read; zero when it was not read
+	extraOffset   int64         // offset of the newest record under another key
 	startedAt     time.Time     // when Run was called
 	readDelay     time.Duration // by how much the latest empty read exceeded its wait
 	failingSince  time.Time     // when the first call of the current run of failed calls was made; zero while calls succeed
@@ -228,6 +238,9 @@
 	if err != nil {
 		return fmt.Errorf("read the leader's record: %w", err)
 	}
+	e.mu.Lock()
+	e.batch = Record{} // the page omits the leader's records of earlier batches
+	e.mu.Unlock()
 	e.applyPage(page, e.Clock.Now())
 	return nil
 }
@@ -297,28 +310,25 @@
 
 // applyPage applies the records that were read. No renewal among them is dated later than newest.
 func (e *Elector) applyPage(page feed.KeyedPage, newest time.Time) {
-	var updated *Record
+	records := slices.Clone(page.Records)
+	slices.SortStableFunc(records, func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) }) // Newest sorts by key
+	updated := false
+	var extras []extraRecord
 	e.mu.Lock()
 	e.end = max(e.end, page.Next)
 	if !e.failingSince.IsZero() && e.Clock.Since(e.failingSince) > outageThreshold {
 		e.lastOutage = e.Clock.Now()
 	}
 	e.failingSince = time.Time{}
-	for _, r := range page.Records {
-		var rec Record
-		if r.Key != key || cbor.Unmarshal(r.Value, &rec) != nil || rec.Fence < e.latest.Fence {
-			continue
-		}
-		e.lastHeard = e.Clock.Now()
-		if r.Offset > e.renewalOffset || r.Offset == 0 { // the same record read again does not count as a renewal
-			e.renewedAt, e.renewalOffset = e.lastHeard, r.Offset
-			if newest.Before(e.renewedAt) {
-				e.renewedAt = newest
+	for _, r := range records {
+		if r.Key != key {
+			if e.newExtra(r) {
+				extras = append(extras, extraRecord{KeyedRecord: r, leader: e.batch})
 			}
+			continue
 		}
-		if rec != e.latest {
-			e.latest = rec
-			updated = &rec
+		if e.applyRenewal(r, newest) {
+			updated = true
 		}
 	}
 	if e.lastHeard.IsZero() {
@@ -328,12 +338,40 @@
 		e.notBefore = e.Clock.Now().Add(retakePause)
 		e.cancelTerm()
 	}
+	latest := e.latest
 	e.mu.Unlock()
-	if updated != nil && e.OnRecord != nil {
-		e.OnRecord(*updated)
+	if updated && e.OnRecord != nil {
+		e.OnRecord(latest)
+	}
+	for _, x := range extras {
+		if e.OnExtra != nil {
+			e.OnExtra(x.Key, x.Value, x.leader)
+		}
 	}
 }
 
+// applyRenewal applies a leader's record and reports whether it differs from the one before.
+func (e *Elector) applyRenewal(r feed.KeyedRecord, newest time.Time) bool {
+	var rec Record
+	if cbor.Unmarshal(r.Value, &rec) != nil {
+		return false
+	}
+	e.batch = rec
+	if rec.Fence < e.latest.Fence {
+		return false
+	}
+	e.lastHeard = e.Clock.Now()
+	if r.Offset > e.renewalOffset || r.Offset == 0 { // the same record read again does not count as a renewal
+		e.renewedAt, e.renewalOffset = e.lastHeard, r.Offset
+		if newest.Before(e.renewedAt) {
+			e.renewedAt = newest
+		}
+	}
+	changed := rec != e.latest
+	e.latest = rec
+	return changed
+}
+
 // storeFailed restarts the election timeout after a failed call: while the store does not answer, nothing is known about the leader.
 func (e *Elector) storeFailed(since time.Time) {
 	e.mu.Lock()
@@ -395,7 +433,7 @@
 	rec := Record{Entry: e.Entry, Address: e.Address, Boot: e.Boot, Weight: max(e.Weight, weight), Term: term, Fence: term<<fenceBits | rand.Int64N(1<<(fenceBits-1)), PredecessorsActive: term > 1, PredecessorsUnstored: term > 1}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	sent := e.Clock.ExactNow()
-	next, err := e.append(call, rec, end, 0)
+	next, err := e.append(call, renewal{record: rec}, end)
 	cancel()
 	if err == nil {
 		err = e.verifyTerm(ctx, rec, end)
@@ -452,14 +490,15 @@
 	return fmt.Errorf("the record of term %d is missing from the topic", rec.Term)
 }
 
-func (e *Elector) append(ctx context.Context, rec Record, at, sequence int64) (int64, error) {
-	value, err := cbor.Marshal(rec)
+// append appends a leader's record and the records that accompany it in one batch.
+func (e *Elector) append(ctx context.Context, r renewal, at int64) (int64, error) {
+	value, err := cbor.Marshal(r.record)
 	if err != nil {
 		return 0, fmt.Errorf("encode the leader's record: %w", err)
 	}
 	return e.Topic.Append(ctx, feed.Batch{
-		Records: []feed.KeyedRecord{{Key: key, Value: value}}, ExpectedEnd: at,
-		Writer: feed.Writer{Name: writer, Epoch: rec.Fence, Sequence: sequence},
+		Records: append([]feed.KeyedRecord{{Key: key, Value: value}}, r.extra...), ExpectedEnd: at,
+		Writer: feed.Writer{Name: writer, Epoch: r.record.Fence, Sequence: r.sequence},
 	})
 }
 
@@ -506,9 +545,10 @@
 	}
 }
 
-// renewal is a leader's record that is being written to the store.
+// renewal is a leader's record that is being written to the store, with the records that accompany it.
 type renewal struct {
 	record   Record
+	extra    []feed.KeyedRecord
 	sequence int64
 }
 
@@ -523,13 +563,17 @@
 	e.mu.Lock()
 	r.record.Unstored, r.record.PredecessorsActive, r.record.PredecessorsUnstored = e.unstored, e.predecessorsActive, e.predecessorsUnstored
 	e.mu.Unlock()
+	r.extra = nil
+	if e.Extra != nil {
+		r.extra = e.Extra()
+	}
 	first := e.Clock.ExactNow()
 	answers := make(chan error, maxRenewalsInFlight)
 	inFlight, timeout := 0, RenewTimeout
 	for ctx.Err() == nil {
 		if inFlight < maxRenewalsInFlight {
 			inFlight++
-			go func(timeout time.Duration) { answers <- e.sendRenewal(ctx, r, timeout) }(timeout)
+			go func(r renewal, timeout time.Duration) { answers <- e.sendRenewal(ctx, r, timeout) }(r, timeout)
 			timeout = renewCallTimeout
 		}
 		retry := time.NewTimer(RenewTimeout)
@@ -539,7 +583,10 @@
 		case err := <-answers:
 			inFlight--
 			var fenced *feed.FencedError
+			var refused *feed.RefusedError
 			switch {
+			case errors.As(err, &refused) && len(r.extra) > 0: // records that the store refuses must not end the term
+				r.extra = nil
 			case err == nil:
 				e.renewalConfirmed(r, first)
 				retry.Stop()
@@ -558,7 +605,7 @@
 func (e *Elector) sendRenewal(ctx context.Context, r renewal, timeout time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := e.append(call, r.record, -1, r.sequence)
+	_, err := e.append(call, r, -1)
 	return err
 }
 
@@ -577,7 +624,7 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if _, err := e.append(ctx, rec, -1, sequence); err != nil {
+	if _, err := e.append(ctx, renewal{record: rec, sequence: sequence}, -1); err != nil {
 		e.Events.Emit(event.LeadNotTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("release term=%d err=%q", rec.Term, err))
 	}
 }
--- a/lead/elector_test.go
+++ b/lead/elector_test.go
@@ -5,8 +5,11 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -82,7 +85,10 @@
 		return 0, &feed.ConditionError{End: int64(len(t.records))}
 	}
 	t.epoch = b.Epoch
-	t.records = append(t.records, b.Records...)
+	for _, r := range b.Records {
+		r.Offset = int64(len(t.records))
+		t.records = append(t.records, r)
+	}
 	close(t.appended)
 	t.appended = make(chan struct{})
 	return int64(len(t.records)), nil
@@ -91,8 +97,11 @@
 func (t *memoryTopic) newest() feed.KeyedPage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := len(t.records)
-	return feed.KeyedPage{Records: t.records[max(n-1, 0):], Next: int64(n)}
+	byKey := make(map[string]feed.KeyedRecord)
+	for _, r := range t.records {
+		byKey[r.Key] = r
+	}
+	return feed.KeyedPage{Records: slices.SortedFunc(maps.Values(byKey), func(a, b feed.KeyedRecord) int { return cmp.Compare(a.Key, b.Key) }), Next: int64(len(t.records))}
 }
 
 func (t *memoryTopic) read(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
