--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -93,6 +93,9 @@
 	TakeoverStep         Number = 852
 	LeadHandedOver       Number = 853
 	LinkUsed             Number = 854
+	JobOverload          Number = 860
+	OverloadBegun        Number = 861
+	OverloadEnded        Number = 862
 )
 
 // Kind is the catalogue entry of one Number.
@@ -189,6 +192,9 @@
 	{TakeoverStep, "takeover-step", "A new leader has reached a step of the takeover; the text has the time since its term began.", noAction},
 	{LeadHandedOver, "lead-handed-over", "A leader that is short of processor gives up the lead, so that another entry takes it.", "If it is often, look at the instance's processor share."},
 	{LinkUsed, "link-used", "The bandwidth of this entry's link that its calls to the platform and to workers used, by kind of call.", "If the share stays over 0.7, give the entry a wider link, or the lead to one that has it."},
+	{JobOverload, "job-overload", "A job was refused because its queue has more work than its pool can do in time; the text has the wait that was expected, the job's own path, its target time and the age of the estimate.", "See docs/OPERATIONS.md, many jobs are refused."},
+	{OverloadBegun, "overload-begun", "The leader has begun to publish the wait of a queue, so that entries refuse jobs that would be late.", "If it happens often, give the pool more instances."},
+	{OverloadEnded, "overload-ended", "A queue's jobs are no longer refused because of load.", noAction},
 }
 
 // Name returns the event's name, or its decimal number when it is not in the catalogue.
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -80,18 +80,26 @@
 
 // updateOutlook recomputes the slack and the expected value of a group.
 func (c *session) updateOutlook(g *place.Group, now time.Time) {
-	j := g.Job
+	g.Outlook = c.estimateJob(g.Job, g.Time, now).At(now)
+}
+
+// estimateJob returns the estimate of a job at one of its times.
+func (c *session) estimateJob(j *job.Job, k int, now time.Time) place.Estimate {
 	q := c.queue(j)
 	from := j.From
 	if j.Spec.Times > 0 {
-		from = now.Add(j.Due(g.Time).Sub(wallClock()))
+		from = now.Add(j.Due(k).Sub(wallClock()))
 	}
-	whole, left, work := c.criticalPath(j, g.Time, q.Name)
-	e := place.Estimate{
+	whole, left, work := c.criticalPath(j, k, q.Name)
+	return place.Estimate{
 		From: from, Target: time.Duration(q.Stretch*float64(whole)) + q.Target, Total: whole, Remaining: left,
-		Density: relativeValue(c.jobWork(j, q.Name)/max(c.statsOf(q.Name).work, minWork)) / max(work, minWork),
+		Density: density(c.jobWork(j, q.Name), work, c.statsOf(q.Name).work),
 	}
-	g.Outlook = e.At(now)
+}
+
+// density returns the value of a job for each core-second that it still needs, in relation to the mean job of its queue.
+func density(whole, left, mean float64) float64 {
+	return relativeValue(whole/max(mean, minWork)) / max(left, minWork)
 }
 
 // outlookTTL is the time for which a group's outlook is reused before it is recomputed.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -14,6 +14,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"rackstep.dev/admission"
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/internal/clock"
@@ -151,6 +152,8 @@
 	UnstoredOrdersAnnounced func() bool
 
 	catalog atomic.Pointer[job.Catalog]
+	// notice is what the leader publishes about overloaded queues, nil for nothing.
+	notice atomic.Pointer[admission.Notice]
 	// organisations belongs to the same configuration version as catalog.
 	organisations atomic.Pointer[org.Directory]
 	bounds        atomic.Pointer[Bounds]
@@ -265,6 +268,7 @@
 	}
 	s.setCurrent(c)
 	c.run(ctx)
+	s.notice.Store(nil)
 	s.mu.Lock()
 	s.current = nil
 	s.mu.Unlock()
