admission: extrapolate a wait by its growth

Notices are up to half a second old when a job is decided on. Counting the wait down by their age let a burst in; half of the measured growth is now taken to go on instead.

--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -56,13 +56,13 @@
 
 // Wait returns a lower bound for the time until the first start of a fresh job with the given rank.
 //
-// The work with a higher rank is taken to be done in the order in which it has to start. What can't start in time any more by then goes
-// after the job.
+// The work with a higher rank is taken to be done in the order in which it has to start. What can't start in time any more by then, with
+// the error that a wait may have, goes after the job.
 func (b *Backlog) Wait(rank float64) time.Duration {
 	work := b.Before
 	at := b.Room.TimeFor(work)
 	for i := range b.Waiting {
-		if w := &b.Waiting[i]; w.Rank >= rank && w.Until > at {
+		if w := &b.Waiting[i]; w.Rank >= rank && w.Until+errorOf(w.Until) > at {
 			work += w.Seconds
 			at = b.Room.TimeFor(work)
 		}
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"rackstep.dev/job"
@@ -44,7 +43,7 @@
 	r := q.runTimes()
 	size := r.SizeOf(s)
 	d.Path, d.Target = size.Path, target(settings, size.Path)
-	d.Wait = max(q.wait(s.Organisation, size.Work)-age, 0)
+	d.Wait = q.wait(s.Organisation, size.Work, age)
 	spread := math.Exp(pathErrors * r.LogError)
 	shortest, longest := seconds(size.Path.Seconds()/spread), seconds(size.Path.Seconds()*spread)
 	slack := max(target(settings, shortest)-shortest, target(settings, longest)-longest, 0)
@@ -52,10 +51,10 @@
 	return d
 }
 
-// RetryAfter returns when the client of a refused job should come back: when the work before the job is done, spread at random so that
-// clients do not all return at once.
-func (d Decision) RetryAfter() time.Duration {
-	return max(seconds(d.Wait.Seconds()*(1+retrySpread*rand.Float64())), minRetryAfter)
+// RetryAfter returns when the client of a refused job should come back: when the work before the job is done. The argument, drawn at
+// random from 0 to 1, spreads the clients so that they do not all return at once.
+func (d Decision) RetryAfter(random float64) time.Duration {
+	return max(seconds(d.Wait.Seconds()*(1+retrySpread*random)), minRetryAfter)
 }
 
 // errorOf returns by how much a published wait may be too long.
--- a/admission/notice.go
+++ b/admission/notice.go
@@ -36,6 +36,8 @@
 	MeanWork int `cbor:"5,keyasint,omitempty"`
 	// Waits are the lower bounds of the wait by the work of a job, see Levels.
 	Waits []job.Milli `cbor:"6,keyasint,omitempty"`
+	// Growth is by how many thousandths of a second each wait changes per second.
+	Growth []int `cbor:"8,keyasint,omitempty"`
 	// Organisations are those with waits of their own, because they are beyond their share.
 	Organisations []Organisation `cbor:"7,keyasint,omitempty"`
 }
@@ -61,6 +63,34 @@
 	}
 }
 
+// Growth limits, in thousandths. A wait shrinks by a second per second at most, and half of its latest growth is taken to go on, up to
+// maxGrowth.
+const (
+	minGrowth  = -milli
+	maxGrowth  = 2 * milli
+	growthPart = 0.5
+)
+
+// SetGrowth sets the growth of the waits since an earlier computation. Without one the waits are taken to shrink.
+func (q *Queue) SetGrowth(before []job.Milli, elapsed time.Duration) {
+	q.Growth = make([]int, len(q.Waits))
+	for i := range q.Growth {
+		q.Growth[i] = minGrowth
+		if i < len(before) && elapsed > 0 {
+			rate := (q.Waits[i] - before[i]).Duration().Seconds() / elapsed.Seconds()
+			q.Growth[i] = int(min(max(growthPart*rate*milli, minGrowth), maxGrowth))
+		}
+	}
+}
+
+// change returns by how much the wait of a level has changed since the notice was made.
+func (q *Queue) change(level int, age time.Duration) time.Duration {
+	if level >= len(q.Growth) {
+		return -age
+	}
+	return seconds(float64(q.Growth[level]) / milli * age.Seconds())
+}
+
 // Millis converts durations to their published form.
 func Millis(ds []time.Duration) []job.Milli {
 	out := make([]job.Milli, len(ds))
@@ -97,8 +127,8 @@
 	return RunTimes{LogMean: float64(q.LogMean) / milli, Trust: float64(q.Trust) / milli, LogError: float64(q.LogError) / milli}
 }
 
-// wait returns the lower bound of the wait of a job with the given work in core-seconds.
-func (q *Queue) wait(organisation string, work float64) time.Duration {
+// wait returns the lower bound of the wait of a job with the given work in core-seconds, at the given age of the notice.
+func (q *Queue) wait(organisation string, work float64, age time.Duration) time.Duration {
 	waits := q.Waits
 	for i := range q.Organisations {
 		if q.Organisations[i].Name == organisation {
@@ -108,7 +138,7 @@
 	var wait time.Duration
 	for i, level := range levels {
 		if i < len(waits) && q.MeanWork > 0 && work*milli >= level*float64(q.MeanWork) {
-			wait = waits[i].Duration()
+			wait = max(waits[i].Duration()+q.change(i, age), 0)
 		}
 	}
 	return wait
--- a/intake/overload.go
+++ b/intake/overload.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -47,7 +48,7 @@
 	if a, err := i.Query(ctx, q); err != nil || a.Known || !a.Certain {
 		return nil
 	}
-	e := &OverloadError{Queue: s.Queue, Decision: d, RetryAfter: d.RetryAfter()}
+	e := &OverloadError{Queue: s.Queue, Decision: d, RetryAfter: d.RetryAfter(rand.Float64())}
 	i.recordOverload(s, e)
 	return e
 }
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -35,10 +35,21 @@
 	noticedAt, storeFailedAt time.Time
 	// overloaded holds the queues of the latest notice and when their overload began.
 	overloaded map[string]time.Time
+	// waits holds the waits of each queue when they were last computed.
+	waits map[string]computedWaits
 	// firstAsked holds when jobs that are not known were first asked about.
 	firstAsked map[job.QualifiedID]time.Time
 }
 
+// computedWaits are the waits of a queue at a time.
+type computedWaits struct {
+	at    time.Time
+	waits []job.Milli
+}
+
+// maxGrowthAge is the age from which earlier waits say nothing about their growth.
+const maxGrowthAge = 3 * noticeInterval
+
 // NoticeRecords returns the records about overloaded queues that accompany the next renewal. A leader whose last overload has ended
 // publishes that once.
 func (s *Scheduler) NoticeRecords() []feed.KeyedRecord {
@@ -113,13 +124,29 @@
 		}
 		x := freshJobs{queue: q, meanWork: l.work, standing: standing, backlog: c.backlog(p, q.Priority, groups, later, now)}
 		x.backlog.Room = room
-		if row, ok := x.published(l.runTimes()); ok {
+		row, ok := x.published(l.runTimes())
+		c.setGrowth(&row, now)
+		if ok {
 			out = append(out, row)
 		}
 	}
 	return out
 }
 
+// setGrowth sets the growth of the queue's waits since they were last computed.
+func (c *session) setGrowth(q *admission.Queue, now time.Time) {
+	before := c.waits[q.Name]
+	elapsed := now.Sub(before.at)
+	if elapsed > maxGrowthAge {
+		before.waits = nil
+	}
+	q.SetGrowth(before.waits, elapsed)
+	if c.waits == nil {
+		c.waits = make(map[string]computedWaits)
+	}
+	c.waits[q.Name] = computedWaits{at: now, waits: q.Waits}
+}
+
 // rankedGroups returns the groups of the pool that compete for any of its capacity, in the order of their expected value.
 func (c *session) rankedGroups(p *poolRow, now time.Time) []*place.Group {
 	groups := make([]*place.Group, 0, len(p.open))
