--- a/place/standing.go
+++ b/place/standing.go
@@ -2,7 +2,12 @@
 
 package place
 
-import "rackstep.dev/org"
+import (
+	"maps"
+	"slices"
+
+	"rackstep.dev/org"
+)
 
 // ShareFactor returns the factor by which OrderShared last lowered the value of the group, or 1 if it has not.
 func (g *Group) ShareFactor() float64 {
@@ -64,11 +69,5 @@
 	return overFactor(over)
 }
 
-// Organisations returns the names of the organisations that have groups.
-func (x Standing) Organisations() []string {
-	names := make([]string, 0, len(x.first))
-	for name := range x.first {
-		names = append(names, name)
-	}
-	return names
-}
+// Organisations returns the sorted names of the organisations that have groups.
+func (x Standing) Organisations() []string { return slices.Sorted(maps.Keys(x.first)) }
