--- a/pool/admission.go
+++ b/pool/admission.go
@@ -310,7 +310,9 @@
 			c.overloaded = make(map[string]time.Time)
 		}
 		c.overloaded[q.Name] = now
-		c.emit(event.OverloadBegun, event.Subject{Entry: c.Entry}, "queue=%s wait=%v waits_ms=%v organisations=%d", q.Name, wait, q.Waits, len(q.Organisations))
+		p := c.pool(c.config.Queues[q.Name].Pool)
+		room, _ := c.roomOf(p, now)
+		c.emit(event.OverloadBegun, event.Subject{Entry: c.Entry}, "queue=%s wait=%v waits_ms=%v organisations=%d pool=%s room=%.0f later=%.0f waiting=%.0f", q.Name, wait, q.Waits, len(q.Organisations), p.name, room.Now, room.Later, p.load.waitingWork)
 	}
 	for name, since := range c.overloaded {
 		if n.Queue(name) == nil {
