pool: bound the work of a notice, and refuse nothing while tasks fit

The factor of an organisation is looked up by binary search, and only the organisations that are published are computed. Without a list of the instances, or while a waiting task would fit on a tenth of the workers, nothing is refused.

--- a/place/refusal_test.go
+++ b/place/refusal_test.go
@@ -82,7 +82,6 @@
 			groups = append(groups, x.waiting)
 		}
 	}
-	Order(groups)
 	standing := StandingOf(groups, shares)
 	backlog := loadBacklog(jobs, ends, standing, now)
 	n := new(admission.Notice)
@@ -145,10 +144,8 @@
 		g.before = make(map[string][]job.Milli)
 	}
 	g.before[name] = q.Waits
-	for _, o := range standing.Organisations() {
-		if o != "" {
-			q.Organisations = append(q.Organisations, admission.Organisation{Name: o, Waits: admission.Millis(waits(o))})
-		}
+	for _, o := range standing.Organisations(FreshRank(1/mean), admission.MaxOrganisations) {
+		q.Organisations = append(q.Organisations, admission.Organisation{Name: o, Waits: admission.Millis(waits(o))})
 	}
 	return q
 }
--- a/place/standing.go
+++ b/place/standing.go
@@ -3,9 +3,12 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"sort"
 
+	"rackstep.dev/job"
 	"rackstep.dev/org"
 )
 
@@ -19,55 +22,60 @@
 
 // Standing tells by how much OrderShared would lower the value of a further group of an organisation.
 type Standing struct {
-	// uses holds what each organisation uses, in multiples of its share, after each of its groups in their order.
-	uses map[string][]standingUse
-	// first is what it uses before its first group.
+	// first is what each organisation uses, in multiples of its share, before its first group.
 	first map[string]float64
+	// uses holds what it uses after each of its groups, by descending expected value.
+	uses map[string][]standingUse
 }
 
 type standingUse struct{ expected, over float64 }
 
-// StandingOf returns the standing after OrderShared has sorted the groups with the same shares. Without organisations it is empty.
+// StandingOf returns the standing of organisations whose groups wait. Without organisations it is empty.
 func StandingOf(groups []*Group, s Shares) Standing {
 	x := Standing{uses: make(map[string][]standingUse), first: make(map[string]float64)}
-	if s.Draft == nil {
+	if s.Draft == nil || s.Total == (job.Need{}) {
 		return x
 	}
 	weights := 0.0
 	for _, g := range groups {
 		name := g.organisation()
-		if _, seen := x.first[name]; !seen && name != "" {
+		if name == "" {
+			continue
+		}
+		if _, seen := x.first[name]; !seen {
 			weights += s.Draft.Weight(name)
 			x.first[name] = s.Draft.Share(name, s.Total)
 		}
+		need := org.Dominant(g.Job.Spec.Steps[g.Step].Need, s.Total)
+		x.uses[name] = append(x.uses[name], standingUse{expected: g.Expected, over: float64(len(g.Tasks)) * need / s.Draft.Weight(name)})
 	}
-	after := make(map[string]float64, len(x.first))
-	for name := range x.first {
+	for name, uses := range x.uses {
 		x.first[name] *= weights
-		after[name] = x.first[name]
-	}
-	for _, g := range groups {
-		name := g.organisation()
-		if name == "" {
-			continue
+		slices.SortFunc(uses, func(a, b standingUse) int { return cmp.Compare(b.expected, a.expected) })
+		sum := x.first[name]
+		for i := range uses {
+			sum += uses[i].over * weights
+			uses[i].over = sum
 		}
-		step := &g.Job.Spec.Steps[g.Step]
-		after[name] += float64(len(g.Tasks)) * org.Dominant(step.Need, s.Total) / s.Draft.Weight(name) * weights
-		x.uses[name] = append(x.uses[name], standingUse{expected: g.Expected, over: after[name]})
 	}
 	return x
 }
 
 // Factor returns the factor for a group of the organisation with the expected value. It is 1 for an organisation without groups.
 func (x Standing) Factor(organisation string, expected float64) float64 {
-	over := x.first[organisation]
-	for _, u := range x.uses[organisation] {
-		if u.expected >= expected {
-			over = max(over, u.over)
-		}
+	uses := x.uses[organisation]
+	n := sort.Search(len(uses), func(i int) bool { return uses[i].expected < expected })
+	if n == 0 {
+		return overFactor(x.first[organisation])
 	}
-	return overFactor(over)
+	return overFactor(uses[n-1].over)
 }
 
-// Organisations returns the sorted names of the organisations that have groups.
-func (x Standing) Organisations() []string { return slices.Sorted(maps.Keys(x.first)) }
+// Organisations returns the names of at most the given number of organisations, those whose further group with the expected value would
+// be lowered most.
+func (x Standing) Organisations(expected float64, most int) []string {
+	names := slices.SortedFunc(maps.Keys(x.first), func(a, b string) int {
+		return cmp.Or(cmp.Compare(x.Factor(a, expected), x.Factor(b, expected)), cmp.Compare(a, b))
+	})
+	return names[:min(len(names), most)]
+}
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -22,9 +22,10 @@
 	minLearnedRuns = 30
 	// minOverload is the waiting work, in seconds of the pool's capacity, from which waits are computed.
 	minOverload = 0.5
-	// maxFreeShare is the free share of a pool's capacity from which nothing waits for capacity. Below it, the free parts may be too
-	// small for a task.
-	maxFreeShare = 0.25
+	// maxFreeShare is the free share of a pool's capacity, and maxFittingShare the share of its workers with enough free capacity for a
+	// mean waiting task, from which nothing waits for capacity.
+	maxFreeShare    = 0.4
+	maxFittingShare = 0.1
 	// storeSettleTime is how long after a failure of the store nothing is refused, because the store may still append jobs whose
 	// clients got no answer.
 	storeSettleTime = 3 * time.Second
@@ -87,9 +88,10 @@
 	c.reportOverload(n, now)
 }
 
-// knowsBacklog reports whether the waiting work says how long a new job waits. That is not so while the leader may not order runs.
+// knowsBacklog reports whether the waiting work says how long a new job waits. That is not so while the leader may not order runs, or does
+// not know which instances a pool may still get.
 func (c *session) knowsBacklog(now time.Time) bool {
-	return c.config != nil && c.confirmed(now) && now.Sub(c.storeFailedAt) >= storeSettleTime && c.meanCapacity.MilliCPU > 0
+	return c.config != nil && c.confirmed(now) && now.Sub(c.storeFailedAt) >= storeSettleTime && c.meanCapacity.MilliCPU > 0 && !c.machinesListedAt.IsZero()
 }
 
 // overloadedQueues returns the queues of which jobs could be refused, those with the longest waits first.
@@ -113,6 +115,9 @@
 // overloadedIn returns the overloaded queues of a pool.
 func (c *session) overloadedIn(p *poolRow, room admission.Room, now time.Time) []admission.Queue {
 	groups := c.rankedGroups(p, now)
+	if c.fittingShare(p, groups, now) > maxFittingShare {
+		return nil
+	}
 	standing := place.StandingOf(groups, place.Shares{Draft: c.draft(), Total: c.totalCapacity()})
 	later := c.laterWork(p, standing, now)
 	var out []admission.Queue
@@ -147,7 +152,7 @@
 	c.waits[q.Name] = computedWaits{at: now, waits: q.Waits}
 }
 
-// rankedGroups returns the groups of the pool that compete for any of its capacity, in the order of their expected value.
+// rankedGroups returns the groups of the pool that compete for any of its capacity.
 func (c *session) rankedGroups(p *poolRow, now time.Time) []*place.Group {
 	groups := make([]*place.Group, 0, len(p.open))
 	for _, g := range p.open {
@@ -161,10 +166,30 @@
 		}
 		groups = append(groups, g)
 	}
-	place.Order(groups)
 	return groups
 }
 
+// fittingShare returns the share of the pool's usable workers on which a task of the mean need of those that wait would fit.
+func (c *session) fittingShare(p *poolRow, groups []*place.Group, now time.Time) float64 {
+	var sum job.Need
+	tasks := 0
+	for _, g := range groups {
+		sum = sum.Plus(place.Charge(&g.Job.Spec.Steps[g.Step]).Times(len(g.Tasks)))
+		tasks += len(g.Tasks)
+	}
+	fitting, usable := 0.0, 0.0
+	for _, w := range c.workers {
+		if w.Pool != p.name || !w.usable(now) {
+			continue
+		}
+		usable++
+		if free := w.candidate.Free; tasks > 0 && free.MilliCPU*tasks >= sum.MilliCPU && free.MemoryMB*tasks >= sum.MemoryMB {
+			fitting++
+		}
+	}
+	return fitting / max(usable, 1)
+}
+
 // backlog returns the work that may go before a fresh job with the priority.
 func (c *session) backlog(p *poolRow, priority int, groups []*place.Group, later []laterWork, now time.Time) admission.Backlog {
 	b := admission.Backlog{Before: c.runningWork(p, now)}
@@ -287,7 +312,7 @@
 	room = admission.Room{Now: max(max(own, usable)-p.load.lasting, 0), Delay: c.Bounds().Move + moveOverhead}
 	for name, n := range others {
 		if x := c.pools[name]; x != nil && !c.config.Pools[name].Headroom {
-			n -= x.load.lasting + x.load.running + x.load.waitingCapacity
+			n -= x.load.lasting + x.load.running
 		}
 		room.Later += max(n, 0)
 	}
--- a/pool/admission_test.go
+++ b/pool/admission_test.go
@@ -25,6 +25,7 @@
 	b.config = b.catalog.Load()
 	b.SetBounds(Bounds{Lease: 10 * time.Second, Move: 1500 * time.Millisecond, Status: time.Minute})
 	b.statsByQueue["q"] = &queueStats{runs: minLearnedRuns, variance: 0.01, estimateError: 0.01, work: 4}
+	b.machinesListedAt = time.Now()
 	b.report("w1", 10, nil)
 	b.report("w2", 10, nil)
 	for n := range 2 + waiting {
@@ -97,6 +98,8 @@
 				g.Priority = 1
 			}
 		}, false},
+		{"one worker with room for a task", 60, func(b *fixture) { b.workers["w1"].candidate.Free = job.Need{MilliCPU: 1000, MemoryMB: 1000} }, false},
+		{"no list of the instances", 60, func(b *fixture) { b.machinesListedAt = time.Time{} }, false},
 		{"run times that are not known", 60, func(b *fixture) { b.statsByQueue["q"].runs = minLearnedRuns - 1 }, false},
 		{"no confirmation by the store", 60, func(b *fixture) { b.ConfirmedAt = func() time.Time { return time.Now().Add(-2 * time.Second) } }, false},
 		{"a store that has just failed", 60, func(b *fixture) { b.storeFailedAt = time.Now() }, false},
--- a/pool/freshjobs.go
+++ b/pool/freshjobs.go
@@ -3,7 +3,6 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -28,7 +27,7 @@
 	waits := f.waits("")
 	q := admission.NewQueue(f.queue.Name, r, f.meanWork, waits)
 	refuses := admission.Refuses(waits, f.queue)
-	for _, name := range f.standing.Organisations() {
+	for _, name := range f.standing.Organisations(f.rank(1), admission.MaxOrganisations) {
 		own := f.waits(name)
 		if slices.Max(own) < slices.Max(waits)+minExtraWait || !admission.Refuses(own, f.queue) {
 			continue
@@ -36,10 +35,6 @@
 		refuses = true
 		q.Organisations = append(q.Organisations, admission.Organisation{Name: name, Waits: admission.Millis(own)})
 	}
-	slices.SortFunc(q.Organisations, func(a, b admission.Organisation) int {
-		return cmp.Or(cmp.Compare(slices.Max(b.Waits), slices.Max(a.Waits)), cmp.Compare(a.Name, b.Name))
-	})
-	q.Organisations = q.Organisations[:min(len(q.Organisations), admission.MaxOrganisations)]
 	return q, refuses
 }
 
@@ -47,9 +42,14 @@
 func (f *freshJobs) waits(organisation string) []time.Duration {
 	var out []time.Duration
 	for _, level := range admission.Levels() {
-		work := level * f.meanWork
-		rank := place.FreshRank(density(work, work, f.meanWork))
+		rank := f.rank(level)
 		out = append(out, f.backlog.Wait(rank*f.standing.Factor(organisation, rank)))
 	}
 	return out
 }
+
+// rank returns the expected value of a new job of the level, for each core-second.
+func (f *freshJobs) rank(level float64) float64 {
+	work := level * f.meanWork
+	return place.FreshRank(density(work, work, f.meanWork))
+}
