--- a/entry/overload_test.go
+++ b/entry/overload_test.go
@@ -77,6 +77,10 @@
 	withFakeTime(t, func(c *quicktest.C) {
 		x := deployForOverload(c)
 		x.burst(60)
+		for node := range x.d.nodes { // what is accepted stays accepted wherever it is handed in again
+			status, _ := x.d.call(node, http.MethodPost, x.accepted[len(x.accepted)-1], map[string]any{"Spec": "text", "Steps": []step{{Count: 8, Cpu: 1000, MemMb: 100, EstimateMs: 1000}}})
+			c.Check(status, quicktest.Equals, http.StatusOK)
+		}
 		refused := len(x.refused)
 		c.Logf("%d of 60 jobs refused, to come back after %v s", refused, x.waits)
 		c.Assert(refused > 5, quicktest.IsTrue)
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -34,14 +34,20 @@
 // admissionState holds what a leader publishes about overloaded queues.
 type admissionState struct {
 	noticedAt, storeFailedAt time.Time
-	// overloaded holds the queues of the latest notice and when their overload began.
-	overloaded map[string]time.Time
+	// overloaded holds the queues of the latest notices.
+	overloaded map[string]*overloadPeriod
 	// waits holds the waits of each queue when they were last computed.
 	waits map[string]computedWaits
 	// firstAsked holds when jobs that are not known were first asked about.
 	firstAsked map[job.QualifiedID]time.Time
 }
 
+// overloadPeriod is a period in which the waits of a queue are published: since when, and until when at least.
+type overloadPeriod struct{ since, last time.Time }
+
+// overloadEndDelay is how long a queue's waits must not have been published for its overload to count as over.
+const overloadEndDelay = time.Second
+
 // computedWaits are the waits of a queue at a time.
 type computedWaits struct {
 	at    time.Time
@@ -328,22 +334,24 @@
 		q := &n.Queues[i]
 		wait := slices.Max(q.Waits).Duration()
 		c.counts.overloadWait(q.Name, wait)
-		if _, ok := c.overloaded[q.Name]; ok {
+		if o := c.overloaded[q.Name]; o != nil {
+			o.last = now
 			continue
 		}
 		if c.overloaded == nil {
-			c.overloaded = make(map[string]time.Time)
+			c.overloaded = make(map[string]*overloadPeriod)
 		}
-		c.overloaded[q.Name] = now
+		c.overloaded[q.Name] = &overloadPeriod{since: now, last: now}
 		p := c.pool(c.config.Queues[q.Name].Pool)
 		room, _ := c.roomOf(p, now)
 		c.emit(event.OverloadBegun, event.Subject{Entry: c.Entry}, "queue=%s wait=%v waits_ms=%v organisations=%d pool=%s room=%.0f later=%.0f waiting=%.0f", q.Name, wait, q.Waits, len(q.Organisations), p.name, room.Now, room.Later, p.load.waitingWork)
 	}
-	for name, since := range c.overloaded {
-		if n.Queue(name) == nil {
-			delete(c.overloaded, name)
-			c.counts.overloadWait(name, 0)
-			c.emit(event.OverloadEnded, event.Subject{Entry: c.Entry}, "queue=%s after=%v", name, now.Sub(since).Round(time.Millisecond))
+	for name, o := range c.overloaded {
+		if now.Sub(o.last) < overloadEndDelay {
+			continue
 		}
+		delete(c.overloaded, name)
+		c.counts.overloadWait(name, 0)
+		c.emit(event.OverloadEnded, event.Subject{Entry: c.Entry}, "queue=%s after=%v", name, o.last.Sub(o.since).Round(time.Millisecond))
 	}
 }
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -42,6 +42,7 @@
 // connect connects a scheduler and an elector as an entry does.
 func connect(s *pool.Scheduler, e *lead.Elector) {
 	s.ConfirmedAt, s.Lost = e.ConfirmedAt, e.StepDown
+	e.Extra = s.NoticeRecords
 	s.AnnounceUnstoredOrders, s.UnstoredOrdersAnnounced, s.PublishEarlierLeaders = e.SetUnstored, e.UnstoredPublished, e.SetPredecessors
 }
 
