--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -50,6 +50,8 @@
 	hot.Organisations = []Organisation{{Name: "hot", Waits: Millis(everyLevel(4 * time.Second))}}
 	growing := known(0, everyLevel(2*time.Second)...)
 	growing.SetGrowth(Millis(everyLevel(time.Second)), 500*time.Millisecond)
+	c := quicktest.New(t)
+	c.Check(known(0, everyLevel(time.Minute)...).Decide(oneStep(8), job.Queue{}, 0).Refused, quicktest.IsFalse) // no target time
 	for _, x := range [...]struct {
 		name    string
 		q       *Queue
--- a/admission/decision.go
+++ b/admission/decision.go
@@ -34,7 +34,7 @@
 // Decide returns the decision for a job. The settings are those of its queue, and age is the age of q. A nil Queue refuses nothing.
 //
 // A job is refused only if it would end after its target even if the wait is shorter and its critical path more favourable than
-// estimated. Lasting and timed jobs are never refused.
+// estimated. Lasting and timed jobs, and those of a queue without a target time, are never refused.
 func (q *Queue) Decide(s *job.Spec, settings job.Queue, age time.Duration) Decision {
 	d := Decision{Age: age}
 	if q == nil || s.Times > 0 || hasLasting(s) {
@@ -47,7 +47,7 @@
 	spread := math.Exp(pathErrors * r.LogError)
 	shortest, longest := seconds(size.Path.Seconds()/spread), seconds(size.Path.Seconds()*spread)
 	slack := max(target(settings, shortest)-shortest, target(settings, longest)-longest, 0)
-	d.Refused = d.Wait-errorOf(d.Wait) > slack
+	d.Refused = d.Target > 0 && d.Wait-errorOf(d.Wait) > slack
 	return d
 }
 
