revert: entries refuse jobs that overload makes late

A job that is fresh goes first, so that what is late became so by jobs that came after it: at hand-in it is rarely sure.

--- a/cmd/rackstep/main.go
+++ b/cmd/rackstep/main.go
@@ -57,7 +57,7 @@
 		orderCommand(fleet.OrderResume, "resume a paused plan"),
 		orderCommand(fleet.OrderCancel, "cancel a plan; drained instances return to service, reboots in progress are finished"),
 		orderCommand(fleet.OrderReturn, "return the instances to service that a plan holds out"),
-		explainCommand(), leadsCommand(), shortagesCommand(), drainsCommand(), overloadsCommand(), lossesCommand(), statusCommand(), instancesCommand(), jobsCommand(), timelineCommand(), resultCommand(),
+		explainCommand(), leadsCommand(), shortagesCommand(), drainsCommand(), lossesCommand(), statusCommand(), instancesCommand(), jobsCommand(), timelineCommand(), resultCommand(),
 		tokenCommand(), tryCommand(), standinCommand(), capacityCommand(), eventsCommand(),
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -17,7 +17,6 @@
 
 	"github.com/oklog/run"
 
-	"rackstep.dev/admission"
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/intake"
@@ -78,8 +77,6 @@
 	clientServer *http.Server
 	follower     *platform.Follower
 	traffic      platform.Traffic
-	// overload holds what the leader has published about overloaded queues.
-	overload admission.Board
 }
 
 // maxStoreSilence is the time without a reply from the store, direct or relayed, after which the entry reports that it is not ready.
@@ -210,16 +207,11 @@
 		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.ProductTopic(leadTopic, 0), Events: n.Events,
 		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.lead, OnRecord: n.followLeader, Capacity: leadCapacity(s),
 		Eligible: func() bool { return n.ingress.Ready() },
-		Extra:    n.scheduler.NoticeRecords, OnExtra: n.readExtra,
 	}
-	n.overload.Clock = n.Clock
 	n.scheduler.ConfirmedAt, n.scheduler.Lost, n.scheduler.HandOver = n.elector.ConfirmedAt, n.elector.StepDown, n.elector.HandOver
 	n.scheduler.Require, n.scheduler.Successor, n.scheduler.HandOverTo = n.elector.SetRequirement, n.elector.Successor, n.handOverTo
 	n.scheduler.AnnounceUnstoredOrders, n.scheduler.UnstoredOrdersAnnounced, n.scheduler.PublishEarlierLeaders = n.elector.SetUnstored, n.elector.UnstoredPublished, n.elector.SetPredecessors
-	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Clock: n.Clock, Topic: intakes[intakePartition(s.Entry, len(intakes))]}, Query: n.queryJob, Events: n.Events, Estimate: n.estimateWait}}
-	if n.metrics.scope != nil {
-		n.ingress.Intake.Metrics = n.metrics.scope
-	}
+	n.ingress = &platform.Ingress{Intake: &intake.Intake{Writer: &intake.Writer{Clock: n.Clock, Topic: intakes[intakePartition(s.Entry, len(intakes))]}, Query: n.queryJob, Events: n.Events}}
 	n.follower = &platform.Follower{Topic: store.OperatorTopic(), Events: n.Events, Clock: n.Clock, ApplyDeadline: platform.Millis(s.Bounds.ApplyMillis), Wave: n.scheduler.SetWave, Drains: n.scheduler.SetDrains, Config: func(c *platform.Config) {
 		n.ingress.SetConfig(c)
 		n.scheduler.SetOrganisations(c.Organisations)
@@ -241,7 +233,6 @@
 // onResume reports that the machine was suspended and has resumed. What the entry learned before the suspension is outdated and
 // must be confirmed again before it is relied on; Clock accounts for that by including the suspended time.
 func (n *Node) onResume(suspended time.Duration) {
-	n.overload.Clear() // what is read next may have been sent before the suspension
 	n.Events.Emit(event.MachineWoke, event.Subject{Entry: n.Settings.Entry}, fmt.Sprintf("suspended for %v", suspended.Round(time.Millisecond)))
 	if n.metrics.scope != nil {
 		n.metrics.scope.Counter("suspended_milliseconds").Inc(suspended.Milliseconds())
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -97,9 +97,6 @@
 	LeadHandedOver       Number = 853
 	LinkUsed             Number = 854
 	LeadDeferred         Number = 855
-	JobOverload          Number = 860
-	OverloadBegun        Number = 861
-	OverloadEnded        Number = 862
 )
 
 // Kind is the catalogue entry of one Number.
@@ -200,9 +197,6 @@
 	{LeadHandedOver, "lead-handed-over", "A leader gives up the lead to another entry, because it is short of processor or the other one is fitter; the text says which and has both capacities.", "If it is often, look at the entry's limits; see docs/OPERATIONS.md."},
 	{LinkUsed, "link-used", "The bandwidth of this entry's link that its calls to the platform and to workers used, by kind of call.", "If the share stays over 0.7, give the entry a wider link, or the lead to one that has it."},
 	{LeadDeferred, "lead-deferred", "The leadership is vacant and this entry leaves it to fitter ones for a moment; the text has its fitness and for how long.", noAction},
-	{JobOverload, "job-overload", "A job was refused because its queue has more work than its pool can do in time; the text has the wait that was expected, the job's own path, its target time and the age of the estimate.", "See docs/OPERATIONS.md, many jobs are refused."},
-	{OverloadBegun, "overload-begun", "The leader has begun to publish the wait of a queue, so that entries refuse jobs that would be late.", "If it happens often, give the pool more instances."},
-	{OverloadEnded, "overload-ended", "A queue's jobs are no longer refused because of load.", noAction},
 }
 
 // Name returns the event's name, or its decimal number when it is not in the catalogue.
--- a/event/losses.go
+++ b/event/losses.go
@@ -137,10 +137,6 @@
 	switch l.Number {
 	case JobTaken, JobRefused, JobInDoubt:
 		s.observeSubmission(l)
-	case JobOverload:
-		if j := s.job(l.Job); j.submitted.IsZero() {
-			j.submitted = l.Time
-		}
 	case JobRead:
 		s.observeRead(l)
 	case JobEnded:
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -8,9 +8,6 @@
 	"fmt"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
-	"rackstep.dev/admission"
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
@@ -37,13 +34,6 @@
 	// Query queries the scheduling entry about a job or a queue.
 	Query  func(ctx context.Context, q job.Query) (job.Answer, error)
 	Events *event.Ring
-	// Estimate returns the decision on a job of a queue by what the leader has published; nothing is refused because of load when nil.
-	Estimate func(s *job.Spec, q job.Queue) admission.Decision
-	// Metrics receives counters and histograms; it may be nil.
-	Metrics tally.Scope
-
-	written  writtenIDs
-	reported reportLimit
 }
 
 // Submit writes the job; the error is ErrRefused, ErrInDoubt or a *job.SpecError.
@@ -58,7 +48,6 @@
 		return err
 	}
 	start := time.Now()
-	i.written.add(s.QualifiedID(), start)
 	offset, attempts, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: s.QualifiedID().SubmissionKey(), Value: value})
 	i.emitResult(s.ID, fmt.Sprintf("submit queue=%s organisation=%q", s.Queue, s.Organisation), offset, attempts, time.Since(start), err)
 	return err
--- a/place/outlook.go
+++ b/place/outlook.go
@@ -89,12 +89,3 @@
 func probability(margin, estimateError time.Duration) float64 {
 	return 1 / (1 + math.Exp(-logisticScale*margin.Seconds()/estimateError.Seconds()))
 }
-
-// Timely reports whether the job still has about an even chance of being in time, or a better one.
-func (o Outlook) Timely() bool { return o.LatestStart() >= 0 }
-
-// LatestStart returns the time within which the job must continue for that chance.
-func (o Outlook) LatestStart() time.Duration { return o.Slack + tolerance }
-
-// FreshRank returns the expected value of a new job with the given density, which has all of its slack left.
-func FreshRank(density float64) float64 { return density * (1 - maxDeferral) }
--- a/place/overload_test.go
+++ b/place/overload_test.go
@@ -48,10 +48,6 @@
 	ended         time.Time
 	waiting       *Group
 	ofMean        float64
-	// taken is when the job was accepted, refusals how often its client was refused, and nextAttempt when the client comes back.
-	taken       time.Time
-	refusals    int
-	nextAttempt time.Time
 }
 
 // loadEnd is the end of a running task.
@@ -105,7 +101,7 @@
 		estimate := mean * math.Exp(loadEstimateError*r.NormFloat64())
 		x.expectedTimes = append(x.expectedTimes, seconds(math.Exp(trust*math.Log(estimate)+(1-trust)*math.Log(loadTaskTime*0.9))))
 		x.runTimes, x.left = append(x.runTimes, runTimes), append(x.left, count)
-		step := job.Step{Count: count, Need: need, Estimate: job.Milli(1000 * estimate)}
+		step := job.Step{Count: count, Need: need}
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
@@ -113,7 +109,6 @@
 	}
 	x.target = time.Duration(loadStretch*float64(chain)) + loadTarget
 	x.job = job.New(s, x.at)
-	x.taken = x.at
 	x.open()
 	return x
 }
@@ -122,7 +117,7 @@
 
 // open makes the tasks of the job's next step wait.
 func (x *loadJob) open() {
-	x.waiting = &Group{Job: x.job, Step: x.step, Since: x.taken}
+	x.waiting = &Group{Job: x.job, Step: x.step, Since: x.at}
 	tasks := x.job.StepTasks(0, x.step)
 	for i := range tasks {
 		x.waiting.Tasks = append(x.waiting.Tasks, &tasks[i])
@@ -175,7 +170,7 @@
 // value that was obtained.
 func simulateLoad(seed uint64, load float64, outageStart, outageLength time.Duration) float64 {
 	jobs := newLoad(rand.New(rand.NewPCG(seed, 3)), load)
-	simulateJobs(jobs, outageStart, outageLength, nil, nil)
+	simulateJobs(jobs, outageStart, outageLength, nil)
 	got, total := 0.0, 0.0
 	for _, x := range jobs {
 		got += x.earned()
@@ -184,9 +179,8 @@
 	return got / total
 }
 
-// simulateJobs runs the jobs on the instances. Organisations share the capacity by the ledger unless it is nil. Jobs are refused by
-// the gate unless it is nil.
-func simulateJobs(jobs []*loadJob, outageStart, outageLength time.Duration, ledger *org.Ledger, gate *loadGate) {
+// simulateJobs runs the jobs on the instances. Organisations share the capacity by the ledger unless it is nil.
+func simulateJobs(jobs []*loadJob, outageStart, outageLength time.Duration, ledger *org.Ledger) {
 	var candidates []*Candidate
 	for i := range loadInstances {
 		w := &work.Worker{Incarnation: fmt.Sprint(i), Capacity: job.Need{MilliCPU: 1000 * loadCores, MemoryMB: 1 << 20}}
@@ -205,12 +199,8 @@
 			ledger.Release(e.of.job.Spec.Organisation, e.need)
 			e.of.end(now)
 		}
-		since := now.Sub(begin.Add(outageStart))
-		outage := since >= 0 && since < outageLength
-		gate.admit(jobs, now)
-		if !outage {
+		if since := now.Sub(begin.Add(outageStart)); since < 0 || since >= outageLength {
 			ends = append(ends, placeJobs(jobs, candidates, now, ledger)...)
-			gate.publish(jobs, ends, now, ledger)
 		}
 	}
 }
@@ -220,7 +210,7 @@
 	var groups []*Group
 	of := make(map[*job.Job]*loadJob)
 	for _, x := range jobs {
-		if x.at.After(now) || x.waiting == nil || x.taken.IsZero() {
+		if x.at.After(now) || x.waiting == nil {
 			continue
 		}
 		x.waiting.Outlook = x.estimate().At(now)
--- a/place/shares_test.go
+++ b/place/shares_test.go
@@ -115,7 +115,7 @@
 			ledger = new(org.Ledger)
 			ledger.SetDirectory(d)
 		}
-		simulateJobs(jobs, 0, 0, ledger, nil)
+		simulateJobs(jobs, 0, 0, ledger)
 		for _, x := range jobs {
 			isHot := x.job.Spec.Organisation == "hot"
 			got[isHot] += x.earned()
--- a/place/sharing.go
+++ b/place/sharing.go
@@ -57,16 +57,10 @@
 		if name == "" {
 			continue // it belongs to no organisation
 		}
-		g.sharedValue *= overFactor(uses[name] * weights)
+		if over := uses[name] * weights; over > 1 {
+			g.sharedValue *= max(1/(over*over*over), minPart)
+		}
 		step := &g.Job.Spec.Steps[g.Step]
 		uses[name] += float64(len(g.Tasks)) * org.Dominant(step.Need, s.Total) / s.Draft.Weight(name)
 	}
 }
-
-// overFactor returns the factor for the value of the groups of an organisation that uses the given multiple of its share.
-func overFactor(over float64) float64 {
-	if over <= 1 {
-		return 1
-	}
-	return max(1/(over*over*over), minPart)
-}
--- a/pool/load.go
+++ b/pool/load.go
@@ -376,7 +376,6 @@
 	}
 	spec.Organisation = organisation
 	j := job.New(spec, now)
-	j.From = c.firstAttempt(name, now)
 	j.StoredVersion = j.Version // a new job is stored by the intake itself
 	c.jobs[spec.ID] = j
 	if c.cancelled[name] {
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -86,8 +86,3 @@
 func (m *metrics) modeLasted(of mode, d time.Duration) {
 	m.scope.Tagged(map[string]string{"mode": of.String()}).Counter("mode_milliseconds").Inc(d.Milliseconds())
 }
-
-// overloadWait sets the wait that is published for a queue.
-func (m *metrics) overloadWait(queue string, wait time.Duration) {
-	m.scope.Tagged(map[string]string{"queue": queue}).Gauge("overload_wait_milliseconds").Update(float64(wait.Milliseconds()))
-}
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -31,9 +31,6 @@
 		return
 	}
 	j := c.jobs[m.ID]
-	if j == nil {
-		c.recordAsked(m.Query, c.now())
-	}
 	if j == nil || !m.MaySee(j.Spec) {
 		m.reply <- job.Answer{Certain: c.intakeIsCurrent()}
 		return
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -93,15 +93,10 @@
 	whole, left, work := c.criticalPath(j, k, q.Name)
 	return place.Estimate{
 		From: from, Target: time.Duration(q.Stretch*float64(whole)) + q.Target, Total: whole, Remaining: left,
-		Density: density(c.jobWork(j, q.Name), work, c.statsOf(q.Name).work),
+		Density: relativeValue(c.jobWork(j, q.Name)/max(c.statsOf(q.Name).work, minWork)) / max(work, minWork),
 	}
 }
 
-// density returns the value of a job for each core-second that it still needs, in relation to the mean job of its queue.
-func density(whole, left, mean float64) float64 {
-	return relativeValue(whole/max(mean, minWork)) / max(left, minWork)
-}
-
 // outlookTTL is the time for which a group's outlook is reused before it is recomputed.
 const outlookTTL = 150 * time.Millisecond
 
--- a/pool/queuestats.go
+++ b/pool/queuestats.go
@@ -6,7 +6,6 @@
 	"math"
 	"time"
 
-	"rackstep.dev/admission"
 	"rackstep.dev/job"
 	"rackstep.dev/place"
 )
@@ -73,18 +72,19 @@
 	l.work += statsWeight * (w - l.work)
 }
 
-// estimateRunTime estimates the run time of a task of the step, see admission.RunTimes.
+// estimateRunTime estimates the run time of a task of the step: a weighted geometric mean of the submitted estimate and the queue's mean run time. The more accurate
+// the queue's estimates have been, the more weight the submitted one has.
 func (c *session) estimateRunTime(s *job.Step, queue string) time.Duration {
 	l := c.statsOf(queue)
-	if l.runs == 0 {
+	e := s.Estimate.Duration().Seconds()
+	switch {
+	case l.runs == 0:
 		return s.Estimate.Duration()
+	case e <= 0:
+		return time.Duration(math.Exp(l.mean) * float64(time.Second))
 	}
-	return l.runTimes().Estimate(s.Estimate.Duration())
-}
-
-// runTimes returns what the statistics tell about the run times of tasks.
-func (l *queueStats) runTimes() admission.RunTimes {
-	return admission.NewRunTimes(l.mean, l.variance, l.estimateError)
+	trust := l.variance / (l.variance + l.estimateError)
+	return time.Duration(math.Exp(trust*math.Log(e)+(1-trust)*l.mean) * float64(time.Second))
 }
 
 // criticalPath returns the length of the critical path of a job's steps at one of its times, the part of it that is left, and the core-seconds of work left.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -14,7 +14,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"rackstep.dev/admission"
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/internal/clock"
@@ -164,8 +163,6 @@
 	UnstoredOrdersAnnounced func() bool
 
 	catalog atomic.Pointer[job.Catalog]
-	// notice is what the leader publishes about overloaded queues, nil for nothing.
-	notice atomic.Pointer[admission.Notice]
 	// organisations belongs to the same configuration version as catalog.
 	organisations atomic.Pointer[org.Directory]
 	bounds        atomic.Pointer[Bounds]
@@ -284,7 +281,6 @@
 	}
 	s.setCurrent(c)
 	c.run(ctx)
-	s.notice.Store(nil)
 	s.mu.Lock()
 	s.current = nil
 	s.mu.Unlock()
--- a/pool/session.go
+++ b/pool/session.go
@@ -42,7 +42,6 @@
 	ledger org.Ledger
 	rate   org.Rate
 	organisationMetrics
-	admissionState
 	jobs    map[string]*job.Job
 	pools   map[string]*poolRow
 	workers map[string]*worker
@@ -254,7 +253,6 @@
 		c.sizePools(now)
 		c.fleetScan.end(began, c.now())
 	}
-	c.updateNotice(now)
 	c.forget(now)
 	c.updateOrganisationGauges(now)
 }
@@ -345,7 +343,6 @@
 		}
 	}
 	c.forgetIDConflicts(now)
-	c.forgetFirstAsked(now)
 }
 
 func (c *session) emit(n event.Number, s event.Subject, format string, args ...any) {
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -43,7 +43,6 @@
 func connect(s *pool.Scheduler, e *lead.Elector) {
 	s.ConfirmedAt, s.Lost = e.ConfirmedAt, e.StepDown
 	s.Require, s.Successor, s.HandOverTo = e.SetRequirement, e.Successor, e.HandOverTo
-	e.Extra = s.NoticeRecords
 	s.AnnounceUnstoredOrders, s.UnstoredOrdersAnnounced, s.PublishEarlierLeaders = e.SetUnstored, e.UnstoredPublished, e.SetPredecessors
 }
 
