--- a/lead/elector.go
+++ b/lead/elector.go
@@ -409,6 +409,7 @@
 	serveCtx, cancelTerm := context.WithCancel(ctx)
 	e.mu.Lock()
 	t := Term{Number: term, Fence: rec.Fence, PredecessorRenewed: e.renewedAt, PredecessorsUnstored: e.latest.Unstored || e.latest.PredecessorsUnstored || e.recentOutage()}
+	t.OnlyLastUnstored = !e.latest.PredecessorsActive && !e.latest.PredecessorsUnstored
 	t.CleanHandover = e.latest.Term == 0 || (e.latest.Released && !e.latest.PredecessorsActive)
 	t.Exclusive = t.CleanHandover || (e.ledByEarlierBoot() && !e.latest.PredecessorsActive)
 	e.predecessorsActive, e.predecessorsUnstored = !t.Exclusive, t.PredecessorsUnstored && !t.CleanHandover
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -37,13 +37,14 @@
 	if c.committing {
 		return
 	}
-	if c.dirtyJobs.Empty() && len(c.forgottenJobs) == 0 && !c.idConflictsDirty && len(c.idConflictsDropped) == 0 && c.dirtyIncarnations.Empty() && !c.wavesDirty() {
+	if c.dirtyJobs.Empty() && len(c.forgottenJobs) == 0 && !c.idConflictsDirty && len(c.idConflictsDropped) == 0 && c.dirtyIncarnations.Empty() && !c.wavesDirty() && c.assignment.wanted == nil {
 		return
 	}
 	done := &commitBatch{versions: make(map[*job.Job]int64), waves: make(map[int64]int)}
 	var records []feed.KeyedRecord
 	records = c.appendIncarnationRecords(done, records)
 	records = c.storeWaves(done, records)
+	records = c.appendAssignment(records)
 	records = c.appendStats(c.now(), records)
 	records = c.appendIDConflicts(records)
 	for _, id := range c.forgottenJobs {
@@ -223,6 +224,7 @@
 	c.counts.batch.RecordDuration(took)
 	c.recordBatchTime(took)
 	c.setAside(m.commitBatch)
+	c.assignmentStored()
 	for j, v := range m.versions {
 		j.StoredVersion = max(j.StoredVersion, v)
 		c.noteStored(j)
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -132,9 +132,9 @@
 }
 
 func (c *session) countWaiting(p *poolRow, instance job.Need) {
-	blocked := c.hasUnansweredWorkers(p.name)
+	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
-		if blocked && c.inheritedJobs[g.Job.Spec.ID] {
+		if c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID) {
 			continue // its tasks can't start yet, so that instances for them would be idle
 		}
 		if g.Capped || g.OverRate {
@@ -328,10 +328,10 @@
 // shortages returns by label how many more instances the pool needs for waiting steps that can't use just any free capacity.
 func (c *session) shortages(p *poolRow, now time.Time) map[string]int {
 	lacks := make(map[string]int)
-	blocked := c.hasUnansweredWorkers(p.name)
+	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || g.Capped || g.OverRate || (blocked && c.inheritedJobs[g.Job.Spec.ID]) {
+		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || g.Capped || g.OverRate || (c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID)) {
 			continue
 		}
 		c.countPlacedTasks(g, step)
--- a/pool/load.go
+++ b/pool/load.go
@@ -32,6 +32,8 @@
 	// instancesKey holds the number of instances of which the leader last required a majority, see session.instances.
 	instancesKey = "instances"
 	statsKey     = "lessons"
+	// assignmentKey holds the data centres to which a leader confines unstored starts, see centresByPool.
+	assignmentKey = "unstored-starts"
 	// idConflictKey is the prefix for jobs that can't run because another organisation's job has the same ID.
 	idConflictKey = "t/"
 )
@@ -215,6 +217,8 @@
 			c.decodeRecord(r, &c.previousInstances)
 		case strings.HasPrefix(r.Key, waveKey):
 			c.restoreWave(r)
+		case r.Key == assignmentKey:
+			c.restoreAssignment(r)
 		case r.Key == statsKey:
 			c.restoreStats(r, now)
 		case strings.HasPrefix(r.Key, idConflictKey):
@@ -264,7 +268,7 @@
 		c.openJob(j, now)
 	}
 	c.reportTakeoverStep("tables-read", now)
-	c.emit(event.TablesRead, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d", len(c.jobs), len(c.workers), len(earlier))
+	c.emit(event.TablesRead, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d confined=%d", len(c.jobs), len(c.workers), len(earlier), len(c.assignment.predecessor))
 }
 
 // Limits of the age of a job that was submitted before a takeover. Its submission time was taken by the clock of
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -165,7 +165,7 @@
 	draft := c.draft()
 	place.OrderShared(open, place.Shares{Draft: draft, Total: c.totalCapacity()})
 	capacity = c.placeSuspects(p, open, capacity, draft, now)
-	for _, x := range place.Tasks(open, capacity, draft) {
+	for _, x := range c.chooseWorkers(p.name, open, capacity, draft) {
 		c.startChoice(x, now)
 	}
 	for key, g := range p.open {
@@ -208,11 +208,11 @@
 
 // placeableGroups returns the open groups of which at least one task may start now.
 func (c *session) placeableGroups(p *poolRow, now time.Time) []*place.Group {
-	blocked := c.hasUnansweredWorkers(p.name)
+	unanswered := c.unansweredIn(p.name)
 	confirmed := c.confirmed(now)
 	groups := make([]*place.Group, 0, len(p.open))
 	for _, g := range p.open {
-		if (blocked && c.inheritedJobs[g.Job.Spec.ID]) || c.jobIsAside(g.Job) {
+		if (c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID)) || c.jobIsAside(g.Job) {
 			continue
 		}
 		if !confirmed && c.readUnconfirmed[g.Job.Spec.ID] {
@@ -253,20 +253,6 @@
 	return c.earlierUnstored || (!c.term.CleanHandover && c.majorityFencedAt.IsZero())
 }
 
-// hasUnansweredWorkers reports whether an unstored run of an earlier leader may still be active on a worker of the pool that has not answered this
-// leader yet.
-func (c *session) hasUnansweredWorkers(pool string) bool {
-	if !c.mayHaveUnstoredRuns() {
-		return false
-	}
-	for _, w := range c.uncertainIncarnations {
-		if w.Pool == pool {
-			return true
-		}
-	}
-	return false
-}
-
 // countPlacedTasks counts the running tasks of the step by worker, and by rack if they are lasting. It does nothing for steps whose placement
 // does not depend on these counts.
 func (c *session) countPlacedTasks(g *place.Group, step *job.Step) {
--- a/pool/session.go
+++ b/pool/session.go
@@ -93,6 +93,7 @@
 	// uncertainIncarnations holds the incarnations that may still run what an earlier leader started. It is relevant until
 	// earlierLeasesOver.
 	uncertainIncarnations map[string]*worker
+	assignment            assignment
 	// takeoverSteps holds the steps of the takeover that have been reached.
 	takeoverSteps map[string]bool
 	// soleLeaderFrom is the time from which the earlier leader certainly makes no more calls to the machine
@@ -234,6 +235,7 @@
 	c.sendStored(now)
 	c.resolveUnanswered(now)
 	c.endTrials(now)
+	c.updateAssignment(now)
 	c.allowUnstored(now)
 	c.updateModes(now)
 	c.updateIdlePolling(now)
--- a/pool/unstored.go
+++ b/pool/unstored.go
@@ -117,10 +117,10 @@
 
 // sendUnstored sends the starts that wait to be stored.
 func (c *session) sendUnstored() {
-	starts, kept := splitUnstored(c.plannedStarts)
+	starts, kept := c.splitUnstored(c.plannedStarts)
 	c.plannedStarts = kept
 	if c.inFlight != nil {
-		first, kept := splitUnstored(c.inFlight.starts)
+		first, kept := c.splitUnstored(c.inFlight.starts)
 		starts = append(first, starts...)
 		c.inFlight.starts = kept
 	}
@@ -133,14 +133,27 @@
 }
 
 // splitUnstored splits the planned runs into those that may be ordered before they are stored, and those of tasks under which an incarnation has ended. The next leader
-// must know of such a task's lost incarnations before it starts again.
-func splitUnstored(planned []plannedStart) (allowed, rest []plannedStart) {
+// must know of such a task's lost incarnations before it starts again. Runs outside the data centre to which their job is assigned are dropped, so that their tasks
+// can be placed there.
+func (c *session) splitUnstored(planned []plannedStart) (allowed, rest []plannedStart) {
 	for _, p := range planned {
-		if len(p.task.Lost) > 0 {
+		switch {
+		case len(p.task.Lost) > 0:
 			rest = append(rest, p)
-			continue
+		case c.mayStartUnstored(p):
+			allowed = append(allowed, p)
+		default:
+			c.dropPlanned(p)
 		}
-		allowed = append(allowed, p)
 	}
 	return allowed, rest
 }
+
+// dropPlanned takes back a run whose start has not been sent.
+func (c *session) dropPlanned(p plannedStart) {
+	if p.worker.runs[p.task] != p.run {
+		return
+	}
+	p.worker.dropRun(p.task)
+	c.requeue(p.task)
+}
