--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -518,3 +518,37 @@
 		}
 	}
 }
+
+// TestACutRightAfterAnOutageRunsNoTaskTwice guards against tasks that run twice after a takeover from a leader that has sent starts without
+// storing them and is then cut off with its data centre. Only the jobs assigned to that data centre may wait for it.
+func TestACutRightAfterAnOutageRunsNoTaskTwice(t *testing.T) {
+	const workersPerZone = 8 // enough in each pool for jobs to be assigned
+	for seed := range uint64(max(24, *histories/4)) {
+		seed += *first
+		_, violations := runHistoryWith(t, seed, workersPerZone, simCapacity, float64(seed%2), func(h *history) {
+			h.submitLoad(3*time.Second, 40*time.Millisecond)
+			h.mu.Lock()
+			outage := time.Duration(500+h.r.IntN(3500)) * time.Millisecond
+			gap := time.Duration(h.r.IntN(600)-300) * time.Millisecond
+			span := time.Duration(2+h.r.IntN(12)) * time.Second
+			h.storeDownUntil = time.Now().Add(outage)
+			if seed%3 == 0 {
+				h.lateOrderRate = 0.1
+			}
+			h.mu.Unlock()
+			h.submitLoad(max(outage+gap, 0), 20*time.Millisecond)
+			h.partitionZone(h.zoneOf(h.leader()), span, seed%4 == 0)
+			h.submitLoad(4*time.Second, 40*time.Millisecond)
+			if seed%5 == 0 {
+				e := h.leader()
+				h.kill(e)
+				h.restartEntry(e)
+			}
+			h.submitLoad(span, 100*time.Millisecond)
+			h.healAndCheck()
+		})
+		for _, x := range violations {
+			t.Errorf("seed %d: %s", seed, x)
+		}
+	}
+}
--- a/pool/unstored.go
+++ b/pool/unstored.go
@@ -117,12 +117,16 @@
 
 // sendUnstored sends the starts that wait to be stored.
 func (c *session) sendUnstored() {
-	starts, kept := c.splitUnstored(c.plannedStarts)
-	c.plannedStarts = kept
+	starts, waiting, outside := c.splitUnstored(c.plannedStarts)
+	c.plannedStarts = waiting
+	for _, p := range outside {
+		c.dropPlanned(p)
+	}
 	if c.inFlight != nil {
-		first, kept := c.splitUnstored(c.inFlight.starts)
+		// The store may have these runs already, so that the next leader may send their starts. They are not dropped.
+		first, waiting, outside := c.splitUnstored(c.inFlight.starts)
 		starts = append(first, starts...)
-		c.inFlight.starts = kept
+		c.inFlight.starts = append(waiting, outside...)
 	}
 	for _, p := range starts {
 		c.noteUnstored(p.task.Job)
@@ -132,24 +136,23 @@
 	c.sendStored(c.now())
 }
 
-// splitUnstored splits the planned runs into those that may be ordered before they are stored, and those of tasks under which an incarnation has ended. The next leader
-// must know of such a task's lost incarnations before it starts again. Runs outside the data centre to which their job is assigned are dropped, so that their tasks
-// can be placed there.
-func (c *session) splitUnstored(planned []plannedStart) (allowed, rest []plannedStart) {
+// splitUnstored splits planned runs into those that may be ordered before they are stored, those of tasks under which an incarnation has ended, which wait for the
+// store, and those outside the data centre to which their job is assigned. The next leader must know of a task's lost incarnations before it starts again.
+func (c *session) splitUnstored(planned []plannedStart) (allowed, waiting, outside []plannedStart) {
 	for _, p := range planned {
 		switch {
 		case len(p.task.Lost) > 0:
-			rest = append(rest, p)
+			waiting = append(waiting, p)
 		case c.mayStartUnstored(p):
 			allowed = append(allowed, p)
 		default:
-			c.dropPlanned(p)
+			outside = append(outside, p)
 		}
 	}
-	return allowed, rest
+	return allowed, waiting, outside
 }
 
-// dropPlanned takes back a run whose start has not been sent.
+// dropPlanned takes back a run that was planned and is in no batch, so that its task can be placed again.
 func (c *session) dropPlanned(p plannedStart) {
 	if p.worker.runs[p.task] != p.run {
 		return
