--- a/pool/demand.go
+++ b/pool/demand.go
@@ -132,9 +132,9 @@
 }
 
 func (c *session) countWaiting(p *poolRow, instance job.Need) {
-	blocked := c.hasUnansweredWorkers(p.name)
+	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
-		if !c.usesInstances(g, blocked) {
+		if !c.usesInstances(g, unanswered) {
 			continue
 		}
 		step := &g.Job.Spec.Steps[g.Step]
@@ -150,9 +150,9 @@
 	}
 }
 
-// usesInstances reports whether more instances would let tasks of the group start. blocked is the result of hasUnansweredWorkers for its pool.
-func (c *session) usesInstances(g *place.Group, blocked bool) bool {
-	if blocked && c.inheritedJobs[g.Job.Spec.ID] {
+// usesInstances reports whether more instances would let tasks of the group start. unanswered holds the workers of its pool that may have unstored runs.
+func (c *session) usesInstances(g *place.Group, unanswered unansweredWorkers) bool {
+	if c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID) {
 		return false // its tasks can't start yet, so that instances for them would be idle
 	}
 	return !g.Capped && !g.OverRate // more instances don't help a capped group, and a group over its rate limit is entitled to none
@@ -339,10 +339,10 @@
 // shortages returns by label how many more instances the pool needs for waiting steps that can't use just any free capacity.
 func (c *session) shortages(p *poolRow, now time.Time) map[string]int {
 	lacks := make(map[string]int)
-	blocked := c.hasUnansweredWorkers(p.name)
+	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || g.Capped || g.OverRate || (blocked && c.inheritedJobs[g.Job.Spec.ID]) {
+		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || g.Capped || g.OverRate || (c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID)) {
 			continue
 		}
 		c.countPlacedTasks(g, step)
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -183,10 +183,10 @@
 		}
 		urgent.add(work, value, within)
 	}
-	blocked := c.hasUnansweredWorkers(p.name)
+	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if step.Lasting || !c.usesInstances(g, blocked) {
+		if step.Lasting || !c.usesInstances(g, unanswered) {
 			continue
 		}
 		n, _ := waitingTasks(g, step)
