pool: a new leader limits at once, and knows the rate of new jobs

In the first second of a leader a pool with an old backlog could take the instances that the jobs of a new burst need: nothing was limited yet, the work of jobs read before the capacity of an instance was known counted for nothing in the rate, and of pools that gain the same the first by name got all. Now a new leader limits without grace, derives a rate from the jobs that came under it, and of equal gains the pool that lacks the larger part goes first.

--- a/maintenance/shortage.go
+++ b/maintenance/shortage.go
@@ -157,6 +157,9 @@
 	return a.yield(a.granted+1, t.Delay, t.PayOff)
 }
 
+// lack returns the part of its want that the pool lacks. It decides between pools that gain the same.
+func (a *allotment) lack() float64 { return 1 - float64(a.granted)/a.Want }
+
 // loss returns what the pool would lose with one of its instances, including the time in which it is emptied.
 func (a *allotment) loss(t ShiftTerms) float64 {
 	if a.Movable == 0 {
@@ -183,7 +186,7 @@
 		var to, from *allotment
 		gain, loss := 0.0, math.Inf(1)
 		for _, a := range rows {
-			if g := a.gain(t); g > gain {
+			if g := a.gain(t); g > gain || (g > 0 && g == gain && a.lack() > to.lack()) {
 				to, gain = a, g
 			}
 			if l := a.loss(t); l < loss || (l == loss && a.Headroom && a.Movable > 0) {
--- a/maintenance/shortage_test.go
+++ b/maintenance/shortage_test.go
@@ -33,6 +33,7 @@
 		{"the last second of a burst keeps what it can finish", 300, 500, 100, 60, 0, claim(100, backlog(90, 3*time.Second)), claim(60, steady(70)), [2]int{0, 0}, [2]int{0, 0}},
 		{"lasting tasks are a floor", 100, 500, 12, 100, 0, claim(12), claim(100, steady(400)), [2]int{2, 2}, [2]int{2, 2}},
 		{"the headroom goes first", 200, 500, 100, 20, 20, claim(100, steady(90)), claim(20, steady(30)), [2]int{0, 0}, [2]int{20, 20}},
+		{"equal gains go by what is lacked, not by name", 100, 100, 50, 20, 20, claim(50), claim(20), [2]int{0, 0}, [2]int{20, 20}},
 		{"what can't move stays", 4500, 500, 270, 20, 0, claim(7), claim(20, steady(150)), [2]int{7, 7}, [2]int{7, 7}},
 		{"no more than it wants", 4500, 40, 270, 20, 0, claim(270), claim(20, steady(150)), [2]int{20, 20}, [2]int{20, 20}},
 	} {
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -21,8 +21,9 @@
 	shortageGrace = 300 * time.Millisecond
 	// payOffFactor is the time within which a shift must pay, as a multiple of the duration of a move. Load is not predictable for much longer.
 	payOffFactor = 2
-	// settleTime is how long a new leader limits nothing. Until then it does not know the rates of submissions, and would reverse the shifts of its predecessor.
-	settleTime = rateWindow
+	// newLeaderTime is how long a leader is new: it knows little of the work that is submitted, and pools with an old backlog may ask before those with new jobs.
+	// During that time a shortage needs no grace.
+	newLeaderTime = 2 * rateWindow
 	// maxDensity bounds the value of a core-second of a job that is almost done.
 	maxDensity = 4
 )
@@ -37,8 +38,7 @@
 	loggedAt time.Time
 }
 
-// allotShortage limits the targets of the pools to what each is to have, if they have wanted more than there is for longer than shortageGrace. A new leader
-// waits for settleTime.
+// allotShortage limits the targets of the pools to what each is to have, if they have wanted more than there is for longer than shortageGrace.
 func (c *session) allotShortage(pools []maintenance.Pool, instances []maintenance.Instance, now time.Time) {
 	if !maintenance.Short(pools, shortageMargin) {
 		c.endShortage(now)
@@ -47,7 +47,7 @@
 	if c.shortage.since.IsZero() {
 		c.shortage.since = now
 	}
-	if now.Sub(c.shortage.since) < shortageGrace || now.Sub(c.tablesReadAt) < settleTime {
+	if now.Sub(c.shortage.since) < shortageGrace && now.Sub(c.tablesReadAt) >= newLeaderTime {
 		return
 	}
 	delay := c.Bounds().Move + moveOverhead
@@ -169,6 +169,7 @@
 		urgent.add(work, value, within)
 	}
 	blocked := c.hasUnansweredWorkers(p.name)
+	fresh := 0.0 // work of jobs that came under this leader
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
 		if step.Lasting || !c.usesInstances(g, blocked) {
@@ -179,6 +180,9 @@
 		e := c.claimEstimate(g.Job, g.Time, now)
 		inTime, wait := e.InTime(now)
 		work := float64(n) * instanceShare(place.Charge(step), c.meanCapacity) * took.Seconds()
+		if !c.inheritedJobs[g.Job.Spec.ID] {
+			fresh += work * inTime
+		}
 		add(work*inTime, c.relativeDensity(e, g.Job.Spec.Queue), wait+took)
 	}
 	c.addRunning(p, now, add)
@@ -186,7 +190,11 @@
 		Lasting: p.load.lasting + spareInstances, LateValue: place.LatePart,
 		Emptying: time.Duration(meanRemainingShare * p.expectedRunSeconds() * float64(time.Second)),
 	}
-	steady := p.rate(now) + p.load.trialInstances()
+	steady := p.rate(now)
+	if led := now.Sub(c.tablesReadAt); led < newLeaderTime {
+		steady = max(steady, fresh/max(led, minRateWindow).Seconds()) // the capacity of an instance, and so the work submitted, is not known from the beginning
+	}
+	steady += p.load.trialInstances()
 	for _, x := range [...]maintenance.Class{{Instances: steady, For: terms.PayOff, Value: 1}, urgent.class(), patient.class()} {
 		if x.Instances > 0 {
 			x.Instances *= 1 + spareShare
--- a/pool/shortage_test.go
+++ b/pool/shortage_test.go
@@ -22,6 +22,7 @@
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
+	"rackstep.dev/maintenance"
 	"rackstep.dev/org"
 	"rackstep.dev/work"
 )
@@ -448,6 +449,50 @@
 	}
 }
 
+// TestOldWorkClaimsNoInstances guards against work that can't be in time counting as timely, among it the backlog of an earlier leader, whose jobs are taken for younger
+// than they are.
+func TestOldWorkClaimsNoInstances(t *testing.T) {
+	for _, test := range [...]struct {
+		name      string
+		age       time.Duration
+		inherited bool
+		overRate  bool
+		timely    bool
+	}{
+		{"new", 0, false, false, true},
+		{"old", 4 * time.Second, false, false, false},
+		{"new, of an earlier leader", 100 * time.Millisecond, true, false, true},
+		{"old, of an earlier leader", 2500 * time.Millisecond, true, false, false},
+		{"beyond the rate of its organisation", 0, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(time.Minute) // the wall clock is past the times below
+				b := newFixture(quicktest.New(t), nil, "w1")
+				b.report("w1", 10, nil)
+				step := oneCoreTasks(20)
+				step.Estimate = 500
+				now := time.Now()
+				j := b.submit("a", jobID(1), step)
+				j.Spec.Taken = job.UnixMilli(now.Add(-test.age).UnixMilli())
+				j.From = now.Add(-test.age)
+				if test.inherited {
+					b.inheritedJobs[jobID(1)] = true
+					j.From = now.Add(-ageOf(j.Spec.Taken, now))
+				}
+				j.OverRate = test.overRate
+				b.openJob(j, now)
+				b.countLoads()
+				needed := 0.0
+				for _, x := range b.claim(b.pool("p"), maintenance.ShiftTerms{Delay: time.Second, PayOff: 2 * time.Second}, now).Timely {
+					needed += x.Instances
+				}
+				b.c.Assert(needed > 1, quicktest.Equals, test.timely, quicktest.Commentf("%.2f instances", needed))
+			})
+		})
+	}
+}
+
 // checkLog checks that the log has the shortage, its shifts and its end, in a bounded number of lines.
 func (o *overlap) checkLog() {
 	lines := make(map[event.Number][]string)
