--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -218,6 +218,10 @@
 	var err error
 	p.proxy, err = newProxy(p.ip+":18470", loopback(platformtest.StoreAddress))
 	s.c.Assert(err, quicktest.IsNil)
+	limits := "{CpuShare: 0.4, Cores: 1, MemoryMb: 284, LinkMbps: 200}"
+	if i == entries-1 { // a small entry, which is unfit to lead on its link and hands over to the others
+		limits = "{CpuShare: 0.192, Cores: 1, MemoryMb: 184, LinkMbps: 2}"
+	}
 	text := fmt.Sprintf(`
 NodeName: "entry-%d"
 Ip: %q
@@ -225,12 +229,12 @@
 ListenAddrs: {Front: "%s:18451", Readiness: "%s:18452"}
 PortRange: [18453, 18460]
 Seeds: ["127.1.0.1:1", "127.1.0.2:1", "127.1.0.3:1"]
-Limits: {CpuShare: 0.4, Cores: 1, MemoryMb: 284}
+Limits: %s
 Contracts: [%s]
 Bounds: {ConfigApplyMs: 3000, MaxSkewMs: 3000, HoldMaxMs: 6000, StopMs: 400, GraceS: 4.0, status_s: 120, NoticeMs: 4500, HarmMs: 4000, MoveS: 1.5, UpkeepS: 2}
 platform: {Address: "%s:18470", parts: 2}
 CloudApi: {Address: %q}
-`, i, p.ip, p.ip, p.ip, platformtest.TenantsContract, p.ip, loopback(platformtest.MachinesAddress))
+`, i, p.ip, p.ip, p.ip, limits, platformtest.TenantsContract, p.ip, loopback(platformtest.MachinesAddress))
 	s.c.Assert(os.WriteFile(p.settings, []byte(text), 0o600), quicktest.IsNil)
 	s.entries[i] = p
 }
--- a/lead/elector.go
+++ b/lead/elector.go
@@ -303,7 +303,9 @@
 	case <-t.C:
 	}
 	e.mu.Lock()
-	e.pausedUntil = e.Clock.Now()
+	if e.pausedUntil = e.Clock.Now(); e.pausedUntil.After(since.Add(followerReadPause)) { // the machine was suspended or stalled
+		e.pausedUntil = since.Add(followerReadPause)
+	}
 	e.mu.Unlock()
 	return since
 }
--- a/lead/evidence_test.go
+++ b/lead/evidence_test.go
@@ -14,6 +14,7 @@
 	"github.com/frankban/quicktest"
 
 	"rackstep.dev/feed"
+	"rackstep.dev/internal/clock"
 )
 
 // faultyStore is a store of which calls can be held until it is back, and long polls left without an answer.
@@ -251,3 +252,38 @@
 		c.Assert(probes, quicktest.Equals, 0)
 	})
 }
+
+// TestASuspendedCandidateTakesNoLead suspends the machines of all candidates in turn, whose clocks jump by longer than the election
+// timeout. What a candidate has not heard in that time says nothing about the leader, which is alive.
+func TestASuspendedCandidateTakesNoLead(t *testing.T) {
+	for phase := range 7 {
+		inBubble(t, func(t *testing.T, c *quicktest.C) {
+			f := new(faultyStore)
+			base := time.Now()
+			var mu sync.Mutex
+			suspended := make([]time.Duration, 6)
+			g := newSizedGroup(t, 6, f.view, func(i int, e *Elector) {
+				e.Weight = []float64{0.8, 0.8, 0.8, 0.192, 0.192, 0.192}[i]
+				e.Clock = &clock.Clock{BootTime: func() time.Duration {
+					mu.Lock()
+					defer mu.Unlock()
+					return time.Since(base) + suspended[i]
+				}}
+			})
+			time.Sleep(8*time.Second + time.Duration(phase)*50*time.Millisecond)
+			old := g.leader(c)
+			for i, e := range g.electors {
+				if e == old {
+					continue
+				}
+				mu.Lock()
+				suspended[i] += 4 * time.Second
+				mu.Unlock()
+				time.Sleep(700 * time.Millisecond)
+			}
+			time.Sleep(3 * time.Second)
+			c.Assert(g.terms, quicktest.HasLen, 1)
+			c.Assert(g.leader(c), quicktest.Equals, old)
+		})
+	}
+}
--- a/lead/handover.go
+++ b/lead/handover.go
@@ -81,13 +81,13 @@
 		e.fitness() >= p.Leader.Fitness(p.Required)+minFitnessGain
 }
 
-// Successor returns the fittest healthy entry if it is fitter than this leader by enough for a handover, and the last handover
-// is not recent.
+// Successor returns the fittest healthy entry if it is fitter than this leader by enough for a handover, none is in progress and
+// the last one is not recent.
 func (e *Elector) Successor() (Candidate, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
-	if e.cancelTerm == nil || !e.requirement.known || now.Sub(e.handedOverAt) < handOverInterval {
+	if e.cancelTerm == nil || e.successor != nil || !e.requirement.known || now.Sub(e.handedOverAt) < handOverInterval {
 		return Candidate{}, false
 	}
 	required := e.requirement.published.Required
