--- a/lead/evidence_test.go
+++ b/lead/evidence_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"rackstep.dev/feed"
 	"rackstep.dev/internal/clock"
@@ -287,3 +288,20 @@
 		})
 	}
 }
+
+// TestARenewalThatTwoReadsBringCountsOnce guards against a long poll that is answered late with a renewal that a second read has
+// brought before: it would date the renewal later and restart the election timeout.
+func TestARenewalThatTwoReadsBringCountsOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, c *quicktest.C) {
+		value, err := cbor.Marshal(Record{Entry: "a", Term: 1, Fence: 70000})
+		c.Assert(err, quicktest.IsNil)
+		page := feed.KeyedPage{Records: []feed.KeyedRecord{{Offset: 7, Key: key, Value: value}}, Next: 8}
+		e := &Elector{Entry: "b"}
+		e.applyPage(page, time.Now())
+		heard := e.lastHeard
+		time.Sleep(400 * time.Millisecond)
+		e.applyPage(page, time.Now())
+		c.Assert(e.lastHeard, quicktest.Equals, heard)
+		c.Assert(e.renewedAt, quicktest.Equals, heard)
+	})
+}
--- a/lead/handover_test.go
+++ b/lead/handover_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"rackstep.dev/feed"
 )
@@ -261,3 +262,43 @@
 		c.Assert(took < electionTimeout+maxJitter+50*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %v", took))
 	})
 }
+
+// TestAReleasedTermIsLeftToItsReceiver guards against another entry that takes a term first that was handed over to a named one,
+// and against an entry that takes itself for the receiver after a restart.
+func TestAReleasedTermIsLeftToItsReceiver(t *testing.T) {
+	c := quicktest.New(t)
+	for _, test := range []struct {
+		entry, boot string
+		fence       int64
+		least, most time.Duration
+	}{
+		{"receiver", "1", 70000, 0, 0},
+		{"receiver", "2", 70000, successorWait, successorWait + maxJitter},
+		{"other", "1", 70000, successorWait, successorWait + maxJitter},
+		{"other", "1", 60000, 0, maxJitter}, // the receiver was named for an earlier term
+	} {
+		e := &Elector{Entry: test.entry, Boot: test.boot, Weight: 1}
+		e.drawJitter()
+		e.latest = Record{Entry: "old", Term: 1, Fence: 70000, Released: true}
+		e.named = successorRecord{Entry: "receiver", Boot: "1", Fence: test.fence}
+		got := e.vacancyTimeout()
+		c.Check(got >= test.least && got <= test.most, quicktest.IsTrue, quicktest.Commentf("%+v: %v", test, got))
+	}
+}
+
+// TestHandoversAreApart guards against a lead that moves back and forth when what entries report fluctuates.
+func TestHandoversAreApart(t *testing.T) {
+	inBubble(t, func(t *testing.T, c *quicktest.C) {
+		e := &Elector{Entry: "small", Capacity: smallCapacity, cancelTerm: func() {}, fence: 70000}
+		value, err := cbor.Marshal(successorRecord{Entry: "small", Fence: 60000})
+		c.Assert(err, quicktest.IsNil)
+		e.applyPage(feed.KeyedPage{Records: []feed.KeyedRecord{{Offset: 1, Key: successorKey, Value: value}}}, time.Now())
+		e.SetRequirement(heavyDemand)
+		for _, after := range []time.Duration{0, handOverInterval - time.Second, time.Second} {
+			time.Sleep(after)
+			e.Report(Candidate{Entry: "large", Capacity: largeCapacity})
+			_, ok := e.Successor()
+			c.Check(ok, quicktest.Equals, after == time.Second, quicktest.Commentf("after %v more", after))
+		}
+	})
+}
