--- a/pool/shortage_test.go
+++ b/pool/shortage_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
@@ -71,6 +72,7 @@
 	*fixture
 	c       *quicktest.C
 	catalog *job.Catalog
+	scope   tally.TestScope
 	mu      sync.Mutex
 	begin   time.Time
 	jobs    []*overlapJob
@@ -170,6 +172,8 @@
 	o.SetBounds(b)
 	o.config = o.catalog
 	o.Events.Size = 1 << 18 // all events of a test
+	o.scope = tally.NewTestScope("", nil)
+	o.counts = newMetrics(o.scope)
 	d, err := org.NewDirectory([]org.Organisation{{Name: "hot", Weight: 20}, {Name: "cold", Weight: 100}})
 	o.c.Assert(err, quicktest.IsNil)
 	organisationsChanged{d}.apply(o.session)
@@ -191,6 +195,8 @@
 
 // takeOver replaces the leader by another one, which has the stored tables and the lists only.
 func (o *overlap) takeOver() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	jobs, machines := o.session.jobs, o.machines
 	o.lead()
 	var state, intake, list feed.KeyedPage
@@ -275,7 +281,7 @@
 
 func (o *overlap) clock() work.Clock { return work.Clock(10 + time.Since(o.begin).Milliseconds()) }
 
-// hear applies a report of a worker, with the runs that have ended.
+// hear applies a report of a worker, with the runs that have ended. The lock must be held.
 func (o *overlap) hear(incarnation string) {
 	var running []work.RunStatus
 	var ended []work.EndedRun
@@ -493,7 +499,7 @@
 	}
 }
 
-// checkLog checks that the log has the shortage, its shifts and its end, in a bounded number of lines.
+// checkLog checks that the log has the shortage, its shifts and its end, in a bounded number of lines, and that the metrics have them.
 func (o *overlap) checkLog() {
 	lines := make(map[event.Number][]string)
 	for _, e := range o.Events.Since(0) {
@@ -503,6 +509,11 @@
 	o.c.Check(len(lines[event.InstancesShifted]) <= 4*int(overlapEnd/sizeLogInterval), quicktest.IsTrue)
 	o.c.Check(strings.Join(lines[event.PoolShort], "\n"), quicktest.Contains, "state=ended")
 	o.c.Check(strings.Join(lines[event.InstancesShifted], "\n"), quicktest.Contains, "from=a to=b")
+	metrics := o.scope.Snapshot()
+	o.c.Check(metrics.Counters()["instances_shifted+"].Value() > 0, quicktest.IsTrue)
+	for _, name := range [...]string{"instances_wanted", "instances_granted", "instances_held"} {
+		o.c.Check(metrics.Gauges()[name+"+pool=b"], quicktest.IsNotNil, quicktest.Commentf("%s", name))
+	}
 }
 
 // refuseSome returns a function that lets the first call for each of two thirds of the instances fail.
