lead: plainer names and comments on succession

Constants have their own comments, bare numbers are named, renewals are started early by startRenewal, and takeTerm and follow are split. Behaviour and stored forms are unchanged.

--- a/lead/capacity.go
+++ b/lead/capacity.go
@@ -4,6 +4,9 @@
 
 import "fmt"
 
+// resourceCount is the number of a Capacity's fields.
+const resourceCount = 4
+
 // Capacity is what an entry has for leading, or what leading requires. A zero field of an entry's capacity means no limit, and
 // one of a requirement that nothing is required.
 type Capacity struct {
@@ -31,10 +34,12 @@
 	return fmt.Sprintf("%.2f cores, %.1f Mbit/s, %.0f connections, %.0f MB", c.Processor, c.Link*8/1e6, c.Descriptors, c.Memory/1e6)
 }
 
-func (c Capacity) resources() [4]float64 {
+// resources returns the fields in a fixed order, for functions that treat them alike.
+func (c Capacity) resources() [resourceCount]float64 {
 	return [...]float64{c.Processor, c.Link, c.Descriptors, c.Memory}
 }
 
-func capacityOf(r [4]float64) Capacity {
+// capacityOf is the inverse of resources.
+func capacityOf(r [resourceCount]float64) Capacity {
 	return Capacity{Processor: r[0], Link: r[1], Descriptors: r[2], Memory: r[3]}
 }
--- a/lead/elector.go
+++ b/lead/elector.go
@@ -32,13 +32,13 @@
 	// followerReadPause is the pause after each renewal at an entry that defers to larger ones, so that it reads about every
 	// second renewal. It is below electionTimeout, so that a read is already open when a renewal fails to arrive.
 	followerReadPause = 700 * time.Millisecond
-	// overdueMargin is how long after a renewal was due a second read is sent, and pollMargin how long after the end of its wait
-	// a long poll may be answered before one is.
+	// overdueMargin is how long after a renewal was due a second read is sent. pollMargin is how long a long poll may stay
+	// unanswered after the end of its wait before a second read is sent.
 	overdueMargin = 100 * time.Millisecond
 	pollMargin    = 100 * time.Millisecond
 	// probeInterval is the time between second reads. From the third on it doubles up to maxProbeInterval, so that entries
-	// do not load a store that is failing. maxProbeInterval is below the deferral of small entries, so that they do not notice the
-	// store's return so much before larger ones that they take over first.
+	// do not load a store that is failing. maxProbeInterval is below the deferral of small entries: if the larger ones noticed
+	// the store's return later than that, a small one would take over first.
 	probeInterval    = 150 * time.Millisecond
 	maxProbeInterval = 300 * time.Millisecond
 	// probeGrace is how long an open long poll may still deliver the records that a second read has brought. After that it is
@@ -60,8 +60,9 @@
 	renewCallTimeout = 2500 * time.Millisecond
 	// renewalTransit is the time between the store's accepting a renewal and an entry's reading it, on a healthy machine.
 	renewalTransit = 100 * time.Millisecond
-	// renewRetryPause is the pause after a renewal that failed at once.
+	// renewRetryPause is the pause after a renewal that failed at once, and readRetryPause the one after a failed read.
 	renewRetryPause = 50 * time.Millisecond
+	readRetryPause  = 100 * time.Millisecond
 	// maxRenewalsInFlight bounds the concurrent attempts of one renewal. It lets one be sent every RenewTimeout even if none of
 	// the earlier ones is ever answered: with 4, a leader could not renew for 1.5 s after an outage in which its calls were lost.
 	maxRenewalsInFlight = int(renewCallTimeout/RenewTimeout) + 2
@@ -71,12 +72,13 @@
 	retakePause = 4 * time.Second
 	// handOverPause is how long an entry that has handed over leaves the next term to others, which normally take it at once.
 	handOverPause = time.Second
-	// maxJitter spreads the attempts of candidates over time. An entry that is less fit to lead than the fittest one waits up to
-	// maxDeferral longer, in proportion to the difference. While nothing is known about what leading requires, its weight is
-	// compared with the largest leader so far. Before the first term there is more time, and an entry
-	// waits up to firstTermDelay in proportion to what its weight lacks of 1.
-	maxJitter      = 80 * time.Millisecond
-	maxDeferral    = 500 * time.Millisecond
+	// maxJitter spreads the attempts of candidates over time.
+	maxJitter = 80 * time.Millisecond
+	// maxDeferral is how much longer an entry of fitness 0 waits if the fittest one has fitness 1. Others wait in proportion to
+	// the difference. While the requirement is unknown, weights are compared instead, with the largest weight of a leader so far.
+	maxDeferral = 500 * time.Millisecond
+	// firstTermDelay replaces maxDeferral before the first term, when there is more time. Entries wait in proportion to what
+	// their weight lacks of 1.
 	firstTermDelay = time.Second
 	// ConfirmedFor is how long a renewal proves that no other entry leads, counted from when it was sent. It is below
 	// electionTimeout.
@@ -108,8 +110,8 @@
 	// Extra returns records under other keys that are appended in one batch with a renewal. It is called once for each renewal;
 	// nil means none.
 	Extra func() []feed.KeyedRecord
-	// OnExtra is called in order with each record under a key that is not the elector's own, from the goroutine of OnRecord. r is the leader's record
-	// of the same batch, or the zero Record when that one is not known because the topic has newer ones.
+	// OnExtra is called in order with each record under a key that is not the elector's own, from the goroutine of OnRecord. r is
+	// the leader's record of the same batch, or the zero Record when that one is not known because the topic has newer ones.
 	OnExtra func(key string, value []byte, r Record)
 	// Eligible reports whether this entry may become leader now; always true when nil.
 	Eligible func() bool
@@ -138,19 +140,19 @@
 	// handoverDue is set when this term is to be given up after the renewal in progress, and handingOver once it is being given
 	// up and the next is left to other entries.
 	handoverDue, handingOver bool
-	// successor is the entry to which this term is handed over; named is the newest such record that was read, handedOverAt
-	// when.
-	successor    *successorRecord
-	named        successorRecord
-	handedOverAt time.Time
-	// requirement is what leading requires; reports holds the newest reports of other entries in this term, tookAt when it began.
+	// successor is the entry to which this term is handed over; nil for none. namedSuccessor is the newest successor record that
+	// was read, and handedOverAt when it was read.
+	successor      *successorRecord
+	namedSuccessor successorRecord
+	handedOverAt   time.Time
+	// requirement is what leading requires. reports holds the newest reports of other entries in this term, and tookAt is when
+	// the term began.
 	requirement requirement
 	reports     map[string]report
 	tookAt      time.Time
-	// unstored is published with the next renewal; unstoredPublished is set once the store has accepted it. renewNow
-	// starts the next renewal without waiting.
+	// unstored is published with the next renewal; unstoredPublished is set once the store has accepted it.
 	unstored, unstoredPublished bool
-	renewNow                    chan struct{}
+	renewNow                    chan struct{} // ends awaitRenewal
 	readNow                     chan struct{} // ends pauseBeforeRead
 	// predecessorsActive and predecessorsUnstored are published about the leaders before this one.
 	predecessorsActive, predecessorsUnstored bool
@@ -189,8 +191,8 @@
 
 // HandOver gives up the term that has the fence. This entry competes for the next one only after handOverPause.
 //
-// The term ends between two renewals. If it ended during one that the store accepts without this entry reading the answer, the store
-// would take the record that releases the term for a repetition, and the other entries would wait for the election timeout.
+// The term ends between two renewals. If it ended during one that the store accepts without this entry reading the answer, the
+// store would take the record that releases the term for a repetition, and the other entries would wait for the election timeout.
 func (e *Elector) HandOver(fence int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -198,6 +200,11 @@
 		return
 	}
 	e.handoverDue = true
+	e.startRenewal()
+}
+
+// startRenewal starts the next renewal without waiting until it is due.
+func (e *Elector) startRenewal() {
 	select {
 	case e.renewNow <- struct{}{}:
 	default:
@@ -237,7 +244,7 @@
 		}
 		if err != nil {
 			e.readFailed(asked)
-			sleep(ctx, 100*time.Millisecond)
+			sleep(ctx, readRetryPause)
 			continue
 		}
 		if known && e.vacant() {
@@ -259,7 +266,7 @@
 
 func (e *Elector) drawJitter() { e.jitter = rand.N(maxJitter) }
 
-// deferral returns how long this entry waits for fitter ones to take leadership first.
+// deferral returns how long this entry waits for fitter ones to take leadership first. The caller holds mu.
 func (e *Elector) deferral() time.Duration {
 	switch p := e.requirement.published; {
 	case e.latest.Term == 0:
@@ -272,10 +279,10 @@
 	return 0
 }
 
-// readsLess reports whether this entry need not see each renewal at once, because larger ones do. One to which the leader may
-// hand over sees each. The caller holds mu.
+// readsLess reports whether this entry need not see each renewal at once, because fitter ones do. An entry to which the leader
+// may hand over reads each. The caller holds mu.
 func (e *Elector) readsLess() bool {
-	return (e.Weight < e.latest.Weight || e.deferral() > 0) && !e.relieves()
+	return (e.Weight < e.latest.Weight || e.deferral() > 0) && !e.canRelieveLeader()
 }
 
 func (e *Elector) readNewest(ctx context.Context) error {
@@ -399,7 +406,7 @@
 	return changed
 }
 
-// vacant reports whether this entry should try to take the next term.
+// vacant reports whether this entry should try to take the next term. It logs once a term that this entry waits for fitter ones.
 func (e *Elector) vacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -415,13 +422,13 @@
 	return silent >= timeout
 }
 
-// candidacy says for the log why this entry stands for election, or waits. The caller holds mu.
+// candidacy returns for the log why this entry stands for election or waits for fitter ones. The caller holds mu.
 func (e *Elector) candidacy() string {
 	why := "no renewal"
 	switch {
 	case e.latest.Term == 0:
 		why = "no leader yet"
-	case e.latest.Released && e.named.Fence == e.latest.Fence && e.named.Entry == e.Entry:
+	case e.latest.Released && e.namedSuccessor.Fence == e.latest.Fence && e.namedSuccessor.Entry == e.Entry:
 		why = "named by the leader"
 	case e.latest.Released:
 		why = "given up"
@@ -431,7 +438,7 @@
 	return fmt.Sprintf("why=%q silent=%v fitness=%.2f waits=%v", why, e.Clock.Since(e.lastHeard).Round(time.Millisecond), e.fitness(), e.deferral().Round(time.Millisecond))
 }
 
-// vacancyTimeout returns how long after lastHeard the leadership counts as vacant.
+// vacancyTimeout returns how long after lastHeard the leadership counts as vacant. The caller holds mu.
 func (e *Elector) vacancyTimeout() time.Duration {
 	switch {
 	case e.latest.Term == 0:
@@ -490,25 +497,32 @@
 		return
 	}
 	serveCtx, cancelTerm := context.WithCancel(ctx)
+	t := e.beginTerm(rec, next, sent, cancelTerm)
+	if e.OnRecord != nil {
+		e.OnRecord(rec)
+	}
+	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d %s", term, rec.Fence, why))
+	go e.serveTerm(serveCtx, rec, t)
+}
+
+// beginTerm records that this entry leads from now on, and returns its term. The term's record was first sent at sent, and the
+// topic ended at end after it.
+func (e *Elector) beginTerm(rec Record, end int64, sent time.Time, cancelTerm context.CancelFunc) Term {
 	e.mu.Lock()
-	t := Term{Number: term, Fence: rec.Fence, PredecessorRenewed: e.renewedAt, PredecessorsUnstored: e.latest.Unstored || e.latest.PredecessorsUnstored || e.recentOutage()}
+	defer e.mu.Unlock()
+	t := Term{Number: rec.Term, Fence: rec.Fence, PredecessorRenewed: e.renewedAt, PredecessorsUnstored: e.latest.Unstored || e.latest.PredecessorsUnstored || e.recentOutage()}
 	t.OnlyLastUnstored = !e.latest.PredecessorsActive && !e.latest.PredecessorsUnstored
 	t.CleanHandover = e.latest.Term == 0 || (e.latest.Released && !e.latest.PredecessorsActive)
 	t.Exclusive = t.CleanHandover || (e.ledByEarlierBoot() && !e.latest.PredecessorsActive)
 	e.predecessorsActive, e.predecessorsUnstored = !t.Exclusive, t.PredecessorsUnstored && !t.CleanHandover
 	e.unstored, e.unstoredPublished = false, false
-	e.latest, e.end = rec, next
+	e.latest, e.end = rec, end
 	e.cancelTerm, e.fence = cancelTerm, rec.Fence
 	e.lastHeard, e.confirmedAt = e.Clock.Now(), sent
 	e.tookAt, e.successor, e.handoverDue = e.lastHeard, nil, false
 	clear(e.reports)
-	e.requirement.lowSince = [4]time.Time{}
-	e.mu.Unlock()
-	if e.OnRecord != nil {
-		e.OnRecord(rec)
-	}
-	e.Events.Emit(event.LeadTaken, event.Subject{Entry: e.Entry}, fmt.Sprintf("term=%d fence=%d %s", term, rec.Fence, why))
-	go e.serveTerm(serveCtx, rec, t)
+	e.requirement.lowSince = [resourceCount]time.Time{}
+	return t
 }
 
 // verifyTerm reads the term's record back and fails if it belongs to another entry.
--- a/lead/extra.go
+++ b/lead/extra.go
@@ -10,7 +10,7 @@
 	leader Record
 }
 
-// newExtra reports whether a record under another key is read for the first time.
+// newExtra reports whether a record under another key is read for the first time, and records that it was. The caller holds mu.
 func (e *Elector) newExtra(r feed.KeyedRecord) bool {
 	if r.Offset != 0 && r.Offset <= e.extraOffset {
 		return false
--- a/lead/follow.go
+++ b/lead/follow.go
@@ -19,6 +19,9 @@
 	probe bool
 }
 
+// maxProbeDoublings bounds the doublings of probeInterval, so that it can't overflow before maxProbeInterval bounds it.
+const maxProbeDoublings = 8
+
 // followRead is a long poll and the short second reads beside it.
 type followRead struct {
 	e       *Elector
@@ -26,10 +29,11 @@
 	answers chan readAnswer
 	// since is the time since when a renewal may have arrived unread.
 	since time.Time
+	// asked is when the long poll was sent, and wait how long it asks the store to wait.
 	asked time.Time
 	wait  time.Duration
-	// probes counts the second reads that were sent, openProbes those without an outcome. unanswered counts those since
-	// the last answer.
+	// probes counts the second reads that were sent, openProbes those without an outcome, and unanswered those that were sent
+	// since the last answer.
 	probes, openProbes, unanswered int
 	// pollErr is why the long poll has failed.
 	pollErr error
@@ -43,13 +47,7 @@
 	since := e.pauseBeforeRead(ctx)
 	wait := e.readWait()
 	asked := e.Clock.ExactNow()
-	defer func() {
-		if e.Clock.ExactNow().Sub(asked) > wait+outageThreshold { // this process was stalled, or its calls were
-			e.mu.Lock()
-			e.lastOutage = e.Clock.Now()
-			e.mu.Unlock()
-		}
-	}()
+	defer e.noteStall(asked, wait)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.mu.Lock()
@@ -62,7 +60,17 @@
 	return f.await()
 }
 
-// send makes a read and posts its outcome.
+// noteStall counts a long poll that has taken far longer than its wait as an outage: this process or its calls were stalled.
+func (e *Elector) noteStall(asked time.Time, wait time.Duration) {
+	if e.Clock.ExactNow().Sub(asked) <= wait+outageThreshold {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastOutage = e.Clock.Now()
+}
+
+// send starts a read whose outcome goes to answers.
 func (f *followRead) send(probe bool, timeout time.Duration, read func(ctx context.Context) (feed.KeyedPage, error)) {
 	a := readAnswer{asked: f.e.Clock.ExactNow(), probe: probe}
 	go func() {
@@ -210,7 +218,7 @@
 // should have shown that the leadership is vacant.
 func (f *followRead) probePause() time.Duration {
 	e := f.e
-	pause := min(probeInterval<<min(max(f.unanswered-2, 0), 8), maxProbeInterval)
+	pause := min(probeInterval<<min(max(f.unanswered-2, 0), maxProbeDoublings), maxProbeInterval)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if left := e.vacancyTimeout() - e.Clock.Since(e.lastHeard) + minReadWait; left > minReadWait && left < pause {
@@ -245,6 +253,7 @@
 			next.Reset(probeInterval)
 		case a := <-f.answers:
 			var trimmed *feed.TrimmedError
+			// Once a second read was sent, failures are ignored, because another route may still bring an answer.
 			if a.err == nil || errors.As(a.err, &trimmed) || !a.probe && f.probes == 0 {
 				return a.page, a.err
 			}
--- a/lead/handover.go
+++ b/lead/handover.go
@@ -19,7 +19,7 @@
 	// successorWait is how long the other entries leave a released term to its named receiver, which takes it as soon as it has
 	// read the records.
 	successorWait = 400 * time.Millisecond
-	// handOverInterval is the shortest time between two handovers to named entries, so that the lead does not move back and
+	// handOverInterval is the shortest time between two handovers to named entries, so that leadership does not move back and
 	// forth when what entries report fluctuates.
 	handOverInterval = 30 * time.Second
 	// ReportInterval is the time between two reports of an entry to a leader that is less fit. A report counts for
@@ -28,8 +28,8 @@
 	reportRetention = 2500 * time.Millisecond
 	// fittestRetention is how long a new leader relies on its predecessor's knowledge of the fittest entry.
 	fittestRetention = 10 * time.Second
-	// minFitnessGain is how much fitter the receiver of a handover must be. A handover costs a few tenths of a second without
-	// starts, which a smaller difference does not make up for.
+	// minFitnessGain is how much fitter the receiver of a handover must be. No starts are sent during a handover, and a smaller
+	// gain does not make up for that.
 	minFitnessGain = 0.2
 )
 
@@ -66,23 +66,23 @@
 	e.reports[c.Entry] = report{Candidate: c, at: e.Clock.Now()}
 }
 
-// ShouldReport reports whether this entry is to tell the leader that it is well: the leader has published that it is less fit, the
-// store answers this entry, and it may become leader.
+// ShouldReport reports whether this entry is to tell the leader that it is well: the leader has published that it is less fit,
+// the store answers this entry, and this entry may become leader.
 func (e *Elector) ShouldReport() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.relieves() && e.failingSince.IsZero() && !e.Clock.Now().Before(e.notBefore) && (e.Eligible == nil || e.Eligible())
+	return e.canRelieveLeader() && e.failingSince.IsZero() && !e.Clock.Now().Before(e.notBefore) && (e.Eligible == nil || e.Eligible())
 }
 
-// relieves reports whether this entry is fitter than the leader by enough for a handover. The caller holds mu.
-func (e *Elector) relieves() bool {
+// canRelieveLeader reports whether this entry is fitter than the leader by enough for a handover. The caller holds mu.
+func (e *Elector) canRelieveLeader() bool {
 	p := e.requirement.published
 	return e.cancelTerm == nil && !e.resigned && p.Fence == e.latest.Fence && e.requirement.known &&
 		e.fitness() >= p.Leader.Fitness(p.Required)+minFitnessGain
 }
 
-// Successor returns the fittest healthy entry if it is fitter than this leader by enough for a handover, none is in progress and
-// the last one is not recent.
+// Successor returns the fittest entry that has reported lately, if it is fitter than this leader by enough for a handover. While a
+// handover is in progress or the last one is recent, it returns none.
 func (e *Elector) Successor() (Candidate, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -111,10 +111,7 @@
 	}
 	e.successor = &successorRecord{Entry: to.Entry, Boot: to.Boot, Fence: fence}
 	e.handoverDue = true
-	select {
-	case e.renewNow <- struct{}{}:
-	default:
-	}
+	e.startRenewal()
 }
 
 // endIfHandoverDue ends the term if it is to be handed over.
@@ -146,19 +143,19 @@
 // applySuccessor applies a record of successorKey. The caller holds mu.
 func (e *Elector) applySuccessor(value []byte) {
 	var r successorRecord
-	if cbor.Unmarshal(value, &r) != nil || r.Fence < e.named.Fence {
-		return
+	if cbor.Unmarshal(value, &r) != nil || r.Fence < e.namedSuccessor.Fence {
+		return // without a readable name the term is open to all
 	}
-	e.named, e.handedOverAt = r, e.Clock.Now()
+	e.namedSuccessor, e.handedOverAt = r, e.Clock.Now()
 }
 
 // successorDelay returns how long this entry leaves a released term to its named receiver, and whether it is the receiver. The
 // caller holds mu.
 func (e *Elector) successorDelay() (time.Duration, bool) {
 	switch {
-	case e.named.Fence != e.latest.Fence || !e.latest.Released:
+	case e.namedSuccessor.Fence != e.latest.Fence || !e.latest.Released:
 		return 0, false
-	case e.named.Entry == e.Entry && e.named.Boot == e.Boot:
+	case e.namedSuccessor.Entry == e.Entry && e.namedSuccessor.Boot == e.Boot:
 		return 0, true
 	}
 	return successorWait, false
--- a/lead/handover_test.go
+++ b/lead/handover_test.go
@@ -301,7 +301,7 @@
 		e := &Elector{Entry: test.entry, Boot: test.boot, Weight: 1}
 		e.drawJitter()
 		e.latest = Record{Entry: "old", Term: 1, Fence: 70000, Released: true}
-		e.named = successorRecord{Entry: "receiver", Boot: "1", Fence: test.fence}
+		e.namedSuccessor = successorRecord{Entry: "receiver", Boot: "1", Fence: test.fence}
 		got := e.vacancyTimeout()
 		c.Check(got >= test.least && got <= test.most, quicktest.IsTrue, quicktest.Commentf("%+v: %v", test, got))
 	}
--- a/lead/outage.go
+++ b/lead/outage.go
@@ -38,10 +38,7 @@
 	if !unstored {
 		e.unstoredPublished = false
 	}
-	select {
-	case e.renewNow <- struct{}{}:
-	default:
-	}
+	e.startRenewal()
 }
 
 // SetPredecessors publishes whether an earlier leader may still send orders, and whether an earlier leader may have sent
--- a/lead/requirement.go
+++ b/lead/requirement.go
@@ -15,11 +15,12 @@
 
 // Thresholds for publishing what leading requires.
 const (
-	// raisedBy is by which factor a requirement must exceed the published one to replace it at once. loweredTo is the fraction
-	// of it below which the requirement must stay for lowerAfter, so that a pause in the load does not lower it.
-	raisedBy   = 1.2
-	loweredTo  = 0.5
-	lowerAfter = time.Minute
+	// A measurement of more than raiseFactor times the published requirement replaces it at once.
+	raiseFactor = 1.2
+	// Measurements below lowerFactor times the published requirement replace it once they have lasted for lowerAfter, so that a
+	// pause in the load does not lower it.
+	lowerFactor = 0.5
+	lowerAfter  = time.Minute
 )
 
 // capacityRecord is stored under capacityKey. Fields can be added, because readers skip unknown keys of the map.
@@ -33,17 +34,18 @@
 	Fittest Capacity `cbor:"4,keyasint"`
 }
 
-// requirement is what an entry knows about the requirement, and what it measures while it leads.
+// requirement is what an entry knows about what leading requires, and what it measures while it leads.
 type requirement struct {
+	// known is set once a record was read or written.
 	known bool
 	// published is the newest record that was read or written.
 	published capacityRecord
-	// pending is set while a record of this leader is not yet known to be stored.
+	// pending is set until the published record of this leader accompanies a renewal.
 	pending bool
 	// lowSince is since when a resource has been measured far below the published requirement, and peak the largest
 	// measurement since then.
-	lowSince [4]time.Time
-	peak     [4]float64
+	lowSince [resourceCount]time.Time
+	peak     [resourceCount]float64
 }
 
 // SetRequirement sets what leading requires now, as this leader measures it. It is published with a renewal when it has changed
@@ -63,15 +65,15 @@
 	r.known, r.published, r.pending = true, next, true
 }
 
-// merge returns the published requirement with the measurement taken into account.
+// merge returns the published requirement, with each resource raised or lowered that the measurement calls for.
 func (r *requirement) merge(measured Capacity, now time.Time) Capacity {
 	out, m := r.published.Required.resources(), measured.resources()
 	for i := range out {
-		if m[i] > out[i]*raisedBy {
+		if m[i] > out[i]*raiseFactor {
 			out[i] = m[i]
 		}
 		switch {
-		case m[i] >= out[i]*loweredTo:
+		case m[i] >= out[i]*lowerFactor:
 			r.lowSince[i], r.peak[i] = time.Time{}, 0
 			continue
 		case r.lowSince[i].IsZero():
@@ -86,13 +88,15 @@
 	return capacityOf(out)
 }
 
-// fittest returns the capacity of the fittest entry that is known: this leader, the entries that report to it and, until they
-// have had time to, the one that was known before. The caller holds mu.
+// fittest returns the capacity of the fittest entry that is known: this leader, an entry that reports to it or, for the first
+// fittestRetention of a term, the one that its predecessor published. The caller holds mu.
 func (e *Elector) fittest(now time.Time) Capacity {
 	required := e.requirement.published.Required
 	best := e.Capacity
-	if known := e.requirement.published.Fittest; e.requirement.known && now.Sub(e.tookAt) < fittestRetention && known.Fitness(required) > best.Fitness(required) {
-		best = known
+	inherited := e.requirement.published.Fittest
+	recent := e.requirement.known && now.Sub(e.tookAt) < fittestRetention
+	if recent && inherited.Fitness(required) > best.Fitness(required) {
+		best = inherited
 	}
 	for _, c := range e.reports {
 		if now.Sub(c.at) < reportRetention && c.Capacity.Fitness(required) > best.Fitness(required) {
@@ -116,6 +120,7 @@
 	return e.fitness()
 }
 
+// fitness is Fitness for callers that hold mu.
 func (e *Elector) fitness() float64 { return e.Capacity.Fitness(e.requirement.published.Required) }
 
 // takeCapacityRecord returns the record to append with the next renewal, if there is one.
@@ -136,8 +141,11 @@
 // applyCapacity applies a record of capacityKey. The caller holds mu.
 func (e *Elector) applyCapacity(value []byte) {
 	var r capacityRecord
-	if cbor.Unmarshal(value, &r) != nil || r.Fence < e.requirement.published.Fence || e.cancelTerm != nil {
-		return // a leader knows its own records
+	if cbor.Unmarshal(value, &r) != nil { // the requirement that is known stays valid
+		return
+	}
+	if r.Fence < e.requirement.published.Fence || e.cancelTerm != nil { // a leader knows its own records
+		return
 	}
 	e.requirement.known, e.requirement.published, e.requirement.pending = true, r, false
 }
