--- a/lead/evidence.go
+++ b/lead/evidence.go
@@ -10,7 +10,7 @@
 // between two answers nothing is known about the leader, whose renewals may have failed as well, and the election timeout
 // starts anew. Until a renewal is due nothing need be known, and a pause before a read is no gap. The caller holds mu.
 func (e *Elector) storeAnswered() {
-	now := e.Clock.ExactNow() // Now may not yet include a suspension of the machine
+	now := e.Clock.ExactNow() // makes later calls of Now include a suspension that has just ended
 	known := latestOf(e.answeredAt, e.lastHeard.Add(renewInterval), e.pausedUntil)
 	e.answeredAt = now
 	switch {
--- a/lead/evidence_test.go
+++ b/lead/evidence_test.go
@@ -30,6 +30,7 @@
 	deadProbes int
 }
 
+// hold holds all calls until the returned function is called; then they go on, or fail if lost is set.
 func (f *faultyStore) hold(lost bool) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -43,6 +44,7 @@
 	}
 }
 
+// pass waits while calls are held, and returns an error if the call is lost.
 func (f *faultyStore) pass(ctx context.Context) error {
 	f.mu.Lock()
 	back, lost := f.back, f.lost
@@ -65,21 +67,21 @@
 // view returns the store as an entry sees it. A call that is made while the store holds calls waits, and so does the answer
 // of a call that was made before.
 func (f *faultyStore) view(tp *memoryTopic, entry string) feed.Topic {
-	way := delayedTopic(tp, entry, func() time.Duration { return 2 * time.Millisecond })
-	appendTo, read, newest := way.Append, way.Read, way.Newest
-	way.Append = func(ctx context.Context, b feed.Batch) (int64, error) {
+	topic := delayedTopic(tp, entry, func() time.Duration { return 2 * time.Millisecond })
+	appendTo, read, newest := topic.Append, topic.Read, topic.Newest
+	topic.Append = func(ctx context.Context, b feed.Batch) (int64, error) {
 		if err := f.pass(ctx); err != nil {
 			return 0, err
 		}
 		return appendTo(ctx, b)
 	}
-	way.Newest = func(ctx context.Context) (feed.KeyedPage, error) {
+	topic.Newest = func(ctx context.Context) (feed.KeyedPage, error) {
 		if err := f.pass(ctx); err != nil {
 			return feed.KeyedPage{}, err
 		}
 		return newest(ctx)
 	}
-	short := func(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
+	held := func(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
 		if err := f.pass(ctx); err != nil {
 			return feed.KeyedPage{}, err
 		}
@@ -95,22 +97,22 @@
 		}
 		return dead
 	}
-	way.Read = func(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
+	topic.Read = func(ctx context.Context, from int64, wait time.Duration) (feed.KeyedPage, error) {
 		f.mu.Lock()
 		dead := f.swallowed[entry]
 		f.mu.Unlock()
 		if silent(ctx, dead) {
 			return feed.KeyedPage{}, feed.ErrUncertain
 		}
-		return short(ctx, from, wait)
+		return held(ctx, from, wait)
 	}
-	way.Probe = func(ctx context.Context, from int64, attempt int) (feed.KeyedPage, error) {
+	topic.Probe = func(ctx context.Context, from int64, attempt int) (feed.KeyedPage, error) {
 		if silent(ctx, attempt < f.deadProbes) {
 			return feed.KeyedPage{}, feed.ErrUncertain
 		}
-		return short(ctx, from, 0)
+		return held(ctx, from, 0)
 	}
-	return way
+	return topic
 }
 
 // sizedGroup returns a running group of large entries and then small ones.
@@ -135,7 +137,7 @@
 
 // TestUnansweredLongPollsDoNotDelayATakeover has a cut take the leader away and leave the long polls of all other large entries
 // without an answer, while other routes to the store work. A large entry must take over, and no later than with long polls that
-// are answered; before, a small one took over, whose next read was sent only after the cut.
+// are answered. It guards against a takeover by a small entry whose next read is sent only after the cut.
 func TestUnansweredLongPollsDoNotDelayATakeover(t *testing.T) {
 	for _, dead := range []int{0, 1, 2} {
 		for phase := range 8 {
@@ -231,7 +233,7 @@
 	}
 }
 
-// TestCalmTimesNeedNoSecondReads checks that an undisturbed leader causes no second reads.
+// TestCalmTimesNeedNoSecondReads guards against second reads that load the store while the leader and all routes are healthy.
 func TestCalmTimesNeedNoSecondReads(t *testing.T) {
 	inBubble(t, func(t *testing.T, c *quicktest.C) {
 		var mu sync.Mutex
@@ -254,7 +256,7 @@
 	})
 }
 
-// TestASuspendedCandidateTakesNoLead suspends the machines of all candidates in turn, whose clocks jump by longer than the election
+// TestASuspendedCandidateTakesNoLead suspends the machines of all candidates in turn, whose clocks jump by more than the election
 // timeout. What a candidate has not heard in that time says nothing about the leader, which is alive.
 func TestASuspendedCandidateTakesNoLead(t *testing.T) {
 	for phase := range 7 {
--- a/lead/handover_test.go
+++ b/lead/handover_test.go
@@ -144,10 +144,11 @@
 }
 
 // TestLossOfTheLeaderIsBoundedByFitness loses the leader, and all other large entries or none. A fit entry must take over as soon as
-// before, and an unfit one at most half a second later than an entry that reads as rarely did; a fleet of entries that are all alike, even if they are all unfit, must not wait.
+// the election timeout allows, and an unfit one at most maxDeferral later than a fit entry that reads as rarely. Entries that are
+// all alike must not wait for each other, even if none is fit.
 func TestLossOfTheLeaderIsBoundedByFitness(t *testing.T) {
-	today := electionTimeout + maxJitter + 50*time.Millisecond
-	todayRare := today + followerReadPause // of an entry that does not read each renewal at once
+	fitBound := electionTimeout + maxJitter + 50*time.Millisecond
+	rareReaderBound := fitBound + followerReadPause // of an entry that does not read each renewal at once
 	for _, test := range [...]struct {
 		name         string
 		large, small int
@@ -156,12 +157,12 @@
 		bound        time.Duration
 		next         Capacity
 	}{
-		{"large entries remain", 4, 8, false, heavyDemand, today, largeCapacity},
-		{"all large entries lost", 4, 8, true, heavyDemand, todayRare + maxDeferral, smallCapacity},
-		{"only small entries", 0, 6, false, heavyDemand, today, smallCapacity},
-		{"only large entries", 6, 0, false, heavyDemand, today, largeCapacity},
-		{"all large entries lost, and small ones are fit", 4, 8, true, Capacity{Link: 1e6}, todayRare, smallCapacity},
-		{"two candidates", 2, 1, false, heavyDemand, today, largeCapacity},
+		{"large entries remain", 4, 8, false, heavyDemand, fitBound, largeCapacity},
+		{"all large entries lost", 4, 8, true, heavyDemand, rareReaderBound + maxDeferral, smallCapacity},
+		{"only small entries", 0, 6, false, heavyDemand, fitBound, smallCapacity},
+		{"only large entries", 6, 0, false, heavyDemand, fitBound, largeCapacity},
+		{"all large entries lost, and small ones are fit", 4, 8, true, Capacity{Link: 1e6}, rareReaderBound, smallCapacity},
+		{"two candidates", 2, 1, false, heavyDemand, fitBound, largeCapacity},
 	} {
 		for phase := range 6 {
 			inBubble(t, func(t *testing.T, c *quicktest.C) {
@@ -182,7 +183,7 @@
 }
 
 // TestFlappingLargeEntriesDoNotMoveTheLead has large entries lose and regain the store in turn while a small one leads. The lead
-// must move at most once in an interval, and there must never be more leaders than terms.
+// must move at most once in a handOverInterval, and there must never be more leaders than terms.
 func TestFlappingLargeEntriesDoNotMoveTheLead(t *testing.T) {
 	inBubble(t, func(t *testing.T, c *quicktest.C) {
 		g := capacityGroup(t, new(faultyStore), 3, 4, heavyDemand, true)
@@ -263,9 +264,9 @@
 	})
 }
 
-// TestAHandoverDuringARenewalIsReadByTheOthers guards against a term that is given up while the store accepts a renewal whose answer is still
-// on its way. The store takes a record with the same sequence number for a repetition, so that the release would be lost and the
-// others would wait for the election timeout.
+// TestAHandoverDuringARenewalIsReadByTheOthers guards against a term that is given up while the store accepts a renewal whose
+// answer is still on its way. The store takes a record with the same sequence number for a repetition, so that the release would
+// be lost and the others would wait for the election timeout.
 func TestAHandoverDuringARenewalIsReadByTheOthers(t *testing.T) {
 	for _, after := range [...]time.Duration{0, 50, 100, 150, 200, 250, 300} {
 		inBubble(t, func(t *testing.T, c *quicktest.C) {
