--- a/entry/node.go
+++ b/entry/node.go
@@ -193,7 +193,7 @@
 		MaxBatchBytes:  s.Store.MaxCallBytes / 2, // leaves a wide margin to the store's limit for a call
 		MaxRecordBytes: s.Store.MaxRecordBytes,
 		Capacity:       leadCapacity(s), LinkBytes: n.traffic.Total, CPUTime: processCPUTime, MemoryInUse: processMemory,
-		Processor: s.Limits.Share * max(s.Limits.Cores, 1), LinkPerSecond: s.Limits.LinkMbps * bytesPerMegabit,
+		Processor: processorShare(s), LinkPerSecond: s.Limits.LinkMbps * bytesPerMegabit,
 	}
 	n.scheduler.SetBounds(boundsOf(s))
 	if n.metrics.scope != nil {
@@ -205,7 +205,7 @@
 	n.elector = &lead.Elector{
 		Clock: n.Clock,
 		Entry: s.Entry, Address: peers.Addr().String(), Boot: n.boot, Topic: store.ProductTopic(leadTopic, 0), Events: n.Events,
-		Weight: s.Limits.Share * max(s.Limits.Cores, 1), Serve: n.lead, OnRecord: n.followLeader, Capacity: leadCapacity(s),
+		Weight: processorShare(s), Serve: n.serveTerm, OnRecord: n.followLeader, Capacity: leadCapacity(s),
 		Eligible: func() bool { return n.ingress.Ready() },
 	}
 	n.scheduler.ConfirmedAt, n.scheduler.Lost, n.scheduler.HandOver = n.elector.ConfirmedAt, n.elector.StepDown, n.elector.HandOver
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -108,8 +108,8 @@
 	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
-// began records that a peer makes a call for this entry, and returns the function that records its end.
-func (p *peerTable) began(address string) func() {
+// startRelaying records that a peer makes a call for this entry, and returns the function that records its end.
+func (p *peerTable) startRelaying(address string) func() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.relaying == nil {
@@ -125,8 +125,8 @@
 	}
 }
 
-// sortForDetour sorts peers so that those come last that are making a call for this entry, whose answer may be lost, and the
-// leader, whose silence is the usual reason for a detour.
+// sortForDetour moves two kinds of peers to the end: those that are making a call for this entry, since its answer may be lost,
+// and the leader, since its silence is the usual reason for a detour.
 func (p *peerTable) sortForDetour(addresses []string, leader string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -198,9 +198,9 @@
 		}
 		attempts++
 		var a peerpb.StoreAnswer
-		ended := n.peers.began(address)
+		stopRelaying := n.peers.startRelaying(address)
 		err := n.callPeer(ctx, address, open, &a)
-		ended()
+		stopRelaying()
 		switch {
 		case errors.Is(err, errNoReply), err == nil && a.Status == 0 && !a.Unsent:
 			n.peers.markUnresponsive(address)
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -9,15 +9,15 @@
 )
 
 // TestADetourAvoidsBusyPeersAndTheLeader guards against a second read that waits in the same peer as the first one, or in the
-// leader whose silence it is to examine.
+// leader whose silence is in question.
 func TestADetourAvoidsBusyPeersAndTheLeader(t *testing.T) {
 	c := quicktest.New(t)
 	var p peerTable
-	ended := p.began("a")
+	stopRelaying := p.startRelaying("a")
 	order := []string{"leader", "a", "b", "c"}
 	p.sortForDetour(order, "leader")
 	c.Assert(order, quicktest.DeepEquals, []string{"b", "c", "leader", "a"})
-	ended()
+	stopRelaying()
 	order = []string{"a", "b"}
 	p.sortForDetour(order, "leader")
 	c.Assert(order, quicktest.DeepEquals, []string{"a", "b"})
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	runtimemetrics "runtime/metrics"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -17,15 +18,18 @@
 // bytesPerMegabyte converts the settings' megabytes to bytes.
 const bytesPerMegabyte = 1 << 20
 
+// processorShare returns the processor time that the settings give the entry, in cores.
+func processorShare(s *platform.Settings) float64 { return s.Limits.Share * max(s.Limits.Cores, 1) }
+
 // leadCapacity returns what the settings give the entry for leading.
 func leadCapacity(s *platform.Settings) lead.Capacity {
 	return lead.Capacity{
-		Processor: s.Limits.Share * max(s.Limits.Cores, 1), Link: s.Limits.LinkMbps * bytesPerMegabit,
+		Processor: processorShare(s), Link: s.Limits.LinkMbps * bytesPerMegabit,
 		Descriptors: float64(maxWorkerConnections(s)), Memory: float64(s.Limits.MemoryMB) * bytesPerMegabyte,
 	}
 }
 
-// processCPUTime returns the processor time that this process has used.
+// processCPUTime returns the processor time that this process has used, or 0 when the system does not tell.
 func processCPUTime() time.Duration {
 	var u syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
@@ -41,13 +45,10 @@
 	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
 }
 
-// lead serves a term and counts takeovers by fit and by unfit entries.
-func (n *Node) lead(ctx context.Context, t lead.Term) {
+// serveTerm serves a term and counts takeovers by fit and by unfit entries.
+func (n *Node) serveTerm(ctx context.Context, t lead.Term) {
 	if n.metrics.scope != nil {
-		fit := "true"
-		if n.elector.Fitness() < 1 {
-			fit = "false"
-		}
+		fit := strconv.FormatBool(n.elector.Fitness() >= 1)
 		n.metrics.scope.Tagged(map[string]string{"fit": fit}).Counter("lead_takeovers").Inc(1)
 	}
 	n.scheduler.Serve(ctx, t)
@@ -61,7 +62,7 @@
 	n.elector.HandOverTo(fence, to)
 }
 
-// reportToLeader tells a leader that is less fit than this entry that it is well, until the context ends.
+// reportToLeader tells a leader that is less fit that this entry is well, again and again until the context ends.
 func (n *Node) reportToLeader(ctx context.Context) error {
 	ticker := time.NewTicker(lead.ReportInterval)
 	defer ticker.Stop()
@@ -80,15 +81,16 @@
 	}
 }
 
-// sendLeadReport sends one report. A lost one is not repeated, since the next follows soon.
+// sendLeadReport sends one report. A lost one is not repeated, since the next follows soon. If the leader does not answer, the
+// leader's record is read at once.
 func (n *Node) sendLeadReport(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lead.ReportInterval)
 	defer cancel()
-	own := n.elector.Capacity
+	own, leader := n.elector.Capacity, n.elector.Latest().Address
 	open := &peerpb.Open{Kind: &peerpb.Open_LeadReport{LeadReport: &peerpb.LeadReport{
 		Entry: n.elector.Entry, Boot: n.elector.Boot, Processor: own.Processor, Link: own.Link, Descriptors: own.Descriptors, Memory: own.Memory,
 	}}}
-	if err := n.callPeer(ctx, n.elector.Latest().Address, open, new(peerpb.LeadReportAnswer)); errors.Is(err, errNoReply) {
+	if err := n.callPeer(ctx, leader, open, new(peerpb.LeadReportAnswer)); errors.Is(err, errNoReply) {
 		n.elector.ReadNow()
 	}
 }
--- a/entry/succession_test.go
+++ b/entry/succession_test.go
@@ -14,14 +14,15 @@
 	"rackstep.dev/platform"
 )
 
-// TestASmallLeaderHandsOverToALargeEntryThatJoins has entries on thin links lead until one on a wide link joins. It must take the lead
-// after reporting to the leader over their link, and jobs must run before and after. Before, it led only once the small leader was lost.
+// TestASmallLeaderHandsOverToALargeEntryThatJoins has entries on narrow links lead until one on a wide link joins. It must take the
+// lead after reporting to the leader over their link, and jobs must run before and after. It guards against reports that do not
+// arrive, so that the large entry leads only once the small leader is lost.
 func TestASmallLeaderHandsOverToALargeEntryThatJoins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		d := deploy(c, 2, 6, nil)
 		leading := func(i int) bool { return d.nodes[i].node.IsLeader() }
-		// The running nodes get a thin link as far as the election is concerned.
+		// The running nodes get a narrow link as far as the election is concerned.
 		for _, n := range d.nodes {
 			n.node.elector.Capacity.Link = 1000
 		}
