--- a/event/leads.go
+++ b/event/leads.go
@@ -21,10 +21,10 @@
 	From, Until time.Time
 	// Resigned reports whether the leader gave up the term itself.
 	Resigned bool
-	// Why says why the entry stood for election, Fitness how far it has what leading requires, at most 1. They are empty in logs
+	// Why says why the entry stood for election, Fitness how far it has what leading requires, at most 1. Both are empty for logs
 	// of earlier versions.
 	Why, Fitness string
-	// HandedTo is the entry to which the leader handed over, HandedWhy why.
+	// HandedTo is the entry to which the leader handed over, HandedWhy the reason. Both are empty if it named no entry.
 	HandedTo, HandedWhy string
 	// Steps holds the time from the start of the term to each step of the takeover, by the step's name.
 	Steps map[string]time.Duration
--- a/event/shortages.go
+++ b/event/shortages.go
@@ -11,14 +11,21 @@
 
 // ShortPool is what a pool wanted, was granted and had at one time during a shortage of instances.
 type ShortPool struct {
-	Time                                                  time.Time
-	Pool, Wanted, Granted, Have, Lasting, Timely, Movable string
+	Time time.Time
+	Pool string
+	// Wanted, Granted and Have count instances.
+	Wanted, Granted, Have string
+	// Lasting is how many instances lasting tasks need, Timely how many the work that can be in time needs, and Movable how many
+	// of the pool's instances could move to another pool.
+	Lasting, Timely, Movable string
 }
 
 // InstanceShift is a number of instances that moved to the pool where they yield more.
 type InstanceShift struct {
-	Time                            time.Time
-	From, To, Instances, Gain, Loss string
+	Time                time.Time
+	From, To, Instances string
+	// Gain is what the last of the instances yields in the pool to which it moved, Loss what it would yield in the other one.
+	Gain, Loss string
 }
 
 // Shortages is the history of the times in which pools together wanted more instances than there were, extracted from the
@@ -39,15 +46,20 @@
 		case l.Number == PoolShort && field("state") == "ended":
 			s.Lasted = append(s.Lasted, textDuration(l.Text, "lasted"))
 		case l.Number == PoolShort:
-			s.Pools = append(s.Pools, ShortPool{l.Time, field("pool"), field("wanted"), field("granted"), field("have"), field("lasting"), field("timely"), field("movable")})
+			s.Pools = append(s.Pools, ShortPool{
+				Time: l.Time, Pool: field("pool"), Wanted: field("wanted"), Granted: field("granted"), Have: field("have"),
+				Lasting: field("lasting"), Timely: field("timely"), Movable: field("movable"),
+			})
 		case l.Number == InstancesShifted:
-			s.Shifts = append(s.Shifts, InstanceShift{l.Time, field("from"), field("to"), field("instances"), field("gain"), field("loss")})
+			s.Shifts = append(s.Shifts, InstanceShift{
+				Time: l.Time, From: field("from"), To: field("to"), Instances: field("instances"), Gain: field("gain"), Loss: field("loss"),
+			})
 		}
 	}
 	return s
 }
 
-// Write writes the pools and the shifts to w as two tables.
+// Write writes the pools and the shifts to w as two tables, and then how long each shortage lasted.
 func (x Shortages) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "TIME\tPOOL\tWANTED\tGRANTED\tHAVE\tLASTING\tTIMELY\tMOVABLE")
