pool: one rule for where a start may leave before it is stored

The rule that both the stored and the pending assignment allow a data centre stood twice, and the rule for jobs that wait for unanswered workers three times. No behaviour changes.

--- a/pool/assignment.go
+++ b/pool/assignment.go
@@ -17,7 +17,7 @@
 
 // Parameters of the assignment of jobs to data centres.
 const (
-	// minAssignedWorkers is the number of usable workers that a data centre must have in a pool to get jobs assigned. With fewer, the
+	// minAssignedWorkers is the number of usable workers that a data centre needs in a pool to be added to its assignment. With fewer, the
 	// jobs assigned to it would find no free capacity there while other data centres have some.
 	minAssignedWorkers = 3
 	// assignmentInterval is the minimum time between two changes of the assignment, each of which is stored.
@@ -65,6 +65,11 @@
 	predecessor centresByPool
 }
 
+// allows reports whether this leader may start a job of the pool in the data centre before the start is stored.
+func (a *assignment) allows(pool, jobID, dataCentre string) bool {
+	return a.stored.allows(pool, jobID, dataCentre) && a.pending.allows(pool, jobID, dataCentre)
+}
+
 // restoreAssignment restores the assignment of the last leader. It says nothing about the leaders before that one, so it is used only if
 // none of those can have unstored runs.
 func (c *session) restoreAssignment(r feed.KeyedRecord) {
@@ -103,15 +108,16 @@
 	}
 	next := make(centresByPool)
 	for name, byCentre := range workers {
-		if centres := centresWithRoom(byCentre, current[name]); len(centres) > 1 {
+		if centres := assignableCentres(byCentre, current[name]); len(centres) > 1 {
 			next[name] = centres
 		}
 	}
 	return next
 }
 
-// centresWithRoom returns the data centres of a pool that get jobs assigned, given those that have some now.
-func centresWithRoom(workers map[string]int, current []string) []string {
+// assignableCentres returns the data centres of a pool that get jobs assigned, given its usable workers by data centre and its current
+// data centres.
+func assignableCentres(workers map[string]int, current []string) []string {
 	var centres []string
 	for name, n := range workers {
 		if n >= minAssignedWorkers || (n > 0 && slices.Contains(current, name)) {
@@ -150,8 +156,7 @@
 
 // mayStartUnstored reports whether a planned start may leave before it is stored.
 func (c *session) mayStartUnstored(p plannedStart) bool {
-	id, w := p.task.Job.Spec.ID, p.worker
-	return c.assignment.stored.allows(w.Pool, id, w.DataCentre) && c.assignment.pending.allows(w.Pool, id, w.DataCentre)
+	return c.assignment.allows(p.worker.Pool, p.task.Job.Spec.ID, p.worker.DataCentre)
 }
 
 // chooseWorkers chooses workers for the tasks of the groups. While starts leave before they are stored, a group gets only candidates in the
@@ -163,71 +168,20 @@
 		return place.Tasks(groups, candidates, draft)
 	}
 	candidatesIn := make(map[string][]*place.Candidate)
-	for _, r := range candidates {
-		candidatesIn[r.Worker.DataCentre] = append(candidatesIn[r.Worker.DataCentre], r)
+	for _, x := range candidates {
+		candidatesIn[x.Worker.DataCentre] = append(candidatesIn[x.Worker.DataCentre], x)
 	}
 	groupsIn := make(map[string][]*place.Group)
 	for _, g := range groups {
-		id := g.Job.Spec.ID
 		for centre := range candidatesIn {
-			if a.stored.allows(pool, id, centre) && a.pending.allows(pool, id, centre) {
+			if a.allows(pool, g.Job.Spec.ID, centre) {
 				groupsIn[centre] = append(groupsIn[centre], g)
 			}
 		}
 	}
-	var out []place.Choice
+	var choices []place.Choice
 	for _, centre := range slices.Sorted(maps.Keys(groupsIn)) {
-		out = append(out, place.Tasks(groupsIn[centre], candidatesIn[centre], draft)...)
-	}
-	return out
-}
-
-// unansweredWorkers describes the workers of a pool that have not answered this leader yet and may have unstored runs of an earlier one.
-type unansweredWorkers struct {
-	pool string
-	// anywhere means that such a run may be of any job; otherwise it is of a job assigned to one of the centres.
-	anywhere bool
-	centres  map[string]bool
-	assigned centresByPool
-}
-
-// unansweredIn returns the workers of the pool that may have unstored runs.
-func (c *session) unansweredIn(pool string) unansweredWorkers {
-	u := unansweredWorkers{pool: pool, assigned: c.assignment.predecessor}
-	if !c.mayHaveUnstoredRuns() {
-		return u
-	}
-	for _, w := range c.uncertainIncarnations {
-		if w.Pool != pool {
-			continue
-		}
-		centre := c.dataCentreOf(w)
-		if centre == "" || len(u.assigned[pool]) == 0 {
-			u.anywhere = true
-			return u
-		}
-		if u.centres == nil {
-			u.centres = make(map[string]bool)
-		}
-		u.centres[centre] = true
-	}
-	return u
-}
-
-// dataCentreOf returns the data centre of a worker, or an empty string if it is not known. A worker that is known only from the records of
-// an earlier leader has that of its instance.
-func (c *session) dataCentreOf(w *worker) string {
-	if w.DataCentre != "" {
-		return w.DataCentre
-	}
-	return c.machines[w.Machine].DataCentre
-}
-
-// blocks reports whether one of the workers may have an unstored run of the job.
-func (u unansweredWorkers) blocks(jobID string) bool {
-	if u.anywhere {
-		return true
+		choices = append(choices, place.Tasks(groupsIn[centre], candidatesIn[centre], draft)...)
 	}
-	centre, assigned := u.assigned.centreOf(u.pool, jobID)
-	return assigned && u.centres[centre]
+	return choices
 }
--- a/pool/assignment_test.go
+++ b/pool/assignment_test.go
@@ -65,7 +65,7 @@
 		{"another one has enough", map[string]int{"a": 3, "b": 3, "c": 3}, []string{"a", "b"}, []string{"a", "b", "c"}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			quicktest.Assert(t, centresWithRoom(x.workers, x.current), quicktest.DeepEquals, x.want)
+			quicktest.Assert(t, assignableCentres(x.workers, x.current), quicktest.DeepEquals, x.want)
 		})
 	}
 }
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -134,7 +134,7 @@
 func (c *session) countWaiting(p *poolRow, instance job.Need) {
 	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
-		if !c.usesInstances(g, unanswered) {
+		if !usesInstances(g, unanswered) {
 			continue
 		}
 		step := &g.Job.Spec.Steps[g.Step]
@@ -151,8 +151,8 @@
 }
 
 // usesInstances reports whether more instances would let tasks of the group start. unanswered holds the workers of its pool that may have unstored runs.
-func (c *session) usesInstances(g *place.Group, unanswered unansweredWorkers) bool {
-	if c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID) {
+func usesInstances(g *place.Group, unanswered unansweredWorkers) bool {
+	if unanswered.mayRun(g.Job.Spec.ID) {
 		return false // its tasks can't start yet, so that instances for them would be idle
 	}
 	return !g.Capped && !g.OverRate // more instances don't help a capped group, and a group over its rate limit is entitled to none
@@ -342,7 +342,7 @@
 	unanswered := c.unansweredIn(p.name)
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || g.Capped || g.OverRate || (c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID)) {
+		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || !usesInstances(g, unanswered) {
 			continue
 		}
 		c.countPlacedTasks(g, step)
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -215,7 +215,7 @@
 	confirmed := c.confirmed(now)
 	groups := make([]*place.Group, 0, len(p.open))
 	for _, g := range p.open {
-		if (c.inheritedJobs[g.Job.Spec.ID] && unanswered.blocks(g.Job.Spec.ID)) || c.jobIsAside(g.Job) {
+		if unanswered.mayRun(g.Job.Spec.ID) || c.jobIsAside(g.Job) {
 			continue
 		}
 		if !confirmed && c.readUnconfirmed[g.Job.Spec.ID] {
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -187,7 +187,7 @@
 	fresh := 0.0 // work of jobs that came under this leader
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if step.Lasting || !c.usesInstances(g, unanswered) {
+		if step.Lasting || !usesInstances(g, unanswered) {
 			continue
 		}
 		n, _ := waitingTasks(g, step)
