pool, maintenance: shorter functions for the allocation in a shortage

The claim of a pool, the marking of instances that have moved lately and the choice of the pair of pools are functions of their own. The sum of the timely work, which stood twice, is Claim.TimelyInstances. A pair of pools and the probability from which a job counts as in time have names. No behaviour changes.

--- a/maintenance/shortage.go
+++ b/maintenance/shortage.go
@@ -18,6 +18,9 @@
 	Value float64
 }
 
+// total returns the value of the work of one of the instances.
+func (c Class) total() float64 { return c.Value * float64(c.For) }
+
 // Claim describes what instances yield in a pool during a shortage.
 type Claim struct {
 	// Lasting is the number of instances that its lasting tasks need, which come before everything else.
@@ -31,6 +34,15 @@
 	Emptying time.Duration
 }
 
+// TimelyInstances returns the number of instances that the pool's timely work needs.
+func (c *Claim) TimelyInstances() float64 {
+	n := 0.0
+	for _, x := range c.Timely {
+		n += x.Instances
+	}
+	return n
+}
+
 // ShiftTerms are the terms on which instances move between pools during a shortage.
 type ShiftTerms struct {
 	// Delay is the time from the beginning of a move until the instance serves its new pool.
@@ -49,12 +61,11 @@
 }
 
 const (
-	// moveCost is the yield, in seconds of an instance at work, by which a move must exceed its loss. It stands for
-	// the price of a move. Instances that yield nothing where they are go wherever they yield something, as they do
-	// without a shortage.
+	// moveCost is the price of a move, in seconds of an instance at work. Instances that yield nothing where they are
+	// go wherever they yield something, as they do without a shortage.
 	moveCost = 0.1
-	// minGainRatio is how many times its loss a move must yield. Both are made from estimates of run times and of rates,
-	// which are off by as much.
+	// minGainRatio is how many times its loss a move must yield. Both are made from estimates of run times and rates,
+	// which may be wrong by this factor.
 	minGainRatio = 2
 	// maxScarcity bounds the weight of a pool that has a small part of the instances that its timely work needs.
 	maxScarcity = 8
@@ -110,10 +121,8 @@
 		a.Claim = *c
 	}
 	a.Timely = slices.Clone(a.Timely)
-	slices.SortStableFunc(a.Timely, func(x, y Class) int { return cmp.Compare(y.Value*float64(y.For), x.Value*float64(x.For)) })
-	for _, c := range a.Timely {
-		a.needed += c.Instances
-	}
+	slices.SortStableFunc(a.Timely, func(x, y Class) int { return cmp.Compare(y.total(), x.total()) })
+	a.needed = a.TimelyInstances()
 	return a
 }
 
@@ -181,32 +190,47 @@
 // best one does not.
 func shiftInstances(rows []*allotment, t ShiftTerms) []Shift {
 	var shifts []Shift
-	at := make(map[[2]string]int)
 	for {
-		var to, from *allotment
-		gain, loss := 0.0, math.Inf(1)
-		for _, a := range rows {
-			if g := a.gain(t); g > gain || (g > 0 && g == gain && a.lack() > to.lack()) {
-				to, gain = a, g
-			}
-			if l := a.loss(t); l < loss || (l == loss && a.Headroom && a.Movable > 0) {
-				from, loss = a, l
-			}
-		}
+		to, gain := mostGaining(rows, t)
+		from, loss := leastLosing(rows, t)
 		if to == nil || from == nil || from == to || !pays(gain, loss) {
 			return shifts
 		}
 		to.granted++
 		from.granted--
 		from.Movable--
-		key := [2]string{from.Name, to.Name}
-		i, seen := at[key]
-		if !seen {
+		i := slices.IndexFunc(shifts, func(x Shift) bool { return x.From == from.Name && x.To == to.Name })
+		if i < 0 {
 			i = len(shifts)
-			at[key] = i
 			shifts = append(shifts, Shift{From: from.Name, To: to.Name})
 		}
 		shifts[i].Instances++
 		shifts[i].Gain, shifts[i].Loss = gain, loss
 	}
 }
+
+// mostGaining returns the pool that gains most from one more instance, and its gain. It returns nil if none gains. Of
+// equal gains it takes that of the pool that lacks the larger part of its want.
+func mostGaining(rows []*allotment, t ShiftTerms) (*allotment, float64) {
+	var to *allotment
+	gain := 0.0
+	for _, a := range rows {
+		if g := a.gain(t); g > gain || (g > 0 && g == gain && a.lack() > to.lack()) {
+			to, gain = a, g
+		}
+	}
+	return to, gain
+}
+
+// leastLosing returns the pool that loses least with one of its instances, and its loss. It returns nil if no instance
+// may move. Of equal losses it takes that of the headroom.
+func leastLosing(rows []*allotment, t ShiftTerms) (*allotment, float64) {
+	var from *allotment
+	loss := math.Inf(1)
+	for _, a := range rows {
+		if l := a.loss(t); l < loss || (l == loss && a.Headroom && a.Movable > 0) {
+			from, loss = a, l
+		}
+	}
+	return from, loss
+}
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -15,26 +15,31 @@
 
 // Parameters of the allocation during a shortage.
 const (
-	// shortageMargin is the part by which the wants must exceed what there is. Wants are estimates that vary by more than this from one pass to the next.
+	// shortageMargin is the fraction by which the wants must exceed the number of instances. Wants are estimates that vary from one pass to the next.
 	shortageMargin = 0.05
 	// shortageGrace is how long they must do so before instances are shifted: most excesses are over when the first instances arrive.
 	shortageGrace = 300 * time.Millisecond
 	// payOffFactor is the time within which a shift must pay, as a multiple of the duration of a move. Load is not predictable for much longer.
 	payOffFactor = 2
-	// newLeaderTime is how long a leader is new: it knows little of the work that is submitted, and pools with an old backlog may ask before those with new jobs.
-	// During that time a shortage needs no grace.
+	// newLeaderTime is how long a leader is new, so that a shortage needs no grace: pools with an old backlog may ask for instances before those with new
+	// jobs. A new leader knows little of the rate at which work is submitted.
 	newLeaderTime = 2 * rateWindow
 	// maxDensity bounds the value of a core-second of a job that is almost done.
 	maxDensity = 4
+	// probableInTime is the probability from which a job is taken to end in time.
+	probableInTime = 0.5
 )
 
+// poolPair is the pools that instances leave and enter in a shift.
+type poolPair struct{ from, to string }
+
 // shortage is the state of the allocation while the pools together want more instances than there are.
 type shortage struct {
 	// since is when the shortage began, or zero if there is none. allotted is set once targets are limited.
 	since    time.Time
 	allotted bool
-	// shifts are the shifts since loggedAt, by the pools that instances leave and enter. Instances counts those that have moved.
-	shifts   map[[2]string]maintenance.Shift
+	// shifts holds the shifts since loggedAt. Their Instances counts only those that have moved.
+	shifts   map[poolPair]maintenance.Shift
 	loggedAt time.Time
 }
 
@@ -50,8 +55,7 @@
 	if now.Sub(c.shortage.since) < shortageGrace && now.Sub(c.tablesReadAt) >= newLeaderTime {
 		return
 	}
-	delay := c.Bounds().Move + moveOverhead
-	terms := maintenance.ShiftTerms{Delay: delay, PayOff: time.Duration(payOffFactor * float64(delay))}
+	terms := c.shiftTerms()
 	claims := c.claims(pools, instances, terms, now)
 	wanted := slices.Clone(pools)
 	c.shortage.allotted = true
@@ -59,6 +63,12 @@
 	c.logShortage(wanted, pools, claims, now)
 }
 
+// shiftTerms returns the terms on which instances move during a shortage.
+func (c *session) shiftTerms() maintenance.ShiftTerms {
+	delay := c.Bounds().Move + moveOverhead
+	return maintenance.ShiftTerms{Delay: delay, PayOff: payOffFactor * delay}
+}
+
 // endShortage logs the end of a shortage.
 func (c *session) endShortage(now time.Time) {
 	if c.shortage.allotted {
@@ -81,15 +91,12 @@
 			continue
 		}
 		claim := claims[w.Name]
-		timely := 0.0
-		for _, x := range claim.Timely {
-			timely += x.Instances
-		}
 		c.emit(event.PoolShort, event.Subject{Entry: c.Entry}, "state=short pool=%s wanted=%.0f granted=%.0f have=%d lasting=%.0f timely=%.0f movable=%d",
-			w.Name, math.Ceil(max(w.Want, w.Min)), math.Ceil(max(g.Want, g.Min)), w.Have, claim.Lasting, timely, claim.Movable)
+			w.Name, math.Ceil(max(w.Want, w.Min)), math.Ceil(max(g.Want, g.Min)), w.Have, claim.Lasting, claim.TimelyInstances(), claim.Movable)
 	}
 }
 
+// logShifts logs and forgets the shifts since the previous time.
 func (c *session) logShifts() {
 	for _, x := range c.shortage.shifts {
 		if x.Instances == 0 {
@@ -103,10 +110,10 @@
 // noteShifts keeps what the latest allocation expects of each shift.
 func (c *session) noteShifts(shifts []maintenance.Shift) {
 	if c.shortage.shifts == nil && len(shifts) > 0 {
-		c.shortage.shifts = make(map[[2]string]maintenance.Shift)
+		c.shortage.shifts = make(map[poolPair]maintenance.Shift)
 	}
 	for _, x := range shifts {
-		key := [2]string{x.From, x.To}
+		key := poolPair{x.From, x.To}
 		x.Instances = c.shortage.shifts[key].Instances
 		c.shortage.shifts[key] = x
 	}
@@ -118,7 +125,7 @@
 		return
 	}
 	c.counts.shifts.Inc(1)
-	key := [2]string{from, to}
+	key := poolPair{from, to}
 	if x, ok := c.shortage.shifts[key]; ok {
 		x.Instances++
 		c.shortage.shifts[key] = x
@@ -137,7 +144,7 @@
 	}
 }
 
-// claims returns what instances yield in each pool. An instance that has moved lately does not count as movable until its move has paid, unless its pool does not need it.
+// claims returns what instances yield in each pool, and sets Fixed for the instances whose last move has not paid yet.
 func (c *session) claims(pools []maintenance.Pool, instances []maintenance.Instance, terms maintenance.ShiftTerms, now time.Time) map[string]*maintenance.Claim {
 	claims := make(map[string]*maintenance.Claim, len(pools))
 	for i := range pools {
@@ -146,16 +153,9 @@
 			*claims[pools[i].Name] = c.claim(c.pool(pools[i].Name), terms, now)
 		}
 	}
-	excess := excessInstances(pools)
+	c.fixRecentlyMoved(pools, instances, terms.PayOff, now)
 	for i := range instances {
 		x := &instances[i]
-		if now.Sub(c.movedAt[x.Name]) < terms.PayOff && !c.config.Pools[x.Pool].Headroom {
-			if x.Runs == 0 && excess[x.Pool] > 0 {
-				excess[x.Pool]-- // nobody uses it, so that its move can't pay any more
-			} else {
-				x.Fixed = true
-			}
-		}
 		if claim := claims[x.Pool]; claim != nil && !x.Fixed && !x.Drained && x.Lasting == 0 {
 			claim.Movable++
 		}
@@ -163,6 +163,21 @@
 	return claims
 }
 
+// fixRecentlyMoved sets Fixed for the instances that have moved within payOff, except for idle ones that their pool does not need: their move can't pay any more.
+func (c *session) fixRecentlyMoved(pools []maintenance.Pool, instances []maintenance.Instance, payOff time.Duration, now time.Time) {
+	excess := excessInstances(pools)
+	for i := range instances {
+		x := &instances[i]
+		switch {
+		case now.Sub(c.movedAt[x.Name]) >= payOff || c.config.Pools[x.Pool].Headroom:
+		case x.Runs == 0 && excess[x.Pool] > 0:
+			excess[x.Pool]--
+		default:
+			x.Fixed = true
+		}
+	}
+}
+
 // excessInstances returns, by pool, the number of instances beyond what it wants and keeps.
 func excessInstances(pools []maintenance.Pool) map[string]int {
 	excess := make(map[string]int, len(pools))
@@ -173,18 +188,38 @@
 	return excess
 }
 
-// claim returns what instances yield in a pool. Work that can still be in time is split by whether it can be so on an instance whose move begins now.
+// claim returns what instances yield in a pool.
 func (c *session) claim(p *poolRow, terms maintenance.ShiftTerms, now time.Time) maintenance.Claim {
-	var urgent, patient timelyWork
-	add := func(work, value float64, within time.Duration) {
-		if within > terms.Delay {
-			patient.add(work, value, within)
-			return
+	claim := maintenance.Claim{
+		Lasting: p.load.lasting + spareInstances, LateValue: place.LatePart,
+		Emptying: time.Duration(meanRemainingShare * p.expectedRunSeconds() * float64(time.Second)),
+	}
+	split := splitWork{delay: terms.Delay}
+	fresh := c.addWaiting(p, now, &split)
+	c.addRunning(p, now, &split)
+	steady := maintenance.Class{Instances: c.steadyInstances(p, fresh, now), For: terms.PayOff, Value: 1}
+	for _, x := range [...]maintenance.Class{steady, split.urgent.class(), split.patient.class()} {
+		if x.Instances > 0 {
+			x.Instances *= 1 + spareShare
+			claim.Timely = append(claim.Timely, x)
 		}
-		urgent.add(work, value, within)
 	}
+	return claim
+}
+
+// steadyInstances returns how many instances the work that is submitted to the pool occupies. fresh is the waiting work of jobs that came under this leader: a
+// new leader measures too low a rate, because work that is submitted before the capacity of an instance is known does not count.
+func (c *session) steadyInstances(p *poolRow, fresh float64, now time.Time) float64 {
+	rate := p.rate(now)
+	if led := now.Sub(c.tablesReadAt); led < newLeaderTime {
+		rate = max(rate, fresh/max(led, minRateWindow).Seconds())
+	}
+	return rate + p.load.trialInstances()
+}
+
+// addWaiting adds the work of the tasks that wait, and returns the part of it that belongs to jobs that came under this leader, in instance-seconds.
+func (c *session) addWaiting(p *poolRow, now time.Time, split *splitWork) (fresh float64) {
 	unanswered := c.unansweredIn(p.name)
-	fresh := 0.0 // work of jobs that came under this leader
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
 		if step.Lasting || !usesInstances(g, unanswered) {
@@ -194,29 +229,13 @@
 		took := c.estimateRunTime(step, g.Job.Spec.Queue)
 		e := c.claimEstimate(g.Job, g.Time, now)
 		inTime, wait := e.InTime(now)
-		work := float64(n) * instanceShare(place.Charge(step), c.meanCapacity) * took.Seconds()
+		work := float64(n) * instanceShare(place.Charge(step), c.meanCapacity) * took.Seconds() * inTime
 		if !c.inheritedJobs[g.Job.Spec.ID] {
-			fresh += work * inTime
-		}
-		add(work*inTime, c.relativeDensity(e, g.Job.Spec.Queue), wait+took)
-	}
-	c.addRunning(p, now, add)
-	claim := maintenance.Claim{
-		Lasting: p.load.lasting + spareInstances, LateValue: place.LatePart,
-		Emptying: time.Duration(meanRemainingShare * p.expectedRunSeconds() * float64(time.Second)),
-	}
-	steady := p.rate(now)
-	if led := now.Sub(c.tablesReadAt); led < newLeaderTime {
-		steady = max(steady, fresh/max(led, minRateWindow).Seconds()) // the capacity of an instance, and so the work submitted, is not known from the beginning
-	}
-	steady += p.load.trialInstances()
-	for _, x := range [...]maintenance.Class{{Instances: steady, For: terms.PayOff, Value: 1}, urgent.class(), patient.class()} {
-		if x.Instances > 0 {
-			x.Instances *= 1 + spareShare
-			claim.Timely = append(claim.Timely, x)
+			fresh += work
 		}
+		split.add(work, c.relativeDensity(e, g.Job.Spec.Queue), wait+took)
 	}
-	return claim
+	return fresh
 }
 
 // relativeDensity returns the value of a core-second of a job as a multiple of that of the queue's mean job.
@@ -244,12 +263,12 @@
 		return place.MayBeInTime(r.slack)
 	}
 	inTime, _ := c.claimEstimate(t.Job, t.Time, now).InTime(now)
-	return inTime >= 0.5
+	return inTime >= probableInTime
 }
 
 // addRunning adds the work of the runs whose jobs could be in time when they were started. A run is counted in full although a part of it is done, because
 // the later steps of its job follow.
-func (c *session) addRunning(p *poolRow, now time.Time, add func(work, value float64, within time.Duration)) {
+func (c *session) addRunning(p *poolRow, now time.Time, split *splitWork) {
 	for _, w := range c.workers {
 		if w.Pool != p.name || w.drained {
 			continue // what runs in a drained data centre ends there and needs no other instance
@@ -260,11 +279,26 @@
 				continue
 			}
 			took := c.estimateRunTime(step, t.Job.Spec.Queue)
-			add(instanceShare(place.Charge(step), c.meanCapacity)*took.Seconds(), 1, max(r.slack, 0)+took)
+			split.add(instanceShare(place.Charge(step), c.meanCapacity)*took.Seconds(), 1, max(r.slack, 0)+took)
 		}
 	}
 }
 
+// splitWork is work that can be in time, split by whether it can still be so on an instance whose move begins now and takes the delay.
+type splitWork struct {
+	delay           time.Duration
+	urgent, patient timelyWork
+}
+
+// add adds work, in instance-seconds, that has to end within the given time. value is that of a core-second as a multiple of that of a mean job.
+func (s *splitWork) add(work, value float64, within time.Duration) {
+	if within > s.delay {
+		s.patient.add(work, value, within)
+		return
+	}
+	s.urgent.add(work, value, within)
+}
+
 // timelyWork sums up work that can be in time, in instance-seconds. value and within are sums weighted by the work.
 type timelyWork struct{ work, value, within float64 }
 
