--- a/maintenance/poolload.go
+++ b/maintenance/poolload.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// lastingLoadAfter is the time after which a load is no longer expected to end soon: that of a pool with a steady load
-// never does.
+// lastingLoadAfter is the time after which a burst is taken for a steady load, which is not expected to end.
 const lastingLoadAfter = 30 * time.Second
 
 // PoolLoad is what a wave has to know of the load of a pool.
@@ -43,48 +42,69 @@
 // expected needs its instances after those that are under way, so that the same ones can serve both.
 func PoolLoads(pools []Pool, b *Bursts, lasting map[string]float64, within time.Duration, now time.Time) map[string]PoolLoad {
 	loads := make(map[string]PoolLoad, len(pools))
-	current, later, other := 0, 0, 0 // what bursts under way lack, those that are expected, and pools without one
-	lackIn, headroom := within, 0
+	lacks := poolLacks{in: within}
+	headroom := 0
 	for _, p := range pools {
 		if p.Headroom {
 			headroom += p.Have
 			continue
 		}
-		in, burst := b.needsSoon(p.Name, within, now)
-		l := PoolLoad{Burst: burst, BurstIn: in}
-		over := p.Have - int(math.Ceil(p.Want))
-		l.Surplus = max(over, 0)
-		if burst {
-			over = p.Have - int(math.Ceil(max(p.Want, b.usualNeed(p.Name, now)+lasting[p.Name])))
-			l.BurstSurplus = max(over, 0)
-		}
-		switch lack := max(-over, 0); {
-		case !burst:
-			other += lack
-		case in > 0:
-			later += lack
-		default:
-			current += lack
-		}
-		if burst && over < 0 {
-			lackIn = min(lackIn, in)
-		}
+		l, lack := loadOf(p, b, lasting[p.Name], within, now)
 		loads[p.Name] = l
+		lacks.add(l, lack)
 	}
 	for _, p := range pools {
-		if !p.Headroom {
-			continue
-		}
-		l := PoolLoad{Surplus: max(p.Have-current-other, 0)}
-		if lack := max(current, later); lack > 0 {
-			l.Burst, l.BurstIn, l.BurstSurplus = true, lackIn, max(p.Have-lack-other, 0)
+		if p.Headroom {
+			loads[p.Name] = lacks.headroomLoad(p.Have)
 		}
-		loads[p.Name] = l
 	}
-	reserve(loads, pools, current-headroom)
+	reserve(loads, pools, lacks.ongoing-headroom)
 	return loads
 }
 
+// loadOf returns the load of a pool that is not headroom, and how many instances it lacks.
+func loadOf(p Pool, b *Bursts, lasting float64, within time.Duration, now time.Time) (l PoolLoad, lack int) {
+	l.BurstIn, l.Burst = b.needsSoon(p.Name, within, now)
+	over := p.Have - int(math.Ceil(p.Want))
+	l.Surplus = max(over, 0)
+	if l.Burst {
+		over = p.Have - int(math.Ceil(max(p.Want, b.usualNeed(p.Name, now)+lasting)))
+		l.BurstSurplus = max(over, 0)
+	}
+	return l, max(-over, 0)
+}
+
+// poolLacks sums up the instances that pools lack for bursts under way, for bursts that are expected, and without a
+// burst. The first burst that lacks some begins after in.
+type poolLacks struct {
+	ongoing, expected, other int
+	in                       time.Duration
+}
+
+// add adds what a pool with the load lacks.
+func (s *poolLacks) add(l PoolLoad, lack int) {
+	if l.Burst && lack > 0 {
+		s.in = min(s.in, l.BurstIn)
+	}
+	switch {
+	case !l.Burst:
+		s.other += lack
+	case l.BurstIn > 0:
+		s.expected += lack
+	default:
+		s.ongoing += lack
+	}
+}
+
+// headroomLoad returns the load of a headroom pool with the given number of instances.
+func (s *poolLacks) headroomLoad(have int) PoolLoad {
+	l := PoolLoad{Surplus: max(have-s.ongoing-s.other, 0)}
+	if lack := max(s.ongoing, s.expected); lack > 0 {
+		l.Burst, l.BurstIn, l.BurstSurplus = true, s.in, max(have-lack-s.other, 0)
+	}
+	return l
+}
+
 // reserve takes what bursts under way lack beyond the headroom from the surplus of the other pools.
 func reserve(loads map[string]PoolLoad, pools []Pool, lack int) {
 	pools = slices.Clone(pools)
