pool: plainer comments on shortages, waves and unstored starts

startedInTime uses the same test for runs of earlier leaders as for others: slack plus tolerance is not negative exactly if the probability is at least a half. The condition for a batch is a function of its own. No behaviour changes.

--- a/pool/commit.go
+++ b/pool/commit.go
@@ -37,7 +37,7 @@
 	if c.committing {
 		return
 	}
-	if c.dirtyJobs.Empty() && len(c.forgottenJobs) == 0 && !c.idConflictsDirty && len(c.idConflictsDropped) == 0 && c.dirtyIncarnations.Empty() && !c.wavesDirty() && c.assignment.wanted == nil {
+	if !c.hasChanges() {
 		return
 	}
 	done := &commitBatch{versions: make(map[*job.Job]int64), waves: make(map[int64]int)}
@@ -61,6 +61,12 @@
 	c.background.Go(func() { c.storeBatch(records, done) })
 }
 
+// hasChanges reports whether there is anything to store.
+func (c *session) hasChanges() bool {
+	return !c.dirtyJobs.Empty() || len(c.forgottenJobs) > 0 || c.idConflictsDirty || len(c.idConflictsDropped) > 0 || !c.dirtyIncarnations.Empty() ||
+		c.wavesDirty() || c.assignment.wanted != nil
+}
+
 // appendJobs appends the records of changed jobs until the batch is full.
 func (c *session) appendJobs(done *commitBatch, records []feed.KeyedRecord) []feed.KeyedRecord {
 	size := recordsSize(records)
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -44,8 +44,7 @@
 	running  bool
 	finished bool
 	writing  bool
-	// wait is its waiting for bursts to end.
-	wait waveWait
+	wait     waveWait
 }
 
 // maintenanceStep is the progress of one instance through a wave.
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -26,8 +26,6 @@
 	newLeaderTime = 2 * rateWindow
 	// maxDensity bounds the value of a core-second of a job that is almost done.
 	maxDensity = 4
-	// probableInTime is the probability from which a job is taken to end in time.
-	probableInTime = 0.5
 )
 
 // poolPair is the pools that instances leave and enter in a shift.
@@ -247,8 +245,8 @@
 	return min(e.Density*mean, maxDensity)
 }
 
-// claimEstimate returns the estimate of a job as claims use it. The order of tasks takes inherited jobs for younger than they are, because clocks differ; here
-// a backlog of an earlier leader would then hold instances that new jobs of other pools need.
+// claimEstimate returns the estimate of a job as claims use it. It counts inherited jobs from the time at which they were taken. estimate takes them for
+// younger, because clocks differ, so that an old backlog would hold instances that new jobs of other pools need.
 func (c *session) claimEstimate(j *job.Job, k int, now time.Time) place.Estimate {
 	e := c.estimate(j, k, now)
 	if c.inheritedJobs[j.Spec.ID] && j.Spec.Times == 0 && j.Spec.Taken != 0 {
@@ -257,13 +255,13 @@
 	return e
 }
 
-// startedInTime reports whether the job of a run could probably be in time when the run was started. The slack of runs of an earlier leader is not known.
+// startedInTime reports whether the job of a run could probably be in time when the run was started. The slack that runs of an earlier leader
+// had then is not known, and the present one is used.
 func (c *session) startedInTime(t *job.Task, r *run, now time.Time) bool {
 	if !c.inheritedJobs[t.Job.Spec.ID] {
 		return place.MayBeInTime(r.slack)
 	}
-	inTime, _ := c.claimEstimate(t.Job, t.Time, now).InTime(now)
-	return inTime >= probableInTime
+	return place.MayBeInTime(c.claimEstimate(t.Job, t.Time, now).At(now).Slack)
 }
 
 // addRunning adds the work of the runs whose jobs could be in time when they were started. A run is counted in full although a part of it is done, because
--- a/pool/shortage_test.go
+++ b/pool/shortage_test.go
@@ -388,7 +388,7 @@
 }
 
 // TestAPoolDoesNotWaitForTheEndOfAnothersBurst guards against the pool whose burst comes first keeping all instances for work that is late or beyond the rate
-// of a hot organisation, while the jobs of the next burst wait: queue b obtained 0.055 of its value, and 0.042 with a wave.
+// of a hot organisation, while the jobs of the next burst wait.
 func TestAPoolDoesNotWaitForTheEndOfAnothersBurst(t *testing.T) {
 	const second = time.Second
 	bursts := []overlapBurst{
--- a/pool/unstored.go
+++ b/pool/unstored.go
@@ -136,8 +136,8 @@
 	c.sendStored(c.now())
 }
 
-// splitUnstored splits planned runs into those that may be ordered before they are stored, those of tasks under which an incarnation has ended, which wait for the
-// store, and those outside the data centre to which their job is assigned. The next leader must know of a task's lost incarnations before it starts again.
+// splitUnstored splits planned runs into those that may be ordered before they are stored, those that wait for the store, and those outside the data centre to
+// which their job is assigned. A task under which an incarnation has ended waits: the next leader must know of that before the task starts again.
 func (c *session) splitUnstored(planned []plannedStart) (allowed, waiting, outside []plannedStart) {
 	for _, p := range planned {
 		switch {
--- a/pool/wavewait.go
+++ b/pool/wavewait.go
@@ -16,14 +16,15 @@
 // waveWaitLogInterval is the minimum interval between two log lines about the waiting of a wave.
 const waveWaitLogInterval = time.Second
 
-// waveWait is the waiting of a wave for bursts to end.
+// waveWait is the state of a wave's wait for bursts to end.
 type waveWait struct {
 	// held is the number of instances that wait now.
 	held int
-	// logged reports that the beginning of the wait was logged, at loggedAt and with most instances waiting since then.
+	// logged reports that the beginning of the wait was logged and its end was not. loggedAt is the time of the latest log line.
 	logged   bool
 	loggedAt time.Time
-	most     int
+	// most is the maximum of held since the beginning was logged.
+	most int
 }
 
 // observeWaveLoads updates what waves have to know of the pools.
