pool: say in which order the data centres of an outage are served

Groups of different data centres share the draft, so that the order matters where an organisation is at its cap. Whether a wave has time left is computed once in runWave. The gauge of a pool's instances takes have, since held is used of waves. No behaviour changes.

--- a/pool/assignment.go
+++ b/pool/assignment.go
@@ -160,8 +160,8 @@
 }
 
 // chooseWorkers chooses workers for the tasks of the groups. While starts leave before they are stored, a group gets only candidates in the
-// data centre to which its job is assigned. Groups of different data centres then share no candidate, so that the order among them does
-// not matter.
+// data centre to which its job is assigned. Groups of different data centres then share no candidate, but the draft: the data centres are
+// served in the order of their names.
 func (c *session) chooseWorkers(pool string, groups []*place.Group, candidates []*place.Candidate, draft *org.Draft) []place.Choice {
 	a := &c.assignment
 	if !c.inMode(modeUnkeptOrders) || len(a.stored[pool])+len(a.pending[pool]) == 0 {
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -112,7 +112,8 @@
 	c.markDue(row)
 	row.refreshStored(now)
 	away := c.countAway(row)
-	storeFailing := c.storeFailing(now) && row.known(now) < time.Duration(maxWaitShare*float64(row.Within))
+	noTimeLeft := row.known(now) >= time.Duration(maxWaitShare*float64(row.Within))
+	storeFailing := c.storeFailing(now) && !noTimeLeft
 	if !storeFailing {
 		next := c.nextInWave(row, now)
 		for _, x := range next.Take {
@@ -124,7 +125,7 @@
 		if s.away || s.inFlight || now.Before(s.notBefore) {
 			continue
 		}
-		s.noTimeLeft = row.known(now) >= time.Duration(maxWaitShare*float64(row.Within))
+		s.noTimeLeft = noTimeLeft
 		if !c.tryEmpty(m, s, now) || (storeFailing && !s.uncertain) {
 			continue
 		}
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -70,11 +70,11 @@
 }
 
 // poolSize sets the numbers of instances that a pool wants, is granted and has. They differ during a shortage.
-func (m *metrics) poolSize(pool string, wanted, granted float64, held int) {
+func (m *metrics) poolSize(pool string, wanted, granted float64, have int) {
 	s := m.scope.Tagged(map[string]string{"pool": pool})
 	s.Gauge("instances_wanted").Update(wanted)
 	s.Gauge("instances_granted").Update(granted)
-	s.Gauge("instances_held").Update(float64(held))
+	s.Gauge("instances_held").Update(float64(have))
 }
 
 // takeover records the time from the start of its term until a new leader reached a step of the takeover.
