pool: an assignment that unstored runs did not obey is not stored; gangs wait as a whole

Found in review, by trials on the fixture: a change of the assignment that was decided while a batch was in flight could be stored after an outage without all the runs that were ordered meanwhile, so that the next leader would start their tasks elsewhere; and a gang that was planned over two data centres was started without a member. Both new tests fail without the change.

--- a/pool/assignment.go
+++ b/pool/assignment.go
@@ -84,7 +84,7 @@
 // then hold an assignment that they did not obey.
 func (c *session) updateAssignment(now time.Time) {
 	a := &c.assignment
-	if a.wanted != nil || a.pending != nil || c.inMode(modeStoreSlow) || len(c.unstoredJobs) > 0 || now.Sub(a.changedAt) < assignmentInterval {
+	if a.wanted != nil || a.pending != nil || c.mayHaveUnstored() || now.Sub(a.changedAt) < assignmentInterval {
 		return
 	}
 	next := c.assignCentres(a.stored)
@@ -128,9 +128,16 @@
 	return centres
 }
 
-// appendAssignment appends the record of the assignment to a batch if it has changed.
+// mayHaveUnstored reports whether this leader has ordered, or may order, starts that are not stored.
+func (c *session) mayHaveUnstored() bool { return c.inMode(modeStoreSlow) || len(c.unstoredJobs) > 0 }
+
+// appendAssignment appends the record of the assignment to a batch if it has changed. A change that was decided before an outage is
+// dropped: a batch may hold it without all the runs that were ordered in the outage, which obeyed the earlier assignment.
 func (c *session) appendAssignment(records []feed.KeyedRecord) []feed.KeyedRecord {
 	a := &c.assignment
+	if c.mayHaveUnstored() {
+		a.wanted = nil
+	}
 	if a.wanted == nil {
 		return records
 	}
--- a/pool/assignment_test.go
+++ b/pool/assignment_test.go
@@ -134,6 +134,61 @@
 	})
 }
 
+// TestAGangIsNotSplitInAnOutage guards against a gang of which some members run and the others can't be placed any more, because it was planned
+// over two data centres before the store went away.
+func TestAGangIsNotSplitInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		gang := job.New(&job.Spec{ID: fmt.Sprintf("%016x", 1), Queue: "q", Pool: "p", Steps: []job.Step{{Count: 4, Gang: true, PerWorker: 1, Need: job.Need{MilliCPU: 100}}}}, time.Now())
+		b := newDrainBench(c, []*job.Job{jobNamed(0), gang}, "a1", "a2", "a3", "b1", "b2", "b3")
+		b.updateAssignment(time.Now())
+		b.commitAll()
+		b.loseStore()
+		b.placeAndCount()
+		gang = b.jobs[gang.Spec.ID]
+		for range 3 {
+			b.askAll()
+			b.allowUnstored(time.Now())
+			b.placeAndCount()
+		}
+		phases := make(map[job.Phase]int)
+		for i := range gang.Tasks {
+			phases[gang.Tasks[i].Phase]++
+		}
+		c.Check(phases, quicktest.HasLen, 1, quicktest.Commentf("%v", phases))
+		for _, p := range b.plannedStarts {
+			c.Check(p.task.Job, quicktest.Equals, gang)
+		}
+	})
+}
+
+// TestAChangeOfTheAssignmentDoesNotOutliveAnOutage guards against a stored assignment that unstored runs did not obey: it was decided while a
+// batch was in flight, and a later batch holds it without all of those runs.
+func TestAChangeOfTheAssignmentDoesNotOutliveAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newAssignmentFixture(c)
+		b.updateAssignment(time.Now())
+		b.commitAll()
+		before := b.assignment.stored
+		time.Sleep(2 * assignmentInterval)
+		b.loseStore()
+		b.workers["b1"].Leaving, b.workers["b2"].Leaving, b.workers["b3"].Leaving = true, true, true
+		b.updateAssignment(time.Now())
+		c.Assert(b.assignment.wanted, quicktest.IsNotNil)
+		b.askAll()
+		b.allowUnstored(time.Now())
+		b.placeAndCount()
+		b.askAll()
+		b.allowUnstored(time.Now())
+		c.Assert(b.unstoredJobs, quicktest.Not(quicktest.HasLen), 0)
+		b.committing, b.inFlight = false, nil // the batch is answered late
+		b.commitAll()
+		c.Check(b.assignment.stored, quicktest.DeepEquals, before)
+		c.Check(b.assignment.pending, quicktest.IsNil)
+	})
+}
+
 // loseStore commits what has changed and leaves the batch, and all later ones, without an answer.
 func (b *fixture) loseStore() {
 	b.State.Append = func(ctx context.Context, _ feed.Batch) (int64, error) {
--- a/pool/report.go
+++ b/pool/report.go
@@ -218,6 +218,7 @@
 	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true, pending: pendingStarts{unknown: t.MayComeLate(c.now())}})
 	if row.Run>>runBits < c.term.Number {
 		c.assumeUnstored("a worker runs what was not kept")
+		c.adoptedUnstored[t.Job] = t.Job.Version
 	}
 	c.emit(event.RunAdopted, event.Subject{Job: row.Task, Instance: w.Incarnation}, "run=%d percent=%d", row.Run, row.Percent)
 	return true
--- a/pool/session.go
+++ b/pool/session.go
@@ -68,7 +68,9 @@
 	// unstoredJobs maps each job with ordered but unstored runs to the job version that contains them. unacked holds
 	// the workers with ends that are not stored yet.
 	unstoredJobs map[*job.Job]int64
-	unacked      map[*worker]bool
+	// adoptedUnstored is the same for runs that an earlier leader had not stored.
+	adoptedUnstored map[*job.Job]int64
+	unacked         map[*worker]bool
 	// maxBatchBytes is the maximum size of a batch.
 	maxBatchBytes int
 	// modeSince is the start time of each degraded mode, or zero while the mode is off.
@@ -178,7 +180,7 @@
 	c := &session{
 		Scheduler: s, term: t, startedAt: s.now(), inbox: newInbox(), ended: make(chan struct{}), config: s.catalog.Load(),
 		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), incarnationsByMachine: make(map[string][]*worker), incarnationsByID: make(map[string][]*worker), tokens: make(map[string]*atomic.Int64), endedIncarnations: make(map[string]bool),
-		unstoredJobs: make(map[*job.Job]int64), unacked: make(map[*worker]bool), maxBatchBytes: cmp.Or(s.MaxBatchBytes, batchMax), notDue: make(map[string]*job.Job), inheritedJobs: make(map[string]bool), unknownTasks: make(map[string]time.Time), readUnconfirmed: make(map[string]bool),
+		unstoredJobs: make(map[*job.Job]int64), adoptedUnstored: make(map[*job.Job]int64), unacked: make(map[*worker]bool), maxBatchBytes: cmp.Or(s.MaxBatchBytes, batchMax), notDue: make(map[string]*job.Job), inheritedJobs: make(map[string]bool), unknownTasks: make(map[string]time.Time), readUnconfirmed: make(map[string]bool),
 		intakeReadUntil: make([]time.Time, len(s.Intake)), intakeOffsets: make([]int64, len(s.Intake)),
 		intakePartitions: make(map[job.QualifiedID]uint64), cancelled: make(map[job.QualifiedID]bool), idConflicts: make(map[job.QualifiedID]*idConflict),
 		uncertainIncarnations: make(map[string]*worker), takeoverSteps: make(map[string]bool), storedIncarnations: make(map[string]bool), waveStates: make(map[int64]*waveState), drains: make(drains), firstHoldSemaphore: newCallSemaphore(),
--- a/pool/unstored.go
+++ b/pool/unstored.go
@@ -92,6 +92,9 @@
 	if v, ok := c.unstoredJobs[j]; ok && j.StoredVersion >= v {
 		delete(c.unstoredJobs, j)
 	}
+	if v, ok := c.adoptedUnstored[j]; ok && j.StoredVersion >= v {
+		delete(c.adoptedUnstored, j)
+	}
 }
 
 // storeFailing reports whether the store has left a batch unanswered for much longer than usual. What becomes of an instance
@@ -137,11 +140,13 @@
 }
 
 // splitUnstored splits planned runs into those that may be ordered before they are stored, those that wait for the store, and those outside the data centre to
-// which their job is assigned. A task under which an incarnation has ended waits: the next leader must know of that before the task starts again.
+// which their job is assigned. A task under which an incarnation has ended waits: the next leader must know of that before the task starts again. A gang
+// waits as a whole if one of its members may not be ordered, because it can't run without that one.
 func (c *session) splitUnstored(planned []plannedStart) (allowed, waiting, outside []plannedStart) {
+	gangs := c.waitingGangs(planned)
 	for _, p := range planned {
 		switch {
-		case len(p.task.Lost) > 0:
+		case len(p.task.Lost) > 0, gangs[gangOf(p.task)]:
 			waiting = append(waiting, p)
 		case c.mayStartUnstored(p):
 			allowed = append(allowed, p)
@@ -152,6 +157,24 @@
 	return allowed, waiting, outside
 }
 
+// waitingGangs returns the gangs of which a planned run may not leave before it is stored.
+func (c *session) waitingGangs(planned []plannedStart) map[groupKey]bool {
+	var gangs map[groupKey]bool
+	for _, p := range planned {
+		if !p.task.Spec().Gang || (len(p.task.Lost) == 0 && c.mayStartUnstored(p)) {
+			continue
+		}
+		if gangs == nil {
+			gangs = make(map[groupKey]bool)
+		}
+		gangs[gangOf(p.task)] = true
+	}
+	return gangs
+}
+
+// gangOf returns the key of the task's step.
+func gangOf(t *job.Task) groupKey { return groupKey{job: t.Job.Spec.ID, time: t.Time, step: t.Step} }
+
 // dropPlanned takes back a run that was planned and is in no batch, so that its task can be placed again.
 func (c *session) dropPlanned(p plannedStart) {
 	if p.worker.runs[p.task] != p.run {
