--- a/pool/cpushortage.go
+++ b/pool/cpushortage.go
@@ -24,8 +24,11 @@
 	shortageWait     = 80 * time.Millisecond
 	shortageOverWait = 40 * time.Millisecond
 	// minShortage is how long the shortage must last before the leader hands over. No starts are sent during a handover, so a
-	// shorter shortage does less harm than the handover.
-	minShortage = 300 * time.Millisecond
+	// shorter shortage does less harm than the handover. Each worker beyond quickHandoverWorkers adds minShortagePerWorker:
+	// all workers must answer the next leader, which on a large fleet takes seconds under load.
+	minShortage          = 300 * time.Millisecond
+	minShortagePerWorker = 7 * time.Millisecond
+	quickHandoverWorkers = 500
 	// minLeadTime is how long a leader leads before it may hand over, and minLeadTimeAfterRelease is the same for a leader whose
 	// predecessor gave up the term. If all entries are short of processor time, handing over helps nobody.
 	minLeadTime             = 8 * time.Second
@@ -42,9 +45,9 @@
 	observedAt time.Time
 }
 
-// observe records how long goroutines waited for a processor since the previous call. It reports whether the leader
-// should hand over.
-func (s *cpuShortage) observe(waited time.Duration, now time.Time) bool {
+// observe records how long goroutines waited for a processor since the previous call. It reports whether the leader of so
+// many workers should hand over.
+func (s *cpuShortage) observe(waited time.Duration, workers int, now time.Time) bool {
 	weight := 1 - math.Exp(-now.Sub(s.observedAt).Seconds()/waitAveraging.Seconds())
 	s.observedAt = now
 	s.average += time.Duration(weight * float64(min(waited, maxObservedWait)-s.average))
@@ -54,7 +57,8 @@
 	case s.since.IsZero() && s.average >= shortageWait:
 		s.since = now
 	}
-	return !s.since.IsZero() && now.Sub(s.since) >= minShortage
+	required := minShortage + minShortagePerWorker*time.Duration(max(0, workers-quickHandoverWorkers))
+	return !s.since.IsZero() && now.Sub(s.since) >= required
 }
 
 // handOverIfShortOfCPU gives up the lead in favour of an entry with more processor time to spare.
@@ -62,7 +66,7 @@
 	if c.HandOver == nil || c.handedOver {
 		return
 	}
-	if !c.cpuShortage.observe(c.cpuWait(), now) || now.Sub(c.startedAt) < c.timeBeforeHandover() {
+	if !c.cpuShortage.observe(c.cpuWait(), len(c.workers), now) || now.Sub(c.startedAt) < c.timeBeforeHandover() {
 		return
 	}
 	c.handedOver = true
