--- a/pool/pending_test.go
+++ b/pool/pending_test.go
@@ -296,3 +296,59 @@
 		})
 	}
 }
+
+// TestAListDuringAnAttemptClosesNoEarlierOne guards against a task that starts elsewhere although an unanswered start of it may still be carried out. The worker
+// lists a run while a further attempt is in flight: that attempt may have begun the run, so the list is no evidence that the unanswered one has been carried out.
+func TestAListDuringAnAttemptClosesNoEarlierOne(t *testing.T) {
+	for _, x := range [...]struct {
+		name string
+		// second is the answer to the second attempt. Further attempts get no answer.
+		second work.Refusal
+		// lateAfterList tells whether an attempt is still open once the worker has listed the run again.
+		lateAfterList bool
+	}{
+		{"the second attempt is accepted", work.Accepted, true},
+		{"the second attempt gets no answer", unanswered, true},
+		{"the second attempt is refused", work.NoRoom, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b := newBootIDFixture(c, jobWithTasks(1))
+				attempts := 0
+				b.Calls.Start = func(ctx context.Context, _ *work.Worker, _ work.Start) (work.Answer, error) {
+					attempts++
+					if attempts != 2 || x.second == unanswered {
+						<-ctx.Done()
+						return work.Answer{}, work.ErrNoAnswer
+					}
+					time.Sleep(startTimeout / 2)
+					return work.Answer{Refusal: x.second, Clock: 300}, nil
+				}
+				b.list("w", 9)
+				b.report("w@9", 50, nil)
+				b.commitAll()
+				c.Assert(b.placeAndCount(), quicktest.Equals, 1)
+				b.commitAll()
+				time.Sleep(startTimeout)
+				synctest.Wait()
+				for _, m := range b.inbox.takeAll() {
+					m.apply(b.session)
+				}
+				b.commitAll()
+				synctest.Wait() // the second attempt is in flight
+				c.Assert(attempts, quicktest.Equals, 2)
+				listed := []work.RunStatus{{Task: taskName, Run: b.task(0).Run}}
+				b.report("w@9", 290, listed)
+				b.settles()
+				c.Assert(b.task(0).Phase, quicktest.Equals, job.Active)
+				b.report("w@9", 1500, listed)
+				c.Assert(b.task(0).MayComeLate(b.now()), quicktest.Equals, x.lateAfterList)
+				time.Sleep(2 * suspectMaxAge) // makes the run too old to be suspected of ending the incarnation
+				b.answerAsOtherIncarnation("w@9", 4)
+				c.Assert(b.task(0).Worker == "w@4", quicktest.Equals, x.lateAfterList, quicktest.Commentf("the next incarnation may begin the run"))
+				b.settles()
+			})
+		})
+	}
+}
--- a/pool/pendingstarts.go
+++ b/pool/pendingstarts.go
@@ -20,7 +20,7 @@
 // accepted records that an attempt was accepted. Those that got no answer remain open.
 func (p *pendingStarts) accepted() { p.began = true }
 
-// listed records that the worker lists the run: unless an attempt was accepted, one that got no answer has been carried out.
+// listed records that the worker lists the run while no attempt is in flight: unless an attempt was accepted, one that got no answer has been carried out.
 func (p *pendingStarts) listed() {
 	if p.began || p.count == 0 {
 		return
--- a/pool/report.go
+++ b/pool/report.go
@@ -181,7 +181,9 @@
 		}
 		r = w.runs[t]
 	}
-	r.pending.listed()
+	if !r.inFlight { // the attempt in flight may have begun the run; its outcome, or the next list after it, tells
+		r.pending.listed()
+	}
 	c.confirmRun(w, t, r, clock)
 	if row.Saved != "" {
 		t.Saved = row.Saved
