--- a/pool/incarnations_test.go
+++ b/pool/incarnations_test.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"context"
 	"errors"
 	"sync/atomic"
 	"testing"
@@ -142,6 +143,51 @@
 	}
 }
 
+// TestAPlannedStartIsTakenBackWhenAnEarlierRunIsListed guards against a second run of a task: a worker lists an earlier run of it while the start of the next one
+// waits for the store.
+func TestAPlannedStartIsTakenBackWhenAnEarlierRunIsListed(t *testing.T) {
+	for _, x := range [...]struct {
+		name string
+		// storing is set if the planned run is in a batch that the store is being given.
+		storing bool
+	}{
+		{"it is in no batch", false},
+		{"it is in a batch", true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b := newBootIDFixture(c, jobWithTasks(1))
+				sent := b.startsAnswered(work.Accepted)
+				b.list("w", 9)
+				b.list("v", 9)
+				b.report("w@9", 50, nil)
+				b.report("v@9", 50, nil)
+				b.commitAll()
+				c.Assert(b.placeAndCount(), quicktest.Equals, 1)
+				planned := b.task(0).Worker
+				other := map[string]string{"w@9": "v@9", "v@9": "w@9"}[planned]
+				if x.storing {
+					b.State.Append = func(context.Context, feed.Batch) (int64, error) { return 1, nil }
+					b.commit()
+				}
+				earlier := b.task(0).Run - 1
+				b.report(other, 60, []work.RunStatus{{Task: taskName, Run: earlier}})
+				for range 3 {
+					b.commitAll()
+				}
+				synctest.Wait()
+				c.Assert(*sent, quicktest.HasLen, 0)
+				c.Assert(b.task(0).Phase, quicktest.Equals, job.Active)
+				c.Assert(b.task(0).Worker, quicktest.Equals, other)
+				c.Assert(b.task(0).Run, quicktest.Equals, earlier)
+				c.Assert(b.workers[planned].runs, quicktest.HasLen, 0)
+				c.Assert(b.task(0).Job.StoredVersion, quicktest.Equals, b.task(0).Job.Version)
+			})
+		})
+	}
+}
+
 // TestWhatIsKeptNamesIncarnations loads stored runs of ended incarnations, of current incarnations, and of incarnations recorded without a boot ID.
 func TestWhatIsKeptNamesIncarnations(t *testing.T) {
 	for _, x := range [...]struct {
--- a/pool/report.go
+++ b/pool/report.go
@@ -175,6 +175,7 @@
 	r := w.runs[t]
 	if r == nil || r.number != row.Run {
 		c.dropSuperseded(t, row.Run)
+		c.takeBackUnsent(t)
 		if w.runs[t] != nil || !c.adopt(w, t, row, clock) {
 			c.stopStray(w, row.Task, row.Run, "not the task's run")
 			return nil
@@ -208,6 +209,17 @@
 	t.Phase, t.Worker = job.Waiting, ""
 }
 
+// takeBackUnsent takes back the planned run of a task whose start has not been sent, since a worker lists another run of the task. If the store has the planned
+// run already, the record of the listed one replaces it. A member of a gang keeps its plan: the listed run belongs to an earlier start of the gang.
+func (c *session) takeBackUnsent(t *job.Task) {
+	w := c.workers[t.Worker]
+	if w == nil || w.runs[t] == nil || w.runs[t].mayHaveBegun() || t.Spec().Gang || t.Job.State.Ended() {
+		return
+	}
+	w.dropRun(t)
+	c.requeue(t)
+}
+
 // adopt records a run that an earlier leader started.
 func (c *session) adopt(w *worker, t *job.Task, row work.RunStatus, clock work.Clock) bool {
 	if t.Phase != job.Waiting || t.Job.State.Ended() {
