--- a/lead/elector_test.go
+++ b/lead/elector_test.go
@@ -326,6 +326,26 @@
 	})
 }
 
+// TestAReleasedTermPassesOnWhatItKnowsOfUnstoredOrders guards against a task that runs twice: a leader follows one that has released its term while orders of a leader
+// before may not be stored, and is lost before its session has published that itself.
+func TestAReleasedTermPassesOnWhatItKnowsOfUnstoredOrders(t *testing.T) {
+	inBubble(t, func(t *testing.T, c *quicktest.C) {
+		g := newGroup(t, 3)
+		time.Sleep(6 * time.Second)
+		first := g.leader(c)
+		first.SetPredecessors(false, true) // an earlier leader has stopped, and its orders are not settled
+		time.Sleep(time.Second)
+		first.Resign()
+		time.Sleep(time.Second)
+		c.Assert(g.terms, quicktest.HasLen, 2)
+		c.Assert(g.terms[1].PredecessorsUnstored, quicktest.IsTrue)
+		g.topic.setFailing(g.leader(c).Entry, true) // it is still reading the tables
+		time.Sleep(3 * time.Second)
+		c.Assert(g.terms, quicktest.HasLen, 3)
+		c.Assert(g.terms[2].PredecessorsUnstored, quicktest.IsTrue)
+	})
+}
+
 func TestNoUnstoredOrdersWithoutOutage(t *testing.T) {
 	inBubble(t, func(t *testing.T, c *quicktest.C) {
 		g := newGroup(t, 3)
--- a/lead/term.go
+++ b/lead/term.go
@@ -59,7 +59,7 @@
 	t.OnlyLastUnstored = !e.latest.PredecessorsActive && !e.latest.PredecessorsUnstored
 	t.CleanHandover = e.latest.Term == 0 || (e.latest.Released && !e.latest.PredecessorsActive)
 	t.Exclusive = t.CleanHandover || (e.ledByEarlierBoot() && !e.latest.PredecessorsActive)
-	e.predecessorsActive, e.predecessorsUnstored = !t.Exclusive, t.PredecessorsUnstored && !t.CleanHandover
+	e.predecessorsActive, e.predecessorsUnstored = !t.Exclusive, t.PredecessorsUnstored && (!t.CleanHandover || e.latest.Unstored || e.latest.PredecessorsUnstored)
 	e.unstored, e.unstoredPublished = false, false
 	e.latest, e.end = rec, end
 	e.cancelTerm, e.fence = cancelTerm, rec.Fence
