--- a/lead/record.go
+++ b/lead/record.go
@@ -33,9 +33,7 @@
 	// active any more.
 	// Exclusive is set when no earlier leader can be active any more: the handover was clean, or the last leader was an
 	// earlier boot of this entry and had published that its own predecessors had stopped.
-	// OnlyLastUnstored is set when no leader before the last one can still give orders or have sent orders that are not
-	// stored.
-	PredecessorsUnstored, CleanHandover, Exclusive, OnlyLastUnstored bool
+	PredecessorsUnstored, CleanHandover, Exclusive bool
 	// PredecessorRenewed is when this entry read the newest renewal of the previous leader, or the latest time at which that
 	// renewal can have arrived; the zero time when there was none.
 	PredecessorRenewed time.Time
--- a/lead/term.go
+++ b/lead/term.go
@@ -56,7 +56,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t := Term{Number: rec.Term, Fence: rec.Fence, PredecessorRenewed: e.renewedAt, PredecessorsUnstored: e.latest.Unstored || e.latest.PredecessorsUnstored || e.recentOutage()}
-	t.OnlyLastUnstored = !e.latest.PredecessorsActive && !e.latest.PredecessorsUnstored
 	t.CleanHandover = e.latest.Term == 0 || (e.latest.Released && !e.latest.PredecessorsActive)
 	t.Exclusive = t.CleanHandover || (e.ledByEarlierBoot() && !e.latest.PredecessorsActive)
 	e.predecessorsActive, e.predecessorsUnstored = !t.Exclusive, t.PredecessorsUnstored && (!t.CleanHandover || e.latest.Unstored || e.latest.PredecessorsUnstored)
--- a/pool/assignment.go
+++ b/pool/assignment.go
@@ -6,189 +6,245 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
-	"rackstep.dev/org"
 	"rackstep.dev/place"
 )
 
-// Parameters of the assignment of jobs to data centres.
+// Parameters of the assignment of tasks to workers.
 const (
-	// minAssignedWorkers is the number of usable workers that a data centre needs in a pool to be added to its assignment. With fewer, the
-	// jobs assigned to it would find no free capacity there while other data centres have some.
-	minAssignedWorkers = 3
-	// assignmentInterval is the minimum time between two changes of the assignment, each of which is stored.
+	// assignmentInterval is the time between two comparisons of the assignment with the workers. Each change is stored.
 	assignmentInterval = time.Second
+	// assignmentSlack is the share of a pool's assigned workers, at least one, that may be unusable, and of its usable workers that may be unassigned, before
+	// the assignment of the pool changes. It limits how often moves of instances rewrite the record.
+	assignmentSlack = 1.0 / 8
+	// assignedShare divides the capacity of the smallest worker to give the most that an assigned task may need. A larger task might find no capacity on its worker
+	// for long.
+	assignedShare = 3
 )
 
-// centresByPool holds the data centres to which the jobs of each pool are assigned, in a fixed order.
+// poolAssignment assigns the tasks of a pool to workers. It is stored as it is.
 //
-// A start that leaves before it is stored is sent only to a worker in the data centre to which its job is assigned. The next leader
-// then knows for which jobs a worker that does not answer can have such a run. The jobs of a pool that is not in the map may be
-// started anywhere.
-type centresByPool map[string][]string
+// A start that leaves before it is stored is sent only to the worker to which its task is assigned. A later leader then knows which worker, and which later
+// incarnation under the worker's ID, may still carry out such a start.
+type poolAssignment struct {
+	// Workers holds the IDs of the workers in a fixed order, those of one data centre after the other.
+	Workers [][]string `cbor:"1,keyasint,omitempty"`
+	// MilliCPU and MemoryMB are the most that an assigned task needs.
+	MilliCPU int `cbor:"2,keyasint,omitempty"`
+	MemoryMB int `cbor:"3,keyasint,omitempty"`
+}
 
-// centreOf returns the data centre to which a job of the pool is assigned, and false if it may be started anywhere.
-func (a centresByPool) centreOf(pool, jobID string) (string, bool) {
-	centres := a[pool]
-	if len(centres) == 0 {
-		return "", false
+// workerOf returns the ID of the worker to which a task is assigned, or an empty string if it is assigned to none.
+//
+// The tasks of a job are assigned to one data centre: if another one is cut off, the whole job goes on.
+func (a poolAssignment) workerOf(t *job.Task) string {
+	need := place.Charge(t.Spec())
+	if need.MilliCPU > a.MilliCPU || need.MemoryMB > a.MemoryMB || need.GPU > 0 {
+		return ""
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(jobID)) // hash.Hash never returns an error
-	return centres[h.Sum32()%uint32(len(centres))], true
+	workers := a.centreOf(t.Job.Spec.ID)
+	if len(workers) == 0 {
+		return ""
+	}
+	return workers[hashIndex(t.Name(), len(workers))]
+}
+
+// centreOf returns the workers of the data centre to which a job is assigned. A data centre gets as large a share of the jobs as it has of the workers.
+func (a poolAssignment) centreOf(jobID string) []string {
+	total := 0
+	for _, workers := range a.Workers {
+		total += len(workers)
+	}
+	if total == 0 {
+		return nil
+	}
+	i := hashIndex(jobID, total)
+	for _, workers := range a.Workers {
+		if i < len(workers) {
+			return workers
+		}
+		i -= len(workers)
+	}
+	return nil
 }
 
-// allows reports whether a job of the pool may be started in the data centre before the start is stored.
-func (a centresByPool) allows(pool, jobID, dataCentre string) bool {
-	centre, assigned := a.centreOf(pool, jobID)
-	return !assigned || centre == dataCentre
+// all returns the IDs of all workers in ascending order.
+func (a poolAssignment) all() []string {
+	all := slices.Concat(a.Workers...)
+	slices.Sort(all)
+	return all
 }
 
-// storedAssignment is the stored form of an assignment, for the successor of the leader of the term.
-type storedAssignment struct {
-	Term    int64         `cbor:"1,keyasint"`
-	Centres centresByPool `cbor:"2,keyasint,omitempty"`
+// hashIndex returns an index below n that follows from the text alone.
+func hashIndex(text string, n int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(text)) // hash.Hash never returns an error
+	return int(h.Sum32() % uint32(n))
 }
 
-// assignment is this leader's assignment of jobs to data centres, and that of its predecessor.
+// assignment is the assignment of tasks to workers, by pool. It outlives leaders: it must not change while any leader's unstored starts may be carried out.
 type assignment struct {
-	// stored is in the store. pending is in the batch in flight, so that it may be in the store. Both are obeyed.
-	stored, pending centresByPool
-	// wanted is to be stored. It is nil if there is no change.
-	wanted    centresByPool
-	changedAt time.Time
-	// predecessor is what the last leader obeyed, or nil if an unstored run may be anywhere.
-	predecessor centresByPool
+	// stored is in the store. pending holds the pools whose change is in the batch in flight, so that it may be in the store. Both are obeyed.
+	stored, pending map[string]poolAssignment
+	// inherited holds the pools that had an assignment when the tables were read. An earlier leader sent no unstored starts in others,
+	// unless its version did not store assignments.
+	inherited map[string]bool
+	// wanted holds the pools whose change is to be stored.
+	wanted    map[string]poolAssignment
+	checkedAt time.Time
 }
 
-// allows reports whether this leader may start a job of the pool in the data centre before the start is stored.
-func (a *assignment) allows(pool, jobID, dataCentre string) bool {
-	return a.stored.allows(pool, jobID, dataCentre) && a.pending.allows(pool, jobID, dataCentre)
+// workerOf returns the ID of the worker to which a task of the pool is assigned, or an empty string if there is none or if a change in flight makes it uncertain.
+func (a *assignment) workerOf(pool string, t *job.Task) string {
+	worker := a.stored[pool].workerOf(t)
+	if next, changing := a.pending[pool]; changing && next.workerOf(t) != worker {
+		return ""
+	}
+	return worker
 }
 
-// restoreAssignment restores the assignment of the last leader. It says nothing about the leaders before that one, so it is used only if
-// none of those can have unstored runs.
+// restoreAssignment restores the assignment of a pool.
 func (c *session) restoreAssignment(r feed.KeyedRecord) {
-	var kept storedAssignment
-	if !c.decodeRecord(r, &kept) || kept.Term != c.term.Number-1 || !c.term.OnlyLastUnstored {
-		return
+	var kept poolAssignment
+	if c.decodeRecord(r, &kept) {
+		pool := strings.TrimPrefix(r.Key, assignmentKey)
+		c.assignment.stored[pool], c.assignment.inherited[pool] = kept, true
 	}
-	c.assignment.predecessor = kept.Centres
 }
 
-// updateAssignment adapts the assignment to the workers of the pools. It changes nothing while unstored runs may exist: the store would
-// then hold an assignment that they did not obey.
+// updateAssignment adapts the assignment to the workers of the pools. It changes nothing while unstored starts of this or an earlier leader may be carried out, because
+// the store would then hold an assignment that they did not obey. A pool without an assignment has no such starts of an earlier leader.
 func (c *session) updateAssignment(now time.Time) {
 	a := &c.assignment
-	if a.wanted != nil || a.pending != nil || c.mayHaveUnstored() || now.Sub(a.changedAt) < assignmentInterval {
+	if len(a.wanted) > 0 || len(a.pending) > 0 || now.Sub(a.checkedAt) < assignmentInterval {
+		return
+	}
+	if c.mayHaveUnstored() {
 		return
 	}
-	next := c.assignCentres(a.stored)
-	if a.changedAt.IsZero() || !maps.EqualFunc(next, a.stored, slices.Equal) {
-		a.wanted, a.changedAt = next, now
+	a.checkedAt = now
+	a.wanted = changedPools(a.stored, c.assignable())
+	if c.earlierStartsPossible(now) {
+		maps.DeleteFunc(a.wanted, func(pool string, _ poolAssignment) bool { return len(a.stored[pool].Workers) > 0 })
 	}
 }
 
-// assignCentres returns the assignment for the present workers. A pool keeps its data centres as long as each has a usable worker and no
-// other one has enough of them, so that few changes have to be stored.
-func (c *session) assignCentres(current centresByPool) centresByPool {
-	workers := make(map[string]map[string]int)
+// assignable returns the assignment of each pool to all of its usable workers.
+func (c *session) assignable() map[string]poolAssignment {
+	pools := make(map[string]poolAssignment)
+	centres := make(map[string]map[string][]string)
 	for _, w := range c.workers {
-		if !w.listed || w.Leaving || w.drained || w.DataCentre == "" {
+		if !w.listed || w.Leaving || w.drained {
 			continue
 		}
-		if workers[w.Pool] == nil {
-			workers[w.Pool] = make(map[string]int)
+		cpu, memory := w.Capacity.MilliCPU/assignedShare, w.Capacity.MemoryMB/assignedShare
+		if a, known := pools[w.Pool]; known {
+			cpu, memory = min(cpu, a.MilliCPU), min(memory, a.MemoryMB)
+		}
+		pools[w.Pool] = poolAssignment{MilliCPU: cpu, MemoryMB: memory}
+		if centres[w.Pool] == nil {
+			centres[w.Pool] = make(map[string][]string)
+		}
+		if ids := centres[w.Pool][w.DataCentre]; !slices.Contains(ids, w.ID) {
+			centres[w.Pool][w.DataCentre] = append(ids, w.ID)
 		}
-		workers[w.Pool][w.DataCentre]++
 	}
-	next := make(centresByPool)
-	for name, byCentre := range workers {
-		if centres := assignableCentres(byCentre, current[name]); len(centres) > 1 {
-			next[name] = centres
+	for pool, a := range pools {
+		a.Workers = orderedWorkers(centres[pool])
+		pools[pool] = a
+	}
+	return pools
+}
+
+// orderedWorkers returns the workers by data centre in a fixed order.
+func orderedWorkers(byCentre map[string][]string) [][]string {
+	var out [][]string
+	for _, centre := range slices.Sorted(maps.Keys(byCentre)) {
+		slices.Sort(byCentre[centre])
+		out = append(out, byCentre[centre])
+	}
+	return out
+}
+
+// changedPools returns the new assignment of each pool whose current one differs too much from its usable workers.
+func changedPools(current, usable map[string]poolAssignment) map[string]poolAssignment {
+	changed := make(map[string]poolAssignment)
+	for pool, a := range usable {
+		if !closeTo(current[pool].all(), a.all()) {
+			changed[pool] = a
+		}
+	}
+	for pool, a := range current {
+		if len(a.Workers) > 0 && len(usable[pool].Workers) == 0 {
+			changed[pool] = poolAssignment{}
 		}
 	}
-	return next
+	return changed
 }
 
-// assignableCentres returns the data centres of a pool that get jobs assigned, given its usable workers by data centre and its current
-// data centres.
-func assignableCentres(workers map[string]int, current []string) []string {
-	var centres []string
-	for name, n := range workers {
-		if n >= minAssignedWorkers || (n > 0 && slices.Contains(current, name)) {
-			centres = append(centres, name)
+// closeTo reports whether the assigned workers may remain, given the usable ones. Both are sorted.
+func closeTo(assigned, usable []string) bool {
+	if len(assigned) == 0 {
+		return len(usable) == 0
+	}
+	both := 0
+	for _, id := range assigned {
+		if _, found := slices.BinarySearch(usable, id); found {
+			both++
 		}
 	}
-	slices.Sort(centres)
-	return centres
+	return withinSlack(len(assigned)-both, len(assigned)) && withinSlack(len(usable)-both, len(usable))
+}
+
+// withinSlack reports whether n of total workers are few enough to leave the assignment as it is.
+func withinSlack(n, total int) bool {
+	return n < total && float64(n) <= max(assignmentSlack*float64(total), 1)
 }
 
 // mayHaveUnstored reports whether this leader has ordered, or may order, starts that are not stored.
 func (c *session) mayHaveUnstored() bool { return c.inMode(modeStoreSlow) || len(c.unstoredJobs) > 0 }
 
-// appendAssignment appends the record of the assignment to a batch if it has changed. A change that was decided before an outage is
-// dropped: a batch may hold it without all the runs that were ordered in the outage, which obeyed the earlier assignment.
+// appendAssignment appends the records of the pools whose assignment has changed to a batch. A change that was decided before an outage is dropped: a batch may
+// hold it without all the runs that were ordered in the outage, which obeyed the earlier assignment.
 func (c *session) appendAssignment(records []feed.KeyedRecord) []feed.KeyedRecord {
 	a := &c.assignment
 	if c.mayHaveUnstored() {
 		a.wanted = nil
 	}
-	if a.wanted == nil {
-		return records
-	}
-	value, err := job.Encode(storedAssignment{Term: c.term.Number, Centres: a.wanted})
-	if err != nil {
-		c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "assignment not stored: %v", err)
-		a.wanted = nil
+	if len(a.wanted) == 0 {
 		return records
 	}
 	a.pending, a.wanted = a.wanted, nil
-	return append(records, feed.KeyedRecord{Key: assignmentKey, Value: value})
-}
-
-// assignmentStored records that the store has accepted the assignment of the last batch. If the store rejects its record for good, the
-// earlier one remains in the store and both are obeyed.
-func (c *session) assignmentStored() {
-	a := &c.assignment
-	if a.pending == nil || c.aside.has(assignmentKey) {
-		return
+	for pool, next := range a.pending {
+		r := feed.KeyedRecord{Key: assignmentKey + pool}
+		if len(next.Workers) > 0 {
+			value, err := job.Encode(next)
+			if err != nil {
+				c.emit(event.RecordRefused, event.Subject{Entry: c.Entry}, "assignment of pool %q not stored: %v", pool, err)
+				delete(a.pending, pool)
+				continue
+			}
+			r.Value = value
+		}
+		records = append(records, r)
 	}
-	a.stored, a.pending = a.pending, nil
+	return records
 }
 
-// mayStartUnstored reports whether a planned start may leave before it is stored.
-func (c *session) mayStartUnstored(p plannedStart) bool {
-	return c.assignment.allows(p.worker.Pool, p.task.Job.Spec.ID, p.worker.DataCentre)
-}
-
-// chooseWorkers chooses workers for the tasks of the groups. While starts leave before they are stored, a group gets only candidates in the
-// data centre to which its job is assigned. Groups of different data centres then share no candidate, but the draft: the data centres are
-// served in the order of their names.
-func (c *session) chooseWorkers(pool string, groups []*place.Group, candidates []*place.Candidate, draft *org.Draft) []place.Choice {
+// assignmentStored records that the store has accepted the assignment of the last batch. If the store rejects the record of a pool for good, the earlier one remains
+// in the store and both are obeyed.
+func (c *session) assignmentStored() {
 	a := &c.assignment
-	if !c.inMode(modeUnkeptOrders) || len(a.stored[pool])+len(a.pending[pool]) == 0 {
-		return place.Tasks(groups, candidates, draft)
-	}
-	candidatesIn := make(map[string][]*place.Candidate)
-	for _, x := range candidates {
-		candidatesIn[x.Worker.DataCentre] = append(candidatesIn[x.Worker.DataCentre], x)
-	}
-	groupsIn := make(map[string][]*place.Group)
-	for _, g := range groups {
-		for centre := range candidatesIn {
-			if a.allows(pool, g.Job.Spec.ID, centre) {
-				groupsIn[centre] = append(groupsIn[centre], g)
-			}
+	for pool, next := range a.pending {
+		if c.aside.has(assignmentKey + pool) {
+			continue
 		}
+		a.stored[pool] = next
+		delete(a.pending, pool)
 	}
-	var choices []place.Choice
-	for _, centre := range slices.Sorted(maps.Keys(groupsIn)) {
-		choices = append(choices, place.Tasks(groupsIn[centre], candidatesIn[centre], draft)...)
-	}
-	return choices
 }
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -64,7 +64,7 @@
 // hasChanges reports whether there is anything to store.
 func (c *session) hasChanges() bool {
 	return !c.dirtyJobs.Empty() || len(c.forgottenJobs) > 0 || c.idConflictsDirty || len(c.idConflictsDropped) > 0 || !c.dirtyIncarnations.Empty() ||
-		c.wavesDirty() || c.assignment.wanted != nil
+		c.wavesDirty() || len(c.assignment.wanted) > 0
 }
 
 // appendJobs appends the records of changed jobs until the batch is full.
@@ -144,16 +144,24 @@
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
 		w := c.workers[t.Worker]
-		if w == nil || w.runs[t] == nil || !w.settled(t, w.runs[t], c.now()) {
+		if w == nil || w.runs[t] == nil {
 			continue
 		}
 		r := w.runs[t]
+		changed = changed || r.restatesSettled
+		r.restatesSettled = false
+		if !w.settled(t, r, c.now()) {
+			continue
+		}
 		changed = changed || !r.settledStored
 		settled, numbers = append(settled, r), append(numbers, r.number)
 	}
 	if !changed {
 		return records, nil
 	}
+	if len(numbers) == 0 {
+		return c.dropSideRecord(records, settledKey+j.Spec.ID), nil
+	}
 	value, err := job.Encode(numbers)
 	if err != nil {
 		return nil, err
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -132,9 +132,9 @@
 }
 
 func (c *session) countWaiting(p *poolRow, instance job.Need) {
-	unanswered := c.unansweredIn(p.name)
+	limits := c.limitsOf(p.name, c.now())
 	for _, g := range p.open {
-		if !usesInstances(g, unanswered) {
+		if !usesInstances(g, limits) {
 			continue
 		}
 		step := &g.Job.Spec.Steps[g.Step]
@@ -151,8 +151,8 @@
 }
 
 // usesInstances reports whether more instances would let tasks of the group start. unanswered holds the workers of its pool that may have unstored runs.
-func usesInstances(g *place.Group, unanswered unansweredWorkers) bool {
-	if unanswered.mayRun(g.Job.Spec.ID) {
+func usesInstances(g *place.Group, limits startLimits) bool {
+	if limits.hold(g) {
 		return false // its tasks can't start yet, so that instances for them would be idle
 	}
 	return !g.Capped && !g.OverRate // more instances don't help a capped group, and a group over its rate limit is entitled to none
@@ -339,10 +339,10 @@
 // shortages returns by label how many more instances the pool needs for waiting steps that can't use just any free capacity.
 func (c *session) shortages(p *poolRow, now time.Time) map[string]int {
 	lacks := make(map[string]int)
-	unanswered := c.unansweredIn(p.name)
+	limits := c.limitsOf(p.name, c.now())
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || !usesInstances(g, unanswered) {
+		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || !usesInstances(g, limits) {
 			continue
 		}
 		c.countPlacedTasks(g, step)
--- a/pool/incarnations.go
+++ b/pool/incarnations.go
@@ -78,7 +78,7 @@
 // otherIncarnationAnswered handles an answer by an incarnation other than the row's: the row's incarnation has ended.
 func (c *session) otherIncarnationAnswered(w *worker, a work.Answer) {
 	if a.BootID == 0 {
-		w.idRetired = true
+		c.retireID(w)
 		c.endIncarnation(w, "its address has another life") // no incarnation has its ID any more
 		return
 	}
@@ -112,10 +112,20 @@
 	c.counts.restartedWorkers.Inc(1)
 	c.emit(event.WorkerReborn, event.Subject{Instance: successor.Incarnation}, "machine=%s before=%s runs=%d ends=%d acknowledged=%d", w.Machine, w.Incarnation, len(w.runs), w.lastProcessedEnd, w.acked.Load())
 	w.successor = successor
+	if !successor.answered && c.earlierStartsPossible(c.now()) {
+		c.uncertainIncarnations[successor.Incarnation] = successor // it may have begun a run by an unstored start to the ID
+	}
 	c.raiseToken(successor) // the current incarnation refuses what the previous one was told after the successor's row was created
 	c.endIncarnation(w, "it has begun anew as "+successor.Incarnation)
 }
 
+// retireID records that no later incarnation will have the ID of the row's incarnation.
+func (c *session) retireID(w *worker) {
+	w.idRetired = true
+	c.retiredIDs[w.ID] = true
+	c.markPoolDirty(w.Pool)
+}
+
 // successorOf returns the row of the incarnation that now has the ID of a replaced incarnation, or nil.
 func (c *session) successorOf(w *worker) *worker {
 	for h := w.successor; h != nil; h = h.successor {
--- a/pool/load.go
+++ b/pool/load.go
@@ -32,8 +32,8 @@
 	// instancesKey holds the number of instances of which the leader last required a majority, see session.instances.
 	instancesKey = "instances"
 	statsKey     = "lessons"
-	// assignmentKey holds the data centres to which a leader confines unstored starts, see centresByPool.
-	assignmentKey = "unstored-starts"
+	// assignmentKey is the prefix for the workers to which the tasks of a pool are assigned, see poolAssignment.
+	assignmentKey = "assigned/"
 	// idConflictKey is the prefix for jobs that can't run because another organisation's job has the same ID.
 	idConflictKey = "t/"
 )
@@ -120,6 +120,7 @@
 			continue
 		}
 		t := &j.Tasks[r.Ordinal]
+		c.settleStart(t)
 		w, incarnationEnded := c.restoredRow(r.Incarnation)
 		if incarnationEnded {
 			ended[r.Incarnation] = append(ended[r.Incarnation], earlierLostRun{task: t, run: r.Run})
@@ -136,6 +137,15 @@
 	}
 }
 
+// settleLate records that no unstored start is left of the job's tasks of which other starts may be carried out late: those are of stored runs.
+func (c *session) settleLate(j *job.Job, now time.Time) {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.MayComeLate(now) {
+			c.settleStart(t)
+		}
+	}
+}
+
 // loadWidth returns how many topics a new leader reads concurrently, or 0 for all of them. The answers share the link
 // with the answers to the leader's own renewals: on a slow link, reading all topics at once delayed those for longer
 // than candidates wait for a renewal, so that each leader lost the lead while it loaded.
@@ -217,7 +227,7 @@
 			c.decodeRecord(r, &c.previousInstances)
 		case strings.HasPrefix(r.Key, waveKey):
 			c.restoreWave(r)
-		case r.Key == assignmentKey:
+		case strings.HasPrefix(r.Key, assignmentKey):
 			c.restoreAssignment(r)
 		case r.Key == statsKey:
 			c.restoreStats(r, now)
@@ -252,6 +262,7 @@
 			j.Restore(k, now)
 			j.RestoreLost(lost[id])
 			j.RestoreLate(late[id], now, wallClock(), lateMax+lateMargin)
+			c.settleLate(j, now)
 			c.restoreRuns(j, k, settled[id], ended)
 			c.dirtyJobs.Remove(id)
 		}
@@ -268,7 +279,7 @@
 		c.openJob(j, now)
 	}
 	c.reportTakeoverStep("tables-read", now)
-	c.emit(event.TablesRead, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d confined=%d", len(c.jobs), len(c.workers), len(earlier), len(c.assignment.predecessor))
+	c.emit(event.TablesRead, event.Subject{Entry: c.Entry}, "jobs=%d workers=%d earlier=%d assigned=%d", len(c.jobs), len(c.workers), len(earlier), len(c.assignment.stored))
 }
 
 // Limits of the age of a job that was submitted before a takeover. Its submission time was taken by the clock of
--- a/pool/modes.go
+++ b/pool/modes.go
@@ -25,8 +25,8 @@
 	modeUnconfirmed
 	// modeHearing: inherited jobs wait until half of the instances have this leader's token.
 	modeHearing
-	// modeOrphans: an earlier leader may have started runs that are not stored, so inherited jobs wait for all
-	// workers of their pool. It ends when all of them have answered or the last lease of that leader has expired.
+	// modeOrphans: an earlier leader may have sent starts that are not stored, so inherited tasks start only at the workers to
+	// which they are assigned. It ends when none of those starts can be carried out any more.
 	modeOrphans
 	// modeAside: the store rejects some records for good, and whatever depends on them waits. It ends when these
 	// records have changed and been stored, or are no longer needed.
@@ -87,5 +87,5 @@
 	}
 	c.setMode(modeAside, len(c.aside) > 0, now, "what was aside is kept, or gone")
 	c.setMode(modeCrowded, c.crowded(), now, "connections to workers")
-	c.setMode(modeOrphans, c.earlierUnstored && len(c.uncertainIncarnations) > 0, now, "workers that have not answered")
+	c.setMode(modeOrphans, c.earlierUnstored && c.earlierStartsPossible(now), now, "unstored starts of an earlier leader")
 }
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -38,6 +38,7 @@
 
 // planStart plans a run of the task. Its start is sent once the run is stored, so that the next leader knows where the run may be.
 func (c *session) planStart(w *worker, t *job.Task, r *run, now time.Time) {
+	r.previous = t.Run
 	t.Phase, t.Run, t.Worker, t.RunSince = job.Starting, r.number, w.Incarnation, now
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
 	c.addRun(w, t, r)
@@ -288,10 +289,11 @@
 
 // stopStray orders a run to stop that is not the current run of any task.
 func (c *session) stopStray(w *worker, name string, number int64, why string) {
-	if c.now().Sub(w.strayRuns[number]) < stopRetry {
+	stray := strayRun{task: name, number: number}
+	if c.now().Sub(w.strayRuns[stray]) < stopRetry {
 		return
 	}
-	w.strayRuns[number] = c.now()
+	w.strayRuns[stray] = c.now()
 	c.emit(event.StopOrdered, event.Subject{Job: name, Instance: w.Incarnation}, "run=%d why=%q", number, why)
 	c.callStop(w, name, number, nil)
 }
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -168,7 +168,10 @@
 	draft := c.draft()
 	place.OrderShared(open, place.Shares{Draft: draft, Total: c.totalCapacity()})
 	capacity = c.placeSuspects(p, open, capacity, draft, now)
-	for _, x := range c.chooseWorkers(p.name, open, capacity, draft) {
+	for _, x := range place.Pinned(open, capacity, draft) {
+		c.startChoice(x, now)
+	}
+	for _, x := range place.Tasks(open, capacity, draft) {
 		c.startChoice(x, now)
 	}
 	for key, g := range p.open {
@@ -211,11 +214,11 @@
 
 // placeableGroups returns the open groups of which at least one task may start now.
 func (c *session) placeableGroups(p *poolRow, now time.Time) []*place.Group {
-	unanswered := c.unansweredIn(p.name)
+	limits := c.limitsOf(p.name, now)
 	confirmed := c.confirmed(now)
 	groups := make([]*place.Group, 0, len(p.open))
 	for _, g := range p.open {
-		if unanswered.mayRun(g.Job.Spec.ID) || c.jobIsAside(g.Job) {
+		if c.jobIsAside(g.Job) {
 			continue
 		}
 		if !confirmed && c.readUnconfirmed[g.Job.Spec.ID] {
@@ -230,7 +233,7 @@
 		if step.Gang && len(g.Tasks) < step.Count {
 			continue // the remaining members of the gang have not ended yet
 		}
-		if held := markHeld(g.Tasks, now); held > 0 {
+		if held := markHeld(g.Tasks, limits, now); held > 0 {
 			p.dirty = true
 			if held == len(g.Tasks) || step.Gang {
 				continue
@@ -281,10 +284,12 @@
 }
 
 // markHeld marks the tasks that must not be started yet, and returns their number.
-func markHeld(tasks []*job.Task, now time.Time) int {
+func markHeld(tasks []*job.Task, limits startLimits, now time.Time) int {
 	held := 0
 	for _, t := range tasks {
-		t.BackingOff = now.Before(t.NotBefore) || t.MayComeLate(now)
+		worker, wait := limits.limit(t)
+		t.PinnedTo = worker
+		t.BackingOff = wait || now.Before(t.NotBefore) || (worker == "" && t.MayComeLate(now))
 		if t.BackingOff {
 			held++
 		}
@@ -312,16 +317,26 @@
 	if t.Spec().Lasting && !c.canStartLasting(w, now) {
 		return // the task keeps waiting
 	}
-	number := int64(0)
-	if t.Spec().Gang {
-		number = c.gangRunNumber(t)
-	} else {
-		number = c.nextRunNumber()
-	}
+	r := &run{number: c.runNumber(t), sentAt: now, pace: fullPercent, ticket: choice.Ticket, slack: choice.Slack}
 	if choice.Isolated {
-		c.startTrial(w, t, number)
+		c.startTrial(w, t, r.number)
+	}
+	r.restatesSettled = t.PinnedTo != "" && c.sideKeys[settledKey+t.Job.Spec.ID]
+	c.planStart(w, t, r, now)
+	if t.PinnedTo != "" && c.startPossible(t, now) {
+		c.notePossibleStart(t, r, now)
 	}
-	c.planStart(w, t, &run{number: number, sentAt: now, pace: fullPercent, ticket: choice.Ticket, slack: choice.Slack}, now)
+}
+
+// runNumber returns the number of a new run of the task.
+func (c *session) runNumber(t *job.Task) int64 {
+	switch {
+	case t.Spec().Gang:
+		return c.gangRunNumber(t)
+	case t.PinnedTo != "":
+		return unstoredRunNumber(t)
+	}
+	return c.nextRunNumber()
 }
 
 // gangRunNumber returns the run number shared by the members of the gang that are started together, and copies the saved progress of the gang to the
--- a/pool/report.go
+++ b/pool/report.go
@@ -229,6 +229,7 @@
 	t.Job.Began = true
 	t.Job.Version++
 	c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
+	c.settleStartOf(t, row.Run)
 	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true, pending: pendingStarts{unknown: t.MayComeLate(c.now())}})
 	if row.Run>>runBits < c.term.Number {
 		c.assumeUnstored("a worker runs what was not kept")
@@ -288,6 +289,10 @@
 		return
 	}
 	j := t.Job
+	c.settleStartOf(t, e.Run)
+	if t.Phase == job.Waiting {
+		t.Run = max(t.Run, e.Run) // a task that has run has no unstored start
+	}
 	current := false
 	if r := w.runs[t]; r != nil && r.number == e.Run {
 		c.settleEnded(t, r)
--- a/pool/shortage.go
+++ b/pool/shortage.go
@@ -217,10 +217,10 @@
 
 // addWaiting adds the work of the tasks that wait, and returns the part of it that belongs to jobs that came under this leader, in instance-seconds.
 func (c *session) addWaiting(p *poolRow, now time.Time, split *splitWork) (fresh float64) {
-	unanswered := c.unansweredIn(p.name)
+	limits := c.limitsOf(p.name, c.now())
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if step.Lasting || !usesInstances(g, unanswered) {
+		if step.Lasting || !usesInstances(g, limits) {
 			continue
 		}
 		n, _ := waitingTasks(g, step)
--- /dev/null
+++ b/pool/startlimits.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"time"
+
+	"rackstep.dev/job"
+	"rackstep.dev/place"
+)
+
+// A leader whose store does not answer starts tasks before their runs are stored. Such a start may get no answer, and the leader may be lost before the run is
+// stored. The worker's next incarnation can still carry the start out (see pending.go), and no record tells the next leader about it.
+//
+// Both leaders therefore know where such a start can be: only first starts of tasks without conditions on their worker leave before they are stored, each to the worker to
+// which its task is assigned, and under a number that follows from the task. While such starts may be carried out, the next leader sends an inherited task to the same
+// worker under the same number, where a copy changes nothing, and treats it as a run with one unanswered attempt.
+
+// unstoredWorker returns the ID of the only worker to which a first start of the task may leave before it is stored, or an empty string if the start has to wait for
+// the store.
+//
+// Conditions on the worker may exclude the one to which the task is assigned. A task whose earlier runs failed or were lost waits for the store: the next leader must know of
+// those before the task starts again.
+func (c *session) unstoredWorker(pool string, t *job.Task) string {
+	s := t.Spec()
+	unconditional := s.Label == "" && s.PerWorker == 0 && c.queue(t.Job).Advice == nil
+	if !unconditional || s.Lasting || s.Gang || len(t.Lost) > 0 || len(t.FailedRuns) > 0 {
+		return ""
+	}
+	return c.assignment.workerOf(pool, t)
+}
+
+// unstoredRunNumber returns the number of a run whose start may leave before it is stored. It is unique within the job, and below the numbers of all other runs.
+func unstoredRunNumber(t *job.Task) int64 { return int64(t.Ordinal()) + 1 }
+
+// earlierStartsPossible reports whether an unstored start of an earlier leader may still be carried out, or a run that began by one may go on at a worker that has not
+// answered.
+func (c *session) earlierStartsPossible(now time.Time) bool {
+	if !c.mayHaveUnstoredRuns() {
+		return false
+	}
+	stopped, known := c.earlierStoppedBy()
+	if !known || !c.earlierLeasesOver(now) {
+		return true
+	}
+	return c.bootIDsKnown && !now.After(stopped.Add(lateMax))
+}
+
+// earlierStartsEnd returns the time after which no unstored start of an earlier leader is carried out any more.
+func (c *session) earlierStartsEnd(now time.Time) time.Time {
+	return c.earlierOrdersEnd(now).Add(lateMax)
+}
+
+// startLimits tells which waiting tasks of a pool may start only at a certain worker, or not yet.
+type startLimits struct {
+	session *session
+	pool    string
+	now     time.Time
+	// earlier is set while unstored starts of an earlier leader may be carried out, and known if it is certain that it may have sent some.
+	earlier, known bool
+	// unassigned is set if the pool had no assignment at the takeover and some of its workers have not answered yet. Inherited tasks wait for them.
+	unassigned bool
+	// unstored is set while this leader's starts leave before they are stored.
+	unstored bool
+}
+
+// limitsOf returns the limits for the tasks of a pool.
+func (c *session) limitsOf(pool string, now time.Time) startLimits {
+	l := startLimits{session: c, pool: pool, now: now, earlier: c.earlierStartsPossible(now), known: c.earlierUnstored, unstored: c.inMode(modeUnkeptOrders)}
+	l.unassigned = l.earlier && !c.assignment.inherited[pool] && c.hasUncertain(pool)
+	return l
+}
+
+// usable returns the usable incarnation with the worker ID in the pool, or nil.
+func (l *startLimits) usable(id string) *worker {
+	for _, w := range l.session.incarnationsWithID(id) {
+		if w.Pool == l.pool && w.usable(l.now) {
+			return w
+		}
+	}
+	return nil
+}
+
+// hasUncertain reports whether a worker of the pool may still run what an earlier leader started.
+func (c *session) hasUncertain(pool string) bool {
+	for _, w := range c.uncertainIncarnations {
+		if w.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// inherited reports whether an earlier leader may have sent an unstored start of the task that may still be carried out.
+func (l *startLimits) inherited(t *job.Task) bool {
+	return l.earlier && l.session.inheritedUnsettled(t)
+}
+
+// limit returns the ID of the only worker on which a waiting task may start, or an empty string if any may, and whether the task must wait.
+func (l *startLimits) limit(t *job.Task) (worker string, wait bool) {
+	inherited := l.inherited(t)
+	switch {
+	case inherited && l.unassigned:
+		return "", true
+	case !inherited && !(l.unstored && t.Run == 0):
+		return "", false
+	}
+	worker = l.session.unstoredWorker(l.pool, t)
+	w := l.usable(worker)
+	switch {
+	case worker == "":
+		return "", false
+	case !inherited && w == nil:
+		return "", false // its start waits for the store
+	case !inherited:
+		return worker, false
+	case l.session.retiredIDs[worker]:
+		return "", false
+	case !l.session.bootIDsKnown: // no other incarnation will have its ID, and this one refuses the start once it has answered
+		return "", l.uncertain(worker)
+	}
+	return worker, w == nil || !l.known
+}
+
+// uncertain reports whether an incarnation with the worker ID may still run what an earlier leader started.
+func (l *startLimits) uncertain(id string) bool {
+	for _, w := range l.session.incarnationsWithID(id) {
+		if l.session.uncertainIncarnations[w.Incarnation] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// hold reports whether none of the group's tasks may start yet.
+func (l *startLimits) hold(g *place.Group) bool {
+	if !l.earlier {
+		return false
+	}
+	for _, t := range g.Tasks {
+		if !startable(t) {
+			continue
+		}
+		if _, wait := l.limit(t); !wait {
+			return false
+		}
+	}
+	return true
+}
+
+// inheritedUnsettled reports whether an earlier leader may have sent a start of the task of which nothing is known.
+func (c *session) inheritedUnsettled(t *job.Task) bool {
+	return c.inheritedJobs[t.Job.Spec.ID] && !c.startsSettled[t]
+}
+
+// startPossible reports whether an earlier leader may have sent an unstored start of the task that may still be carried out.
+func (c *session) startPossible(t *job.Task, now time.Time) bool {
+	return c.inheritedUnsettled(t) && c.earlierStartsPossible(now)
+}
+
+// settleStart records that an earlier leader has sent no unstored start of the task: it stored a run of it before.
+func (c *session) settleStart(t *job.Task) { c.startsSettled[t] = true }
+
+// settleStartOf records that a worker has carried out the unstored start of the task, if the run began by it. Other runs are no evidence about that start.
+func (c *session) settleStartOf(t *job.Task, number int64) {
+	if number == unstoredRunNumber(t) && c.earlierStartsPossible(c.now()) {
+		c.settleStart(t)
+	}
+}
+
+// endStartLimits forgets what is known of unstored starts of earlier leaders once none can be carried out any more.
+func (c *session) endStartLimits(now time.Time) {
+	if len(c.startsSettled) == 0 && !c.inMode(modeOrphans) || c.earlierStartsPossible(now) {
+		return
+	}
+	clear(c.startsSettled)
+	c.markAllDirty()
+}
+
+// notePossibleStart counts the start that an earlier leader may have sent without storing it as an unanswered attempt of the task's new run.
+func (c *session) notePossibleStart(t *job.Task, r *run, now time.Time) {
+	r.pending.add()
+	c.extendLate(t, c.earlierStartsEnd(now))
+}
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -33,7 +33,7 @@
 	supersededRuns []supersededRun
 	unknownRuns    int
 	// strayRuns maps the runs that belong to no task to the time at which they were told to stop.
-	strayRuns map[int64]time.Time
+	strayRuns map[strayRun]time.Time
 	// listed is set while the platform lists the incarnation. An incarnation that is not listed gets no starts.
 	listed bool
 	// knownAtTakeover is set if the incarnation was known when the tables were read, so that the earlier leader may have
@@ -124,6 +124,8 @@
 	confirmed work.Clock
 	// deadline is the deadline of the start. A start that arrives later has no effect.
 	deadline work.Clock
+	// previous is the number of the task's run before.
+	previous int64
 	// sent is set once the order has been sent. fromEarlierLeader is set if an earlier leader ordered the run or
 	// planned to.
 	sent, fromEarlierLeader bool
@@ -142,6 +144,9 @@
 	pending                 pendingStarts
 	orderCount              int
 	inFlight, resendPlanned bool
+	// restatesSettled is set if the store may say that an earlier run of the task with the same number was settled. The next record of
+	// the job's settled runs replaces that.
+	restatesSettled bool
 	// settledStored is set once the next leader would know that no start of the run can be carried out any more.
 	settledStored bool
 	// handedOnInFlight is set if the run was carried over during an attempt, which pending counts.
@@ -155,6 +160,12 @@
 	pace      int
 }
 
+// strayRun is a run that belongs to no task. Runs of different tasks may have the same number.
+type strayRun struct {
+	task   string
+	number int64
+}
+
 // supersededRun is the step and the organisation of a run that is no longer the latest of its task.
 type supersededRun struct {
 	organisation string
@@ -162,7 +173,7 @@
 }
 
 func newWorker(w work.Worker, clock *clock.Clock, ledger *org.Ledger) *worker {
-	row := &worker{Worker: w, clock: clock, ledger: ledger, listedSince: clock.ExactNow(), strayRuns: make(map[int64]time.Time), runs: make(map[*job.Task]*run), listed: true, ackSignal: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
+	row := &worker{Worker: w, clock: clock, ledger: ledger, listedSince: clock.ExactNow(), strayRuns: make(map[strayRun]time.Time), runs: make(map[*job.Task]*run), listed: true, ackSignal: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 	row.candidate = place.Candidate{Worker: &row.Worker, Free: w.Capacity}
 	row.coldUntil = row.listedSince.Add(w.Cold)
 	return row
@@ -305,6 +316,7 @@
 // leader.
 func (c *session) addWorker(w *worker) {
 	c.workers[w.Incarnation] = w
+	c.bootIDsKnown = c.bootIDsKnown || w.BootID != 0
 	c.markIncarnationDirty(w.Incarnation)
 	w.drained = c.drains[w.DataCentre] != nil
 	c.assignToken(w)
--- a/pool/unstored.go
+++ b/pool/unstored.go
@@ -120,16 +120,13 @@
 
 // sendUnstored sends the starts that wait to be stored.
 func (c *session) sendUnstored() {
-	starts, waiting, outside := c.splitUnstored(c.plannedStarts)
-	c.plannedStarts = waiting
-	for _, p := range outside {
-		c.dropPlanned(p)
-	}
+	starts, waiting := c.splitUnstored(c.plannedStarts)
+	c.plannedStarts = c.dropReplaceable(waiting)
 	if c.inFlight != nil {
 		// The store may have these runs already, so that the next leader may send their starts. They are not dropped.
-		first, waiting, outside := c.splitUnstored(c.inFlight.starts)
+		var first []plannedStart
+		first, c.inFlight.starts = c.splitUnstored(c.inFlight.starts)
 		starts = append(first, starts...)
-		c.inFlight.starts = append(waiting, outside...)
 	}
 	for _, p := range starts {
 		c.noteUnstored(p.task.Job)
@@ -139,47 +136,47 @@
 	c.sendStored(c.now())
 }
 
-// splitUnstored splits planned runs into those that may be ordered before they are stored, those that wait for the store, and those outside the data centre to
-// which their job is assigned. A task under which an incarnation has ended waits: the next leader must know of that before the task starts again. A gang
-// waits as a whole if one of its members may not be ordered, because it can't run without that one.
-func (c *session) splitUnstored(planned []plannedStart) (allowed, waiting, outside []plannedStart) {
-	gangs := c.waitingGangs(planned)
+// splitUnstored splits planned runs into those that may be ordered before they are stored and those that wait for the store.
+func (c *session) splitUnstored(planned []plannedStart) (allowed, waiting []plannedStart) {
 	for _, p := range planned {
-		switch {
-		case len(p.task.Lost) > 0, gangs[gangOf(p.task)]:
-			waiting = append(waiting, p)
-		case c.mayStartUnstored(p):
+		if c.obeysAssignment(p) {
 			allowed = append(allowed, p)
-		default:
-			outside = append(outside, p)
+			continue
 		}
+		waiting = append(waiting, p)
 	}
-	return allowed, waiting, outside
+	return allowed, waiting
+}
+
+// obeysAssignment reports whether a planned start may leave before it is stored: the next leader can derive its worker and its number.
+func (c *session) obeysAssignment(p plannedStart) bool {
+	return p.run.number == unstoredRunNumber(p.task) && c.unstoredWorker(p.worker.Pool, p.task) == p.worker.ID
 }
 
-// waitingGangs returns the gangs of which a planned run may not leave before it is stored.
-func (c *session) waitingGangs(planned []plannedStart) map[groupKey]bool {
-	var gangs map[groupKey]bool
+// dropReplaceable takes back the planned runs whose tasks can be placed on the workers to which they are assigned, and returns the others. None of the runs may be in
+// a batch.
+func (c *session) dropReplaceable(planned []plannedStart) (rest []plannedStart) {
+	limits := make(map[string]startLimits)
 	for _, p := range planned {
-		if !p.task.Spec().Gang || (len(p.task.Lost) == 0 && c.mayStartUnstored(p)) {
-			continue
+		pool := p.worker.Pool
+		if _, ok := limits[pool]; !ok {
+			limits[pool] = c.limitsOf(pool, c.now())
 		}
-		if gangs == nil {
-			gangs = make(map[groupKey]bool)
+		if l := limits[pool]; p.run.previous == 0 && l.usable(c.unstoredWorker(pool, p.task)) != nil {
+			c.dropPlanned(p)
+			continue
 		}
-		gangs[gangOf(p.task)] = true
+		rest = append(rest, p)
 	}
-	return gangs
+	return rest
 }
 
-// gangOf returns the key of the task's step.
-func gangOf(t *job.Task) groupKey { return groupKey{job: t.Job.Spec.ID, time: t.Time, step: t.Step} }
-
-// dropPlanned takes back a run that was planned and is in no batch, so that its task can be placed again.
+// dropPlanned takes back a run that was planned and is in no batch, so that its task can be placed again as if the run had never been planned.
 func (c *session) dropPlanned(p plannedStart) {
 	if p.worker.runs[p.task] != p.run {
 		return
 	}
 	p.worker.dropRun(p.task)
+	p.task.Run = p.run.previous
 	c.requeue(p.task)
 }
--- a/pool/unstored_test.go
+++ b/pool/unstored_test.go
@@ -57,6 +57,7 @@
 	for _, incarnation := range incarnations {
 		x.report(incarnation, 10, nil)
 	}
+	x.assignment.stored = x.assignable() // without one, no start leaves before it is stored
 	return x
 }
 
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -183,7 +183,7 @@
 func (c *session) endPreviousIncarnations(w *worker) {
 	for _, o := range slices.Clone(c.incarnationsByMachine[w.Machine]) {
 		if o != w && o.Machine != "" && o.ID != w.ID && o.listedSince.Before(w.askedAt) {
-			o.idRetired = true
+			c.retireID(o)
 			c.endIncarnation(o, "the instance has a new life "+w.Incarnation)
 		}
 	}
@@ -519,7 +519,9 @@
 	x, ok := c.machines[w.Machine]
 	switch {
 	case ok && (x.ID != w.ID || x.Pool != w.Pool):
-		w.idRetired = x.ID != w.ID
+		if x.ID != w.ID {
+			c.retireID(w)
+		}
 		c.endIncarnation(w, "the machine interface knows its instance by another life")
 	case ok:
 		w.missedLists = 0
