--- a/pool/incarnationrecords.go
+++ b/pool/incarnationrecords.go
@@ -3,6 +3,8 @@
 package pool
 
 import (
+	"time"
+
 	"rackstep.dev/event"
 	"rackstep.dev/feed"
 	"rackstep.dev/job"
@@ -41,11 +43,16 @@
 		records = append(records, feed.KeyedRecord{Key: instancesKey, Value: count})
 	}
 	size := recordsSize(records)
+	keepEnded := c.keepsEndedIncarnations(c.now())
 	for size < c.maxBatchBytes {
 		incarnation, _, ok := c.dirtyIncarnations.Pop()
 		if !ok {
 			break
 		}
+		if keepEnded && c.workers[incarnation] == nil {
+			c.keptIncarnations[incarnation] = true
+			continue
+		}
 		r, ok := c.incarnationRecord(incarnation)
 		if !ok {
 			continue
@@ -63,6 +70,23 @@
 	return records
 }
 
+// keepsEndedIncarnations reports whether the records of ended incarnations stay in the store. The next leader looks for unstored starts only at the worker IDs
+// that have a record.
+func (c *session) keepsEndedIncarnations(now time.Time) bool {
+	return c.mayHaveUnstored() || c.earlierStartsPossible(now)
+}
+
+// dropKeptIncarnations has the records of ended incarnations deleted that were kept while unstored starts could be carried out.
+func (c *session) dropKeptIncarnations(now time.Time) {
+	if len(c.keptIncarnations) == 0 || c.keepsEndedIncarnations(now) {
+		return
+	}
+	for incarnation := range c.keptIncarnations {
+		c.markIncarnationDirty(incarnation)
+	}
+	clear(c.keptIncarnations)
+}
+
 // incarnationRecord returns the record of an incarnation, or its deletion if the incarnation has left the tables.
 func (c *session) incarnationRecord(incarnation string) (feed.KeyedRecord, bool) {
 	w := c.workers[incarnation]
@@ -93,6 +117,7 @@
 func (c *session) restoreIncarnations(earlier map[string]keptIncarnation) {
 	for incarnation, k := range earlier {
 		l := work.ParseIncarnation(incarnation)
+		c.orderableIDs[l.ID] = true
 		w, ended := c.restoredRow(incarnation)
 		if w == nil || ended {
 			w = newWorker(work.Worker{Incarnation: incarnation, ID: l.ID, BootID: l.BootID, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
--- a/pool/session.go
+++ b/pool/session.go
@@ -97,9 +97,11 @@
 	uncertainIncarnations map[string]*worker
 	assignment            assignment
 	// startsSettled holds the inherited tasks of which no unstored start of an earlier leader is left. retiredIDs holds the worker IDs that no
-	// incarnation will have any more.
-	startsSettled map[*job.Task]bool
-	retiredIDs    map[string]bool
+	// incarnation will have any more, and orderableIDs those to which an earlier leader may have sent starts.
+	// keptIncarnations holds the ended incarnations whose records stay in the store until no unstored start can be carried out any more.
+	startsSettled            map[*job.Task]bool
+	retiredIDs, orderableIDs map[string]bool
+	keptIncarnations         map[string]bool
 	// bootIDsKnown is set once a worker has told its boot ID, so that a later incarnation may have the ID of an earlier one.
 	bootIDsKnown bool
 	// takeoverSteps holds the steps of the takeover that have been reached.
@@ -189,7 +191,7 @@
 		unstoredJobs: make(map[*job.Job]int64), adoptedUnstored: make(map[*job.Job]int64), unacked: make(map[*worker]bool), maxBatchBytes: cmp.Or(s.MaxBatchBytes, batchMax), notDue: make(map[string]*job.Job), inheritedJobs: make(map[string]bool), unknownTasks: make(map[string]time.Time), readUnconfirmed: make(map[string]bool),
 		intakeReadUntil: make([]time.Time, len(s.Intake)), intakeOffsets: make([]int64, len(s.Intake)),
 		intakePartitions: make(map[job.QualifiedID]uint64), cancelled: make(map[job.QualifiedID]bool), idConflicts: make(map[job.QualifiedID]*idConflict),
-		uncertainIncarnations: make(map[string]*worker), startsSettled: make(map[*job.Task]bool), retiredIDs: make(map[string]bool), takeoverSteps: make(map[string]bool), storedIncarnations: make(map[string]bool), waveStates: make(map[int64]*waveState), drains: make(drains), firstHoldSemaphore: newCallSemaphore(),
+		uncertainIncarnations: make(map[string]*worker), startsSettled: make(map[*job.Task]bool), retiredIDs: make(map[string]bool), orderableIDs: make(map[string]bool), keptIncarnations: make(map[string]bool), takeoverSteps: make(map[string]bool), storedIncarnations: make(map[string]bool), waveStates: make(map[int64]*waveState), drains: make(drains), firstHoldSemaphore: newCallSemaphore(),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*pendingMove), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), statsByQueue: make(map[string]*queueStats), unmovable: make(map[string]time.Time), movedAt: make(map[string]time.Time),
 	}
@@ -251,6 +253,7 @@
 	c.resolveUnanswered(now)
 	c.endTrials(now)
 	c.endStartLimits(now)
+	c.dropKeptIncarnations(now)
 	c.updateAssignment(now)
 	c.allowUnstored(now)
 	c.updateModes(now)
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -118,6 +118,8 @@
 		return "", false
 	case !l.session.bootIDsKnown: // no other incarnation will have its ID, and this one refuses the start once it has answered
 		return "", l.uncertain(worker)
+	case !l.session.orderableIDs[worker]:
+		return "", false
 	}
 	return worker, w == nil || !l.known
 }
--- a/pool/takeoverlate_test.go
+++ b/pool/takeoverlate_test.go
@@ -257,6 +257,7 @@
 		{"the worker lists the start's end", func(b *successorFixture) {
 			b.report("w@9", 60, nil, work.EndedRun{Seq: 1, Task: taskName, Run: unstoredRun, Outcome: work.Stopped})
 		}},
+		{"no earlier leader has given the worker anything", func(b *successorFixture) { delete(b.orderableIDs, "w") }},
 		{"no worker tells its boot ID", func(b *successorFixture) { b.bootIDsKnown = false }},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -307,3 +308,35 @@
 		c.Assert(*sent, quicktest.HasLen, 1)
 	})
 }
+
+// TestRecordsOfEndedIncarnationsStayWhileUnstoredStartsMayBeCarriedOut guards against a successor that takes a worker ID for one that has never been given work.
+func TestRecordsOfEndedIncarnationsStayWhileUnstoredStartsMayBeCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newSuccessorFixture(c, jobWithTasks(1), 9)
+		deleted := make(map[string]bool)
+		commit := func() {
+			b.State.Append = func(_ context.Context, x feed.Batch) (int64, error) {
+				for _, r := range x.Records {
+					deleted[r.Key] = len(r.Value) == 0
+				}
+				return 1, nil
+			}
+			b.commit()
+			synctest.Wait()
+			for _, m := range b.inbox.takeAll() {
+				m.apply(b.session)
+			}
+		}
+		b.report("v@9", 50, nil)
+		b.report("w@9", 50, nil)
+		b.removeIncarnation(b.workers["w@9"], "it has left")
+		commit()
+		c.Assert(deleted[incarnationKey+"w@9"], quicktest.IsFalse)
+		c.Assert(b.hasChanges(), quicktest.IsFalse, quicktest.Commentf("nothing is left for another batch"))
+		time.Sleep(b.earlierStartsEnd(b.now()).Sub(b.now()) + time.Second)
+		b.dropKeptIncarnations(b.now())
+		commit()
+		c.Assert(deleted[incarnationKey+"w@9"], quicktest.IsTrue)
+	})
+}
