--- a/job/job.go
+++ b/job/job.go
@@ -71,9 +71,9 @@
 	// LateUntil is the time until which a later incarnation of the worker may still carry out an unanswered start of the
 	// task. The task is not started elsewhere before then. The zero time means that no such start is outstanding.
 	LateUntil time.Time
-	// PinnedTo is the ID of the only worker on which the task may start, or empty if any may. It was set when the task was
+	// ConfinedTo is the ID of the only worker on which the task may start, or empty if any may. It was set when the task was
 	// last considered.
-	PinnedTo string
+	ConfinedTo string
 	// Refused counts the consecutive starts that were refused. Failures counts the consecutive runs that ended
 	// soon: for a lasting task those that failed, for any task also those with an unspecified outcome.
 	Refused, Failures int
--- a/place/pinned.go
+++ b/place/confined.go
@@ -7,20 +7,20 @@
 	"rackstep.dev/org"
 )
 
-// Pinned chooses the tasks that may start now on the only worker that they may run on, in the order of the groups, and subtracts what the tasks
+// Confined chooses the tasks that may start now on the only worker that they may run on, in the order of the groups, and subtracts what the tasks
 // need from the candidates' free capacity.
-func Pinned(groups []*Group, candidates []*Candidate, draft *org.Draft) []Choice {
+func Confined(groups []*Group, candidates []*Candidate, draft *org.Draft) []Choice {
 	var out []Choice
 	var byID map[string]*Candidate
 	for _, g := range groups {
 		for _, t := range g.Tasks {
-			if t.PinnedTo == "" || t.BackingOff {
+			if t.ConfinedTo == "" || t.BackingOff {
 				continue
 			}
 			if byID == nil {
 				byID = indexByID(candidates)
 			}
-			if r := byID[t.PinnedTo]; r != nil && fitsPinned(g, t, r, draft) {
+			if r := byID[t.ConfinedTo]; r != nil && fitsConfined(g, t, r, draft) {
 				reserve(g, r)
 				draft.Acquire(g.organisation(), t.Spec().Need)
 				out = append(out, Choice{Task: t, Candidate: r, Ticket: g.Tickets[r.Worker.Incarnation], Slack: g.Slack})
@@ -39,8 +39,8 @@
 	return byID
 }
 
-// fitsPinned reports whether the task may start on the candidate now.
-func fitsPinned(g *Group, t *job.Task, r *Candidate, draft *org.Draft) bool {
+// fitsConfined reports whether the task may start on the candidate now.
+func fitsConfined(g *Group, t *job.Task, r *Candidate, draft *org.Draft) bool {
 	step := t.Spec()
 	return draft.Admits(g.organisation(), step.Need, 1) && atLeast(r.Free, charge(step)) && mayRun(g, step, r)
 }
--- a/place/suspects.go
+++ b/place/suspects.go
@@ -34,7 +34,7 @@
 			continue // its members start together, so they can't be tried one by one
 		}
 		for _, t := range g.Tasks {
-			if !t.Suspect || t.BackingOff || t.PinnedTo != "" || !trials.Draft.Admits(g.organisation(), step.Need, 1) {
+			if !t.Suspect || t.BackingOff || t.ConfinedTo != "" || !trials.Draft.Admits(g.organisation(), step.Need, 1) {
 				continue
 			}
 			if trials.Max <= 0 || (trials.Ongoing && t.Risk() > trials.MaxRisk) {
--- a/place/tasks.go
+++ b/place/tasks.go
@@ -133,8 +133,8 @@
 		}
 		before := len(out)
 		for _, t := range g.Tasks {
-			if t.BackingOff || t.PinnedTo != "" || (t.Suspect && !step.Gang) {
-				continue // backing off, or to be placed by Pinned or PlaceSuspects
+			if t.BackingOff || t.ConfinedTo != "" || (t.Suspect && !step.Gang) {
+				continue // backing off, or to be placed by Confined or PlaceSuspects
 			}
 			if !draft.Admits(g.organisation(), step.Need, 1) {
 				g.Capped = true
--- a/pool/aside.go
+++ b/pool/aside.go
@@ -45,6 +45,9 @@
 	for n := range m.waves {
 		c.clearAside(waveKeyOf(n), rejected)
 	}
+	for pool := range c.assignment.pending {
+		c.clearAside(assignmentKey+pool, rejected)
+	}
 }
 
 // clearAside removes a key from the set of rejected records once its record is stored.
--- a/pool/assignment.go
+++ b/pool/assignment.go
@@ -37,6 +37,8 @@
 	// MilliCPU and MemoryMB are the most that an assigned task needs.
 	MilliCPU int `cbor:"2,keyasint,omitempty"`
 	MemoryMB int `cbor:"3,keyasint,omitempty"`
+	// Advised holds the queues whose tasks are not assigned, because the advice service decides which workers may run them.
+	Advised []string `cbor:"4,keyasint,omitempty"`
 }
 
 // workerOf returns the ID of the worker to which a task is assigned, or an empty string if it is assigned to none.
@@ -44,7 +46,7 @@
 // The tasks of a job are assigned to one data centre: if another one is cut off, the whole job goes on.
 func (a poolAssignment) workerOf(t *job.Task) string {
 	need := place.Charge(t.Spec())
-	if need.MilliCPU > a.MilliCPU || need.MemoryMB > a.MemoryMB || need.GPU > 0 {
+	if need.MilliCPU > a.MilliCPU || need.MemoryMB > a.MemoryMB || need.GPU > 0 || slices.Contains(a.Advised, t.Job.Spec.Queue) {
 		return ""
 	}
 	workers := a.centreOf(t.Job.Spec.ID)
@@ -91,16 +93,18 @@
 type assignment struct {
 	// stored is in the store. pending holds the pools whose change is in the batch in flight, so that it may be in the store. Both are obeyed.
 	stored, pending map[string]poolAssignment
-	// inherited holds the pools that had an assignment when the tables were read. An earlier leader sent no unstored starts in others,
+	// atTakeover holds the pools that had an assignment when the tables were read. An earlier leader sent no unstored starts in others,
 	// unless its version did not store assignments.
-	inherited map[string]bool
+	atTakeover map[string]bool
 	// wanted holds the pools whose change is to be stored.
 	wanted    map[string]poolAssignment
 	checkedAt time.Time
 }
 
-// workerOf returns the ID of the worker to which a task of the pool is assigned, or an empty string if there is none or if a change in flight makes it uncertain.
-func (a *assignment) workerOf(pool string, t *job.Task) string {
+// workerOf returns the ID of the worker to which a task is assigned, or an empty string if there is none or if a change in flight makes it uncertain. The pool is the one that
+// the job was submitted for, whatever its queue's pool is now.
+func (a *assignment) workerOf(t *job.Task) string {
+	pool := t.Job.Spec.Pool
 	worker := a.stored[pool].workerOf(t)
 	if next, changing := a.pending[pool]; changing && next.workerOf(t) != worker {
 		return ""
@@ -113,7 +117,7 @@
 	var kept poolAssignment
 	if c.decodeRecord(r, &kept) {
 		pool := strings.TrimPrefix(r.Key, assignmentKey)
-		c.assignment.stored[pool], c.assignment.inherited[pool] = kept, true
+		c.assignment.stored[pool], c.assignment.atTakeover[pool] = kept, true
 	}
 }
 
@@ -138,6 +142,7 @@
 func (c *session) assignable() map[string]poolAssignment {
 	pools := make(map[string]poolAssignment)
 	centres := make(map[string]map[string][]string)
+	advised := c.advisedQueues()
 	for _, w := range c.workers {
 		if !w.listed || w.Leaving || w.drained {
 			continue
@@ -146,13 +151,11 @@
 		if a, known := pools[w.Pool]; known {
 			cpu, memory = min(cpu, a.MilliCPU), min(memory, a.MemoryMB)
 		}
-		pools[w.Pool] = poolAssignment{MilliCPU: cpu, MemoryMB: memory}
+		pools[w.Pool] = poolAssignment{MilliCPU: cpu, MemoryMB: memory, Advised: advised[w.Pool]}
 		if centres[w.Pool] == nil {
 			centres[w.Pool] = make(map[string][]string)
 		}
-		if ids := centres[w.Pool][w.DataCentre]; !slices.Contains(ids, w.ID) {
-			centres[w.Pool][w.DataCentre] = append(ids, w.ID)
-		}
+		centres[w.Pool][w.DataCentre] = append(centres[w.Pool][w.DataCentre], w.ID)
 	}
 	for pool, a := range pools {
 		a.Workers = orderedWorkers(centres[pool])
@@ -161,12 +164,27 @@
 	return pools
 }
 
+// advisedQueues returns the queues with an advice service by pool, in ascending order.
+func (c *session) advisedQueues() map[string][]string {
+	queues := make(map[string][]string)
+	if c.config == nil {
+		return queues
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.config.Queues)) {
+		if q := c.config.Queues[name]; q.Advice != nil {
+			queues[q.Pool] = append(queues[q.Pool], name)
+		}
+	}
+	return queues
+}
+
 // orderedWorkers returns the workers by data centre in a fixed order.
 func orderedWorkers(byCentre map[string][]string) [][]string {
 	var out [][]string
 	for _, centre := range slices.Sorted(maps.Keys(byCentre)) {
-		slices.Sort(byCentre[centre])
-		out = append(out, byCentre[centre])
+		workers := byCentre[centre]
+		slices.Sort(workers)
+		out = append(out, slices.Compact(workers)) // two incarnations may be listed under an ID
 	}
 	return out
 }
@@ -175,7 +193,7 @@
 func changedPools(current, usable map[string]poolAssignment) map[string]poolAssignment {
 	changed := make(map[string]poolAssignment)
 	for pool, a := range usable {
-		if !closeTo(current[pool].all(), a.all()) {
+		if !closeTo(current[pool].all(), a.all()) || !slices.Equal(current[pool].Advised, a.Advised) {
 			changed[pool] = a
 		}
 	}
@@ -237,14 +255,13 @@
 }
 
 // assignmentStored records that the store has accepted the assignment of the last batch. If the store rejects the record of a pool for good, the earlier one remains
-// in the store and both are obeyed.
+// in force, and the record is tried again with the next comparison.
 func (c *session) assignmentStored() {
 	a := &c.assignment
 	for pool, next := range a.pending {
-		if c.aside.has(assignmentKey + pool) {
-			continue
+		if !c.aside.has(assignmentKey + pool) {
+			a.stored[pool] = next
 		}
-		a.stored[pool] = next
-		delete(a.pending, pool)
 	}
+	a.pending = nil
 }
--- a/pool/load.go
+++ b/pool/load.go
@@ -137,15 +137,6 @@
 	}
 }
 
-// settleLate records that no unstored start is left of the job's tasks of which other starts may be carried out late: those are of stored runs.
-func (c *session) settleLate(j *job.Job, now time.Time) {
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.MayComeLate(now) {
-			c.settleStart(t)
-		}
-	}
-}
-
 // loadWidth returns how many topics a new leader reads concurrently, or 0 for all of them. The answers share the link
 // with the answers to the leader's own renewals: on a slow link, reading all topics at once delayed those for longer
 // than candidates wait for a renewal, so that each leader lost the lead while it loaded.
@@ -262,7 +253,6 @@
 			j.Restore(k, now)
 			j.RestoreLost(lost[id])
 			j.RestoreLate(late[id], now, wallClock(), lateMax+lateMargin)
-			c.settleLate(j, now)
 			c.restoreRuns(j, k, settled[id], ended)
 			c.dirtyJobs.Remove(id)
 		}
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -168,7 +168,7 @@
 	draft := c.draft()
 	place.OrderShared(open, place.Shares{Draft: draft, Total: c.totalCapacity()})
 	capacity = c.placeSuspects(p, open, capacity, draft, now)
-	for _, x := range place.Pinned(open, capacity, draft) {
+	for _, x := range place.Confined(open, capacity, draft) {
 		c.startChoice(x, now)
 	}
 	for _, x := range place.Tasks(open, capacity, draft) {
@@ -288,8 +288,8 @@
 	held := 0
 	for _, t := range tasks {
 		worker, wait := limits.limit(t)
-		t.PinnedTo = worker
-		t.BackingOff = wait || now.Before(t.NotBefore) || (worker == "" && t.MayComeLate(now))
+		t.ConfinedTo = worker
+		t.BackingOff = wait || now.Before(t.NotBefore) || limits.held(t, worker)
 		if t.BackingOff {
 			held++
 		}
@@ -321,9 +321,9 @@
 	if choice.Isolated {
 		c.startTrial(w, t, r.number)
 	}
-	r.restatesSettled = t.PinnedTo != "" && c.sideKeys[settledKey+t.Job.Spec.ID]
+	r.restatesSettled = t.ConfinedTo != "" && c.sideKeys[settledKey+t.Job.Spec.ID]
 	c.planStart(w, t, r, now)
-	if t.PinnedTo != "" && c.startPossible(t, now) {
+	if t.ConfinedTo != "" && c.startPossible(t, now) {
 		c.notePossibleStart(t, r, now)
 	}
 }
@@ -333,7 +333,7 @@
 	switch {
 	case t.Spec().Gang:
 		return c.gangRunNumber(t)
-	case t.PinnedTo != "":
+	case t.ConfinedTo != "":
 		return unstoredRunNumber(t)
 	}
 	return c.nextRunNumber()
--- a/pool/report.go
+++ b/pool/report.go
@@ -225,13 +225,14 @@
 	if t.Phase != job.Waiting || t.Job.State.Ended() {
 		return false
 	}
+	ownRun := row.Run == t.Run // the number of an unstored run tells no term
 	t.Phase, t.Run, t.Worker, t.RunSince = job.Active, row.Run, w.Incarnation, c.now()
 	t.Job.Began = true
 	t.Job.Version++
 	c.dirtyJobs.Add(t.Job.Spec.ID, t.Job)
 	c.settleStartOf(t, row.Run)
 	c.addRun(w, t, &run{number: row.Run, confirmed: clock, pace: fullPercent, sent: true, pending: pendingStarts{unknown: t.MayComeLate(c.now())}})
-	if row.Run>>runBits < c.term.Number {
+	if row.Run>>runBits < c.term.Number && !ownRun {
 		c.assumeUnstored("a worker runs what was not kept")
 		c.adoptedUnstored[t.Job] = t.Job.Version
 	}
--- a/pool/session.go
+++ b/pool/session.go
@@ -196,7 +196,7 @@
 		moves: make(map[string]*pendingMove), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), statsByQueue: make(map[string]*queueStats), unmovable: make(map[string]time.Time), movedAt: make(map[string]time.Time),
 	}
 	c.aside = make(asideRecords)
-	c.assignment.stored, c.assignment.inherited = make(map[string]poolAssignment), make(map[string]bool)
+	c.assignment.stored, c.assignment.atTakeover = make(map[string]poolAssignment), make(map[string]bool)
 	c.writer = c.newWriter()
 	c.ledger.SetDirectory(s.organisations.Load())
 	s.mu.Lock()
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -16,18 +16,26 @@
 // which its task is assigned, and under a number that follows from the task. While such starts may be carried out, the next leader sends an inherited task to the same
 // worker under the same number, where a copy changes nothing, and treats it as a run with one unanswered attempt.
 
-// unstoredWorker returns the ID of the only worker to which a first start of the task may leave before it is stored, or an empty string if the start has to wait for
-// the store.
+// assignedWorker returns the ID of the only worker to which any leader may have sent, or may send, a start of the task before it is stored, or an empty string if all
+// starts wait for the store. It depends on nothing but the task and the stored assignment.
 //
 // Conditions on the worker may exclude the one to which the task is assigned. A task whose earlier runs failed or were lost waits for the store: the next leader must know of
 // those before the task starts again.
-func (c *session) unstoredWorker(pool string, t *job.Task) string {
+func (c *session) assignedWorker(t *job.Task) string {
 	s := t.Spec()
-	unconditional := s.Label == "" && s.PerWorker == 0 && c.queue(t.Job).Advice == nil
-	if !unconditional || s.Lasting || s.Gang || len(t.Lost) > 0 || len(t.FailedRuns) > 0 {
+	if s.Label != "" || s.PerWorker > 0 || s.Lasting || s.Gang || len(t.Lost) > 0 || len(t.FailedRuns) > 0 {
 		return ""
 	}
-	return c.assignment.workerOf(pool, t)
+	return c.assignment.workerOf(t)
+}
+
+// unstoredWorker returns the ID of the only worker to which this leader may send a first start of the task before it is stored, or an empty string if the start has to
+// wait for the store.
+func (c *session) unstoredWorker(t *job.Task) string {
+	if q := c.queue(t.Job); q.Pool != t.Job.Spec.Pool || q.Advice != nil {
+		return "" // the next leader may not have the same configuration, and looks in the pool that the job was submitted for
+	}
+	return c.assignedWorker(t)
 }
 
 // unstoredRunNumber returns the number of a run whose start may leave before it is stored. It is unique within the job, and below the numbers of all other runs.
@@ -56,18 +64,21 @@
 	session *session
 	pool    string
 	now     time.Time
-	// earlier is set while unstored starts of an earlier leader may be carried out, and known if it is certain that it may have sent some.
-	earlier, known bool
+	// earlierPossible is set while unstored starts of an earlier leader may be carried out, and earlierCertain if it is certain that it may have sent some.
+	earlierPossible, earlierCertain bool
 	// unassigned is set if the pool had no assignment at the takeover and some of its workers have not answered yet. Inherited tasks wait for them.
 	unassigned bool
-	// unstored is set while this leader's starts leave before they are stored.
-	unstored bool
+	// ownUnstored is set while this leader's starts leave before they are stored.
+	ownUnstored bool
 }
 
 // limitsOf returns the limits for the tasks of a pool.
 func (c *session) limitsOf(pool string, now time.Time) startLimits {
-	l := startLimits{session: c, pool: pool, now: now, earlier: c.earlierStartsPossible(now), known: c.earlierUnstored, unstored: c.inMode(modeUnkeptOrders)}
-	l.unassigned = l.earlier && !c.assignment.inherited[pool] && c.hasUncertain(pool)
+	l := startLimits{
+		session: c, pool: pool, now: now,
+		earlierPossible: c.earlierStartsPossible(now), earlierCertain: c.earlierUnstored, ownUnstored: c.inMode(modeUnkeptOrders),
+	}
+	l.unassigned = l.earlierPossible && !c.assignment.atTakeover[pool] && c.hasUncertain(pool)
 	return l
 }
 
@@ -93,35 +104,51 @@
 
 // inherited reports whether an earlier leader may have sent an unstored start of the task that may still be carried out.
 func (l *startLimits) inherited(t *job.Task) bool {
-	return l.earlier && l.session.inheritedUnsettled(t)
+	return l.earlierPossible && l.session.inheritedUnsettled(t)
 }
 
 // limit returns the ID of the only worker on which a waiting task may start, or an empty string if any may, and whether the task must wait.
 func (l *startLimits) limit(t *job.Task) (worker string, wait bool) {
-	inherited := l.inherited(t)
 	switch {
-	case inherited && l.unassigned:
+	case l.inherited(t):
+		return l.limitInherited(t)
+	case l.ownUnstored && t.Run == 0:
+		return l.limitOwn(t), false
+	}
+	return "", false
+}
+
+// limitInherited is limit for an inherited task.
+func (l *startLimits) limitInherited(t *job.Task) (worker string, wait bool) {
+	if l.unassigned {
 		return "", true
-	case !inherited && !(l.unstored && t.Run == 0):
-		return "", false
 	}
-	worker = l.session.unstoredWorker(l.pool, t)
-	w := l.usable(worker)
+	worker = l.session.assignedWorker(t)
 	switch {
-	case worker == "":
-		return "", false
-	case !inherited && w == nil:
-		return "", false // its start waits for the store
-	case !inherited:
-		return worker, false
-	case l.session.retiredIDs[worker]:
+	case worker == "", l.session.retiredIDs[worker]:
 		return "", false
 	case !l.session.bootIDsKnown: // no other incarnation will have its ID, and this one refuses the start once it has answered
 		return "", l.uncertain(worker)
 	case !l.session.orderableIDs[worker]:
 		return "", false
 	}
-	return worker, w == nil || !l.known
+	return worker, l.usable(worker) == nil || !l.earlierCertain
+}
+
+// limitOwn returns the ID of the worker on which a task may start before its run is stored. If that worker can't be used, any worker may start the task once the run is
+// stored.
+func (l *startLimits) limitOwn(t *job.Task) string {
+	worker := l.session.unstoredWorker(t)
+	if l.usable(worker) == nil {
+		return ""
+	}
+	return worker
+}
+
+// held reports whether a waiting task that is limited to the given worker must not start yet, because a start of another run of it may be carried out late. A start
+// under the number of an unstored one does no harm at the same worker.
+func (l *startLimits) held(t *job.Task, worker string) bool {
+	return t.MayComeLate(l.now) && (worker == "" || t.Run == 0 || !l.inherited(t))
 }
 
 // uncertain reports whether an incarnation with the worker ID may still run what an earlier leader started.
@@ -136,7 +163,7 @@
 
 // hold reports whether none of the group's tasks may start yet.
 func (l *startLimits) hold(g *place.Group) bool {
-	if !l.earlier {
+	if !l.earlierPossible {
 		return false
 	}
 	for _, t := range g.Tasks {
@@ -160,7 +187,7 @@
 	return c.inheritedUnsettled(t) && c.earlierStartsPossible(now)
 }
 
-// settleStart records that an earlier leader has sent no unstored start of the task: it stored a run of it before.
+// settleStart records that no unstored start of an earlier leader is left of the task.
 func (c *session) settleStart(t *job.Task) { c.startsSettled[t] = true }
 
 // settleStartOf records that a worker has carried out the unstored start of the task, if the run began by it. Other runs are no evidence about that start.
@@ -170,13 +197,15 @@
 	}
 }
 
-// endStartLimits forgets what is known of unstored starts of earlier leaders once none can be carried out any more.
+// endStartLimits has all tasks placed anew once no unstored start of an earlier leader can be carried out any more, and forgets which starts were settled once none can be,
+// whatever becomes known of that leader.
 func (c *session) endStartLimits(now time.Time) {
-	if len(c.startsSettled) == 0 && !c.inMode(modeOrphans) || c.earlierStartsPossible(now) {
-		return
+	if c.inMode(modeOrphans) && !c.earlierStartsPossible(now) {
+		c.markAllDirty()
+	}
+	if _, known := c.earlierStoppedBy(); known && now.After(c.earlierStartsEnd(now)) {
+		clear(c.startsSettled)
 	}
-	clear(c.startsSettled)
-	c.markAllDirty()
 }
 
 // notePossibleStart counts the start that an earlier leader may have sent without storing it as an unanswered attempt of the task's new run.
--- a/pool/unstored.go
+++ b/pool/unstored.go
@@ -76,6 +76,9 @@
 		return
 	}
 	c.AnnounceUnstoredOrders(false)
+	if c.inMode(modeUnkeptOrders) {
+		c.markAllDirty() // tasks may start on any worker again
+	}
 	c.setMode(modeUnkeptOrders, false, now, why)
 	c.setMode(modeStoreSlow, false, now, why)
 }
@@ -148,21 +151,19 @@
 	return allowed, waiting
 }
 
-// obeysAssignment reports whether a planned start may leave before it is stored: the next leader can derive its worker and its number.
+// obeysAssignment reports whether a planned start may leave before it is stored: the next leader can derive its worker and its number, and counts one such start. A task of
+// which an earlier leader may have sent one waits for the store.
 func (c *session) obeysAssignment(p plannedStart) bool {
-	return p.run.number == unstoredRunNumber(p.task) && c.unstoredWorker(p.worker.Pool, p.task) == p.worker.ID
+	return p.run.number == unstoredRunNumber(p.task) && c.unstoredWorker(p.task) == p.worker.ID && !c.startPossible(p.task, c.now())
 }
 
 // dropReplaceable takes back the planned runs whose tasks can be placed on the workers to which they are assigned, and returns the others. None of the runs may be in
 // a batch.
 func (c *session) dropReplaceable(planned []plannedStart) (rest []plannedStart) {
-	limits := make(map[string]startLimits)
+	now := c.now()
 	for _, p := range planned {
-		pool := p.worker.Pool
-		if _, ok := limits[pool]; !ok {
-			limits[pool] = c.limitsOf(pool, c.now())
-		}
-		if l := limits[pool]; p.run.previous == 0 && l.usable(c.unstoredWorker(pool, p.task)) != nil {
+		l := c.limitsOf(p.worker.Pool, now)
+		if p.run.previous == 0 && !l.inherited(p.task) && l.limitOwn(p.task) != "" {
 			c.dropPlanned(p)
 			continue
 		}
--- a/pool/unstoredlate_test.go
+++ b/pool/unstoredlate_test.go
@@ -113,3 +113,32 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice, or waits for long, when two leaders in a row send its start in an outage of the store each and both attempts are carried out late.
+func TestUnstoredStartsOfTwoLeadersInARowStartNothing(t *testing.T) {
+	for i := range *outageHistories {
+		seed := *outageFirst + uint64(i)
+		workers := historyWorkers * (1 + int(seed%2))
+		_, wrong := runHistoryWith(t, seed, workers, simCapacity, 1, func(h *history) {
+			h.beforeCheck = func() { h.excludeGivenUp() }
+			h.maxExtraTime = 6 * time.Second
+			h.submitLoad(time.Second, 60*time.Millisecond)
+			for range 3 {
+				h.outageWithLateStarts(seed)
+				lost := []*entry{h.killLeader()}
+				time.Sleep(time.Duration(2500+250*(seed%8)) * time.Millisecond)
+				h.outageWithLateStarts(seed)
+				lost = append(lost, h.killLeader())
+				for range 2 {
+					h.crashRepeatedly(8, seed)
+				}
+				h.restartEntries(lost)
+				h.submitLoad(4*time.Second, 300*time.Millisecond)
+			}
+			h.healAndCheck()
+		})
+		for _, v := range wrong[:min(len(wrong), 3)] {
+			t.Errorf("seed %d, one of %d: %s", seed, len(wrong), v)
+		}
+	}
+}
