--- a/pool/demand.go
+++ b/pool/demand.go
@@ -150,9 +150,9 @@
 	}
 }
 
-// usesInstances reports whether more instances would let tasks of the group start. unanswered holds the workers of its pool that may have unstored runs.
+// usesInstances reports whether more instances would let tasks of the group start.
 func usesInstances(g *place.Group, limits startLimits) bool {
-	if limits.hold(g) {
+	if limits.allWait(g) {
 		return false // its tasks can't start yet, so that instances for them would be idle
 	}
 	return !g.Capped && !g.OverRate // more instances don't help a capped group, and a group over its rate limit is entitled to none
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -161,8 +161,8 @@
 	return false
 }
 
-// hold reports whether none of the group's tasks may start yet.
-func (l *startLimits) hold(g *place.Group) bool {
+// allWait reports whether none of the group's tasks may start yet.
+func (l *startLimits) allWait(g *place.Group) bool {
 	if !l.earlierPossible {
 		return false
 	}
