--- a/pool/assignment_test.go
+++ b/pool/assignment_test.go
@@ -135,6 +135,7 @@
 		for _, p := range b.plannedStarts {
 			planned[p.task.Job.Spec.ID] = p.worker.Incarnation
 		}
+		c.Assert(planned, quicktest.HasLen, 40)
 		b.loseStoreAt("a1")
 		b.askAll()
 		b.allowUnstored(time.Now())
--- a/pool/startlimits_test.go
+++ b/pool/startlimits_test.go
@@ -18,10 +18,11 @@
 	"rackstep.dev/work"
 )
 
-// outage has the store fail until unstored starts leave, and places the waiting tasks meanwhile.
-func (b *successorFixture) outage() {
+// outageAt has the store fail until unstored starts may leave, and places the waiting tasks meanwhile. The first batch that it does not answer has at least the record
+// of the given incarnation.
+func (b *fixture) outageAt(incarnation string) {
 	b.c.Helper()
-	b.loseStoreAt("w@9")
+	b.loseStoreAt(incarnation)
 	for range 3 {
 		b.askAll()
 		b.placeAndCount()
@@ -47,7 +48,7 @@
 		second.report("v@9", 50, nil)
 		second.report("w@9", 50, nil)
 		second.commitAll()
-		second.outage()
+		second.outageAt("w@9")
 		copies := len(second.startedOn())
 
 		third := newSuccessorFixture(c, jobWithTasks(1), 9) // the store has not changed
@@ -79,7 +80,7 @@
 		j2.RestoreLate([]job.StoredLate{{Ordinal: 0, Until: job.UnixMilli(wallClock().Add(10 * time.Second).UnixMilli())}}, b.now(), wallClock(), lateMax)
 		b.placeAndCount()
 		c.Assert(t0.Phase, quicktest.Equals, job.Waiting)
-		b.outage()
+		b.outageAt("w@9")
 		c.Check(t0.MayComeLate(b.now()), quicktest.IsTrue)
 		c.Check(b.startedOn(), quicktest.HasLen, 0, quicktest.Commentf("a start of the earlier run may still be carried out elsewhere"))
 	})
--- a/pool/takeoverlate_test.go
+++ b/pool/takeoverlate_test.go
@@ -297,14 +297,7 @@
 		c.Assert(*sent, quicktest.HasLen, 1)
 		c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting, quicktest.Commentf("the stored run was refused"))
 		time.Sleep(time.Second)
-		b.loseStoreAt("w@9")
-		for range 3 {
-			b.askAll()
-			b.placeAndCount()
-			b.allowUnstored(b.now())
-		}
-		synctest.Wait()
-		c.Assert(b.inMode(modeUnkeptOrders), quicktest.IsTrue)
+		b.outageAt("w@9")
 		c.Assert(*sent, quicktest.HasLen, 1)
 	})
 }
--- a/pool/unstoredlate_test.go
+++ b/pool/unstoredlate_test.go
@@ -36,34 +36,39 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			for i := range *outageHistories {
-				seed := *outageFirst + uint64(i)
-				workers := historyWorkers * (1 + int(seed%2))
-				_, wrong := runHistoryWith(t, seed, workers, simCapacity, 1, func(h *history) {
-					h.beforeCheck = func() { h.excludeGivenUp() }
-					h.maxExtraTime = 6 * time.Second
-					h.submitLoad(time.Second, 60*time.Millisecond)
-					for range 3 {
-						h.outageWithLateStarts(seed)
-						lost := []*entry{x.lose(h)}
-						for range 2 {
-							h.crashRepeatedly(8, seed)
-							if x.second && len(lost) == 1 {
-								lost = append(lost, h.killLeader())
-							}
-						}
-						h.restartEntries(lost)
-						h.submitLoad(4*time.Second, 300*time.Millisecond)
+				runOutageHistory(t, *outageFirst+uint64(i), func(h *history, seed uint64) []*entry {
+					h.outageWithLateStarts(seed)
+					lost := []*entry{x.lose(h)}
+					h.crashRepeatedly(8, seed)
+					if x.second {
+						lost = append(lost, h.killLeader())
 					}
-					h.healAndCheck()
+					h.crashRepeatedly(8, seed)
+					return lost
 				})
-				for _, v := range wrong[:min(len(wrong), 3)] {
-					t.Errorf("seed %d, one of %d: %s", seed, len(wrong), v)
-				}
 			}
 		})
 	}
 }
 
+// runOutageHistory runs a history in which all restarted workers keep their IDs. It plays the script three times under load; the script returns the entries that it has killed.
+func runOutageHistory(t *testing.T, seed uint64, script func(h *history, seed uint64) []*entry) {
+	workers := historyWorkers * (1 + int(seed%2))
+	_, wrong := runHistoryWith(t, seed, workers, simCapacity, 1, func(h *history) {
+		h.beforeCheck = func() { h.excludeGivenUp() }
+		h.maxExtraTime = 6 * time.Second
+		h.submitLoad(time.Second, 60*time.Millisecond)
+		for range 3 {
+			h.restartEntries(script(h, seed))
+			h.submitLoad(4*time.Second, 300*time.Millisecond)
+		}
+		h.healAndCheck()
+	})
+	for _, v := range wrong[:min(len(wrong), 3)] {
+		t.Errorf("seed %d, one of %d: %s", seed, len(wrong), v)
+	}
+}
+
 // outageWithLateStarts begins an outage of the store. Once the leader starts tasks without the store, most of its starts get no answer and are carried out late.
 func (h *history) outageWithLateStarts(seed uint64) {
 	h.mu.Lock()
@@ -117,28 +122,14 @@
 // Guards against a task that runs twice, or waits for long, when two leaders in a row send its start in an outage of the store each and both attempts are carried out late.
 func TestUnstoredStartsOfTwoLeadersInARowStartNothing(t *testing.T) {
 	for i := range *outageHistories {
-		seed := *outageFirst + uint64(i)
-		workers := historyWorkers * (1 + int(seed%2))
-		_, wrong := runHistoryWith(t, seed, workers, simCapacity, 1, func(h *history) {
-			h.beforeCheck = func() { h.excludeGivenUp() }
-			h.maxExtraTime = 6 * time.Second
-			h.submitLoad(time.Second, 60*time.Millisecond)
-			for range 3 {
-				h.outageWithLateStarts(seed)
-				lost := []*entry{h.killLeader()}
-				time.Sleep(time.Duration(2500+250*(seed%8)) * time.Millisecond)
-				h.outageWithLateStarts(seed)
-				lost = append(lost, h.killLeader())
-				for range 2 {
-					h.crashRepeatedly(8, seed)
-				}
-				h.restartEntries(lost)
-				h.submitLoad(4*time.Second, 300*time.Millisecond)
-			}
-			h.healAndCheck()
+		runOutageHistory(t, *outageFirst+uint64(i), func(h *history, seed uint64) []*entry {
+			h.outageWithLateStarts(seed)
+			lost := []*entry{h.killLeader()}
+			time.Sleep(time.Duration(2500+250*(seed%8)) * time.Millisecond)
+			h.outageWithLateStarts(seed)
+			lost = append(lost, h.killLeader())
+			h.crashRepeatedly(16, seed)
+			return lost
 		})
-		for _, v := range wrong[:min(len(wrong), 3)] {
-			t.Errorf("seed %d, one of %d: %s", seed, len(wrong), v)
-		}
 	}
 }
