--- a/pool/incarnationrecords.go
+++ b/pool/incarnationrecords.go
@@ -19,6 +19,9 @@
 	Address string `cbor:"3,keyasint,omitempty"`
 }
 
+// ended reports whether the incarnation has ended: its record is empty then, and says only that starts may have been sent to its worker ID.
+func (k keptIncarnation) ended() bool { return k == keptIncarnation{} }
+
 // keptWorker is an element of the single record of all incarnations that earlier versions wrote.
 type keptWorker struct {
 	_                                   struct{} `cbor:",toarray"`
@@ -49,17 +52,13 @@
 		if !ok {
 			break
 		}
-		if keepEnded && c.workers[incarnation] == nil {
-			c.keptIncarnations[incarnation] = true
-			continue
-		}
-		r, ok := c.incarnationRecord(incarnation)
+		r, ok := c.incarnationRecord(incarnation, keepEnded)
 		if !ok {
 			continue
 		}
 		records = append(records, r)
 		size += len(r.Key) + len(r.Value)
-		if len(r.Value) > 0 {
+		if c.workers[incarnation] != nil {
 			done.incarnations = append(done.incarnations, incarnation)
 		}
 	}
@@ -70,10 +69,9 @@
 	return records
 }
 
-// keepsEndedIncarnations reports whether the records of ended incarnations stay in the store. The next leader looks for unstored starts only at the worker IDs
-// that have a record.
+// keepsEndedIncarnations reports whether ended incarnations keep a record in the store. The next leader looks for unstored starts only at the worker IDs that have one.
 func (c *session) keepsEndedIncarnations(now time.Time) bool {
-	return c.mayHaveUnstored() || c.earlierStartsPossible(now)
+	return c.bootIDsKnown && (c.mayHaveUnstored() || c.earlierStartsPossible(now))
 }
 
 // dropKeptIncarnations has the records of ended incarnations deleted that were kept while unstored starts could be carried out.
@@ -87,13 +85,19 @@
 	clear(c.keptIncarnations)
 }
 
-// incarnationRecord returns the record of an incarnation, or its deletion if the incarnation has left the tables.
-func (c *session) incarnationRecord(incarnation string) (feed.KeyedRecord, bool) {
+// incarnationRecord returns the record of an incarnation. That of one that has left the tables is its deletion, unless ended incarnations keep a record.
+func (c *session) incarnationRecord(incarnation string, keepEnded bool) (feed.KeyedRecord, bool) {
 	w := c.workers[incarnation]
-	if w == nil {
+	if w == nil && !keepEnded {
 		return feed.KeyedRecord{Key: incarnationKey + incarnation}, true
 	}
-	value, err := job.Encode(keptIncarnation{Machine: w.Machine, Pool: w.Pool, Address: w.Address})
+	var k keptIncarnation
+	if w != nil {
+		k = keptIncarnation{Machine: w.Machine, Pool: w.Pool, Address: w.Address}
+	} else {
+		c.keptIncarnations[incarnation] = true
+	}
+	value, err := job.Encode(k)
 	if err != nil {
 		c.emit(event.RecordRefused, event.Subject{Instance: incarnation}, "worker record can't be encoded: %v", err)
 		return feed.KeyedRecord{}, false
@@ -118,6 +122,10 @@
 	for incarnation, k := range earlier {
 		l := work.ParseIncarnation(incarnation)
 		c.orderableIDs[l.ID] = true
+		if k.ended() {
+			c.keptIncarnations[incarnation] = true
+			continue
+		}
 		w, ended := c.restoredRow(incarnation)
 		if w == nil || ended {
 			w = newWorker(work.Worker{Incarnation: incarnation, ID: l.ID, BootID: l.BootID, Machine: k.Machine, Pool: k.Pool, Address: k.Address}, c.Clock, &c.ledger)
