--- a/pool/incarnations_test.go
+++ b/pool/incarnations_test.go
@@ -170,6 +170,7 @@
 				if x.storing {
 					b.State.Append = func(context.Context, feed.Batch) (int64, error) { return 1, nil }
 					b.commit()
+					synctest.Wait() // the answer has come and is not processed yet
 				}
 				earlier := b.task(0).Run - 1
 				b.report(other, 60, []work.RunStatus{{Task: taskName, Run: earlier}})
