--- a/review/2/main.go
+++ b/review/2/main.go
@@ -2,101 +2,121 @@
 
 //go:build review
 
-// Command 2 has the store turn the leader's machine away while a client hands a job in at another entry and cancels it.
+// Command 2 has the store silent when ended jobs are dropped from it, and later stops the leader.
 package main
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"rackstep.dev/internal/standin/platformtest"
 	"rackstep.dev/review/kit"
 )
 
 const (
-	jobs = 5
-	// outage is how long the store is silent to the leader's machine (for_s of platform_down, nodes leader silent, in the site file).
-	outage = 7 * time.Second
-	// cancelTime and stopTime are cancel_ms and StopMs of the settings, contact is ContactMs.
-	cancelTime, stopTime, contact = 3 * time.Second, 400 * time.Millisecond, 3 * time.Second
+	jobs     = 20
+	workTime = 300 * time.Millisecond
+	// forgetAfter is how long after status_s the system drops an ended job (pool/session.go).
+	forgetAfter = 30 * time.Second
+	// outage is how long the store is silent (for_s of platform_down, busy, in the site file), and before how long of it lies before the jobs are
+	// dropped.
+	outage, before = 4200 * time.Millisecond, 2 * time.Second
 )
 
 func main() {
-	kit.Main(100*time.Second, kit.Options{
-		Entries: 4, StatusS: 120, Runners: map[string]int{"lookup-svc": 3},
-		TaskDuration: func(string) time.Duration { return 0 }, // work items that last
-	}, run)
+	status := 45.0
+	if s, err := strconv.ParseFloat(os.Getenv("STATUS_S"), 64); err == nil {
+		status = s
+	}
+	kit.Main(time.Duration(status)*time.Second+75*time.Second, kit.Options{
+		Entries: 4, StatusS: status, Runners: map[string]int{"lookup-svc": 3},
+		TaskDuration: func(string) time.Duration { return workTime },
+	}, func(c *kit.Cluster) int { return run(c, time.Duration(status*float64(time.Second))) })
 }
 
 func name(i int) string { return fmt.Sprintf("00000000000000%02x", i+1) }
 
-func run(c *kit.Cluster) int {
+func run(c *kit.Cluster, status time.Duration) int {
 	leader := c.Leader()
 	c.Note("%s leads", leader.Name)
 	others := c.Others(leader)
-	time.Sleep(3 * time.Second)
-	begun := time.Now()
-	if c.Trouble {
-		c.Note("the store is silent to %s", leader.Name)
-		leader.Store.SetSilent(true)
-	}
-	time.Sleep(50 * time.Millisecond)
-	cancelled := make(map[string]time.Time)
 	for i := range jobs {
-		e := others[i%len(others)]
-		if s, _ := c.Call(e, "POST", "lookup-svc", name(i), `{"Spec":"x","Steps":[{"Count":2,"Cpu":500,"MemMb":256,"Daemon":true,"Image":"a"}]}`); s != 200 {
-			continue
+		if s, _ := c.Call(others[i%len(others)], "POST", "lookup-svc", name(i), `{"Spec":"x","Steps":[{"Count":1,"Cpu":500,"MemMb":256,"EstimateMs":300}]}`); s != 200 {
+			return kit.NotRun
+		}
+	}
+	succeeded := make(map[string]bool)
+	for end := time.Now().Add(8 * time.Second); len(succeeded) < jobs; time.Sleep(200 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.Note("only %d jobs were shown as succeeded", len(succeeded))
+			return kit.NotRun
 		}
-		time.Sleep(100 * time.Millisecond)
-		for range 3 { // as the pages say, a client asks again after silence, 502, 503 or 504
-			if s, _ := c.Call(e, "DELETE", "lookup-svc", name(i), ""); s/100 == 2 || s == 410 {
-				cancelled[name(i)] = time.Now()
-				break
+		for i := range jobs {
+			if succeeded[name(i)] {
+				continue
+			}
+			if s, state := c.Call(others[i%len(others)], "GET", "lookup-svc", name(i), ""); s == 200 && strings.Contains(state, "succeeded") {
+				succeeded[name(i)] = true
 			}
-			time.Sleep(time.Second)
 		}
 	}
-	if len(cancelled) == 0 {
-		c.Note("no cancel was answered")
-		return kit.NotRun
+	shown := time.Now()
+	c.Note("all jobs were shown as succeeded")
+	ended := c.Platform.Runs()[0].End
+	time.Sleep(time.Until(ended.Add(status + forgetAfter - before)))
+	if c.Trouble {
+		c.Note("the store is silent")
+		for _, e := range c.Entries {
+			e.Store.SetSilent(true)
+		}
 	}
+	time.Sleep(outage)
 	if c.Trouble {
-		time.Sleep(time.Until(begun.Add(outage)))
-		leader.Store.SetSilent(false)
-		c.Note("the store answers %s again", leader.Name)
+		for _, e := range c.Entries {
+			e.Store.SetSilent(false)
+		}
+		c.Note("the store answers again")
 	}
-	calm := time.Now().Add(contact)
-	time.Sleep(contact + cancelTime + stopTime + 6*time.Second)
-	for id := range cancelled {
-		c.Call(others[0], "GET", "lookup-svc", id, "")
+	time.Sleep(8 * time.Second)
+	if c.Trouble {
+		if leader = c.Leader(); leader == nil {
+			c.Note("nobody leads")
+			return kit.NotRun
+		}
+		c.Signal(leader, syscall.SIGTERM)
+		c.Wait(leader)
+		if err := c.Start(leader); err != nil {
+			return kit.NotRun
+		}
 	}
-	return check(c, cancelled, calm)
+	time.Sleep(12 * time.Second)
+	return check(c, succeeded, shown)
 }
 
-// check looks for work items of cancelled jobs that run on more than cancel_ms and StopMs after the cancel was acknowledged and after the disruption.
-func check(c *kit.Cluster, cancelled map[string]time.Time, calm time.Time) int {
-	now, broken := time.Now(), 0
+// check looks for work items that were started over a second after their end was taken note of and their job was shown as succeeded.
+func check(c *kit.Cluster, succeeded map[string]bool, shown time.Time) int {
+	byTask := make(map[string][]platformtest.Run)
 	for _, x := range c.Platform.Runs() {
-		id, _, _ := strings.Cut(x.Task, ".")
-		at, ok := cancelled[id]
-		if !ok {
-			continue
-		}
-		end := x.End
-		if end.IsZero() {
-			end = now
-		}
-		due := at
-		if calm.After(due) {
-			due = calm
-		}
-		if late := end.Sub(due.Add(cancelTime + stopTime)); late > 0 {
-			broken++
-			c.Note("UNASKED: the cancel of %s was acknowledged at %.3f s, and %s run %d goes on at %.3f s (started at %.3f s)", id, c.Since(at), x.Task, x.Number, c.Since(end), c.Since(x.Start))
+		byTask[x.Task] = append(byTask[x.Task], x)
+	}
+	twice := 0
+	for task, runs := range byTask {
+		job, _, _ := strings.Cut(task, ".")
+		for i, a := range runs {
+			for _, b := range runs[i+1:] {
+				if succeeded[job] && a.Outcome == "done" && a.Acked && b.Start.After(shown.Add(time.Second)) && b.Start.After(a.AckedAt.Add(time.Second)) {
+					twice++
+					c.Note("TWICE: %s ended done in run %d at %.3f s (taken note of at %.3f s), its job was shown as succeeded by %.3f s, and it started again in run %d at %.3f s", task, a.Number, c.Since(a.End), c.Since(a.AckedAt), c.Since(shown), b.Number, c.Since(b.Start))
+				}
+			}
 		}
 	}
-	c.Note("UNASKED: %d work items of %d cancelled jobs", broken, len(cancelled))
-	if broken > 0 {
+	c.Note("TWICE: %d of %d work items", twice, len(byTask))
+	if twice > 0 {
 		return kit.Broken
 	}
 	return kit.Held
