--- a/review/1/main.go
+++ b/review/1/main.go
@@ -78,7 +78,7 @@
 	return check(c)
 }
 
-// check looks for work items that started after a run of theirs had ended done, where that end was taken note of (AckedUpto reached it), then
+// check looks for work items that started after a run of theirs had ended done, where that end was taken note of (acknowledged to its runner), then
 // or later.
 func check(c *kit.Cluster) int {
 	byTask := make(map[string][]platformtest.Run)
