work, platform: a report says whether the worker may have further ends

Cause: a worker lists 500 ends at once. What follows from a full list was asked in package pool, at one of the places that conclude from an absent run, by the length of the list and a constant that belongs to the platform.

Nothing else changes yet.

--- a/pool/report.go
+++ b/pool/report.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// endsPageSize is how many ends a worker lists at most. A full page may omit the end of a run that is no longer listed as running.
-	endsPageSize = 500
 	// quarantineAfter is the number of consecutive failed runs, of any jobs, after which a worker is quarantined.
 	quarantineAfter = 3
 	// failureBackoff is the first pause before a failed lasting task is restarted. After a run of earlyFailure or longer, a failure counts as the
@@ -258,7 +256,7 @@
 // never begin.
 func (c *session) resolveMissing(w *worker, t *job.Task, r *run, rep work.Report) {
 	switch {
-	case r.confirmed > 0 && rep.Clock > r.confirmed && len(rep.Ended) < endsPageSize:
+	case r.confirmed > 0 && rep.Clock > r.confirmed && !rep.MoreEnds:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
 	case (r.carriedOver || r.fromEarlierLeader) && c.mustStay(w, t, r, c.now()):
 		r.markForResend()
--- a/work/calls.go
+++ b/work/calls.go
@@ -171,11 +171,13 @@
 	Saved   string
 }
 
-// Report is a worker's answer to a Hold.
+// Report is a worker's answer to a Hold. It lists all runs that go on, and the oldest ends that are not acknowledged.
 type Report struct {
 	Answer
 	Running []RunStatus
 	Ended   []EndedRun
+	// MoreEnds is set if the worker may have further ends, which it lists once those in Ended are acknowledged.
+	MoreEnds bool
 }
 
 // Calls holds the functions that send orders to workers. A platform adapter or a test sets them.
