pool: only a complete report gives up the runs that it does not name

Cause: a worker lists 500 ends at once, the oldest first. Four of the five cases in which a run that a report does not name is given up took any report for whole. So did the wait of inherited tasks for unstored starts, which ended with a worker's first answer, and moves and maintenance, for which a worker was empty that had ends left to list. A report is not whole either where an end is not processed because its job may not have been read.

Change: a report is complete if it leaves out no ends and all its ends were processed; absence counts in a complete report only. Of an incarnation two things are kept apart, that it has answered (which fences, and is enough for new work) and that it has listed all that it had. Inherited tasks wait for the latter, or for the end of the worker's lease.

Why it works: what a worker was given is either running, and listed, or has ended, and is among its ends until this leader has acknowledged it, which follows its processing. If a list leaves out no end that is not acknowledged, what it does not name is neither.

--- a/internal/standin/platformtest/worker.go
+++ b/internal/standin/platformtest/worker.go
@@ -33,6 +33,9 @@
 	pace       int
 }
 
+// maxListedEnds is how many ends a worker lists at once. It lists the others once those are acknowledged.
+const maxListedEnds = 500
+
 // Worker is a worker from its start to its end. A restart makes a new Worker.
 type Worker struct {
 	ID, Machine, Pool, Address string
@@ -231,6 +234,7 @@
 		}
 	}
 	slices.SortFunc(ends, func(a, b []any) int { return int(a[0].(int64) - b[0].(int64)) })
+	ends = ends[:min(len(ends), maxListedEnds)]
 	list := map[string]any{"ClockMs": w.clockMillis(), "Running": running, "Ended": ends}
 	w.addIncarnation(list)
 	reply(rw, http.StatusOK, list)
--- a/pool/incarnations.go
+++ b/pool/incarnations.go
@@ -112,7 +112,7 @@
 	c.counts.restartedWorkers.Inc(1)
 	c.emit(event.WorkerReborn, event.Subject{Instance: successor.Incarnation}, "machine=%s before=%s runs=%d ends=%d acknowledged=%d", w.Machine, w.Incarnation, len(w.runs), w.lastProcessedEnd, w.acked.Load())
 	w.successor = successor
-	if !successor.answered && c.earlierStartsPossible(c.now()) {
+	if !successor.fullyListed && c.earlierStartsPossible(c.now()) {
 		c.uncertainIncarnations[successor.Incarnation] = successor // it may have begun a run by an unstored start to the ID
 	}
 	c.raiseToken(successor) // the current incarnation refuses what the previous one was told after the successor's row was created
--- a/pool/report.go
+++ b/pool/report.go
@@ -74,20 +74,37 @@
 		w.silentSince = time.Time{}
 		c.markPoolDirty(w.Pool)
 	}
-	slices.SortFunc(rep.Ended, func(a, b work.EndedRun) int { return cmp.Compare(a.Seq, b.Seq) })
-	for _, e := range rep.Ended {
+	complete := c.applyEnds(w, rep.Ended, now) && !rep.MoreEnds
+	c.ackStored(w)
+	listed := c.applyRunningRuns(w, rep, now)
+	if complete {
+		c.resolveMissingRuns(w, listed, rep)
+	}
+	c.paceFills(w, now)
+	c.recordAnswer(w, now)
+	c.recordListing(w, complete, now)
+}
+
+// applyEnds applies the ends that are new, oldest first, and reports whether all of them could be applied.
+func (c *session) applyEnds(w *worker, ends []work.EndedRun, now time.Time) bool {
+	slices.SortFunc(ends, func(a, b work.EndedRun) int { return cmp.Compare(a.Seq, b.Seq) })
+	for _, e := range ends {
 		if e.Seq <= w.lastProcessedEnd {
 			continue
 		}
 		if c.mayBeUnread(e.Task, now) {
-			break // the worker repeats the end until it is acknowledged
+			return false // the worker repeats the end until it is acknowledged
 		}
 		c.endRun(w, e, now)
 		ackAfter := c.ackAfter(w, e, now)
 		w.lastProcessedEnd = e.Seq
 		w.unackedEnds = append(w.unackedEnds, c.unstoredEnd(e, ackAfter))
 	}
-	c.ackStored(w)
+	return true
+}
+
+// applyRunningRuns applies the runs that go on and returns the numbers of those that are the latest of their tasks.
+func (c *session) applyRunningRuns(w *worker, rep work.Report, now time.Time) map[*job.Task]int64 {
 	w.unreadRuns, w.unknownRuns = 0, 0
 	var besides []supersededRun
 	listed := make(map[*job.Task]int64, len(rep.Running))
@@ -103,24 +120,7 @@
 		}
 	}
 	w.setSupersededRuns(besides)
-	for t, r := range w.runs {
-		if listed[t] != r.number {
-			c.resolveMissing(w, t, r, rep)
-		}
-	}
-	c.paceFills(w, now)
-	if w.answered {
-		return
-	}
-	w.answered = true
-	c.answeredCount++
-	if stopped, known := c.earlierStoppedBy(); w.knownAtTakeover || !known || !w.listedSince.After(stopped) || w.requiredToken.Load() > 0 {
-		w.boundLease(now.Add(work.MaxLocal(c.earlierLeaseOf(w)))) // an earlier leader, or a late call to the previous incarnation, may have extended a lease for that long just before
-	}
-	c.updateRaised(now)
-	c.endPreviousIncarnations(w)
-	c.markPoolDirty(w.Pool) // also for jobs of an earlier leader that waited for this worker
-	delete(c.uncertainIncarnations, w.Incarnation)
+	return listed
 }
 
 // unstoredEnd returns what must be stored before the worker may forget the end.
@@ -252,11 +252,20 @@
 	t.Job.Began = true
 }
 
+// resolveMissingRuns handles the runs that a complete report of their worker does not name.
+func (c *session) resolveMissingRuns(w *worker, listed map[*job.Task]int64, rep work.Report) {
+	for t, r := range w.runs {
+		if listed[t] != r.number {
+			c.resolveMissing(w, t, r, rep)
+		}
+	}
+}
+
 // resolveMissing handles a run that the worker's report names neither as running nor as ended. The run is given up once it is certain that it has ended or can
 // never begin.
 func (c *session) resolveMissing(w *worker, t *job.Task, r *run, rep work.Report) {
 	switch {
-	case r.confirmed > 0 && rep.Clock > r.confirmed && !rep.MoreEnds:
+	case r.confirmed > 0 && rep.Clock > r.confirmed:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
 	case (r.carriedOver || r.fromEarlierLeader) && c.mustStay(w, t, r, c.now()):
 		r.markForResend()
--- a/pool/session.go
+++ b/pool/session.go
@@ -92,8 +92,8 @@
 	unknownTasks map[string]time.Time
 	// inheritedJobs holds the jobs that an earlier leader may have started.
 	inheritedJobs map[string]bool
-	// uncertainIncarnations holds the incarnations that may still run what an earlier leader started. It is relevant until
-	// earlierLeasesOver.
+	// uncertainIncarnations holds the incarnations that may have runs of an earlier leader that this one does not know, whether they go on or
+	// have ended.
 	uncertainIncarnations map[string]*worker
 	assignment            assignment
 	// startsSettled holds the inherited tasks of which no unstored start of an earlier leader is left. retiredIDs holds the worker IDs that no
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -121,7 +121,7 @@
 		switch {
 		case w.unreadRuns > 0 || w.unknownRuns > 0:
 			ofUnknownJobs = ofUnknownJobs.Plus(w.candidate.Free.Max(job.Need{}))
-		case !mayHaveUnstored || c.uncertainIncarnations[w.Incarnation] == nil:
+		case !mayHaveUnstored || w.answered || c.uncertainIncarnations[w.Incarnation] == nil:
 		case w.Capacity == (job.Need{}):
 			unknownCapacity++
 		default:
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -38,6 +38,8 @@
 	simCapacity    = 4000
 	simTaskCPU     = 1000
 	simMaxAttempts = 3
+	// simMaxListedEnds is how many ends a worker lists at once. Histories of full lists lower it, since workers have few runs here.
+	simMaxListedEnds = 500
 	// simWarmUp is how long a lasting task runs before it is at work.
 	simWarmUp = 300 * time.Millisecond
 	// Orders that take longer than simDelayThreshold to arrive are exempt from the check of planned ends.
@@ -108,6 +110,8 @@
 	// capacity is the CPU and the memory of an instance. With acceptsOverload, workers start tasks beyond it.
 	capacity        int
 	acceptsOverload bool
+	// maxListedEnds is how many ends a worker lists at once.
+	maxListedEnds int
 	// maxExtraTime is the most that a task takes beyond 200 ms.
 	maxExtraTime time.Duration
 	// idReuseRate is the share of restarted workers that keep the ID of the incarnation before. When it is above 0, workers
@@ -202,7 +206,7 @@
 func newSimulation(ctx context.Context, r *rand.Rand, zones, workers int, idReuseRate float64) *simulation {
 	sim := &simulation{
 		r: r, ctx: ctx, startedAt: time.Now(), events: new(event.Ring),
-		capacity: simCapacity, idReuseRate: idReuseRate, maxExtraTime: 2500 * time.Millisecond,
+		capacity: simCapacity, idReuseRate: idReuseRate, maxListedEnds: simMaxListedEnds, maxExtraTime: 2500 * time.Millisecond,
 		topics: make(map[string]*topic), zones: make(map[string]string),
 		electors: make(map[string]*lead.Elector), frozen: make(map[string]time.Time), suspensions: make(map[string]*suspensions),
 		lastDisrupted: make(map[string]time.Time), killed: make(map[string]bool),
--- a/pool/simworkers_test.go
+++ b/pool/simworkers_test.go
@@ -349,6 +349,9 @@
 		}
 	}
 	slices.SortFunc(rep.Ended, func(a, b work.EndedRun) int { return int(a.Seq - b.Seq) })
+	if len(rep.Ended) >= sim.maxListedEnds {
+		rep.Ended, rep.MoreEnds = rep.Ended[:sim.maxListedEnds], true
+	}
 	return rep
 }
 
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -41,17 +41,19 @@
 // unstoredRunNumber returns the number of a run whose start may leave before it is stored. It is unique within the job, and below the numbers of all other runs.
 func unstoredRunNumber(t *job.Task) int64 { return int64(t.Ordinal()) + 1 }
 
-// earlierStartsPossible reports whether an unstored start of an earlier leader may still be carried out, or a run that began by one may go on at a worker that has not
-// answered.
+// earlierStartsPossible reports whether an unstored start of an earlier leader may still be carried out, or a run that began by one may be on a worker that has not listed
+// all that it has.
 func (c *session) earlierStartsPossible(now time.Time) bool {
-	if !c.mayHaveUnstoredRuns() {
-		return false
-	}
+	return c.mayHaveUnstoredRuns() && (!c.earlierStartsOver(now) || len(c.uncertainIncarnations) > 0)
+}
+
+// earlierStartsOver reports whether no unstored start of an earlier leader can be carried out any more, and every lease that such a leader gave has expired.
+func (c *session) earlierStartsOver(now time.Time) bool {
 	stopped, known := c.earlierStoppedBy()
 	if !known || !c.earlierLeasesOver(now) {
-		return true
+		return false
 	}
-	return c.bootIDsKnown && !now.After(stopped.Add(lateMax))
+	return !c.bootIDsKnown || now.After(stopped.Add(lateMax))
 }
 
 // earlierStartsEnd returns the time after which no unstored start of an earlier leader is carried out any more.
@@ -66,8 +68,10 @@
 	now     time.Time
 	// earlierPossible is set while unstored starts of an earlier leader may be carried out, and earlierCertain if it is certain that it may have sent some.
 	earlierPossible, earlierCertain bool
-	// unassigned is set if the pool had no assignment at the takeover and some of its workers have not answered yet. Inherited tasks wait for them.
+	// unassigned is set if the pool had no assignment at the takeover and some of its workers have not listed all that they have. Inherited tasks wait for them.
 	unassigned bool
+	// startsOver is set once none can be carried out any more, so that only workers that have not listed all that has ended limit tasks.
+	startsOver bool
 	// ownUnstored is set while this leader's starts leave before they are stored.
 	ownUnstored bool
 }
@@ -76,7 +80,7 @@
 func (c *session) limitsOf(pool string, now time.Time) startLimits {
 	l := startLimits{
 		session: c, pool: pool, now: now,
-		earlierPossible: c.earlierStartsPossible(now), earlierCertain: c.earlierUnstored, ownUnstored: c.inMode(modeUnkeptOrders),
+		earlierPossible: c.earlierStartsPossible(now), earlierCertain: c.earlierUnstored, startsOver: c.earlierStartsOver(now), ownUnstored: c.inMode(modeUnkeptOrders),
 	}
 	l.unassigned = l.earlierPossible && !c.assignment.atTakeover[pool] && c.hasUncertain(pool)
 	return l
@@ -92,7 +96,7 @@
 	return nil
 }
 
-// hasUncertain reports whether a worker of the pool may still run what an earlier leader started.
+// hasUncertain reports whether a worker of the pool may have runs of an earlier leader that this one does not know.
 func (c *session) hasUncertain(pool string) bool {
 	for _, w := range c.uncertainIncarnations {
 		if w.Pool == pool {
@@ -125,7 +129,7 @@
 	}
 	worker = l.session.assignedWorker(t)
 	switch {
-	case worker == "", l.session.retiredIDs[worker]:
+	case worker == "", l.session.retiredIDs[worker], l.startsOver && !l.uncertain(worker):
 		return "", false
 	case !l.session.bootIDsKnown: // no other incarnation will have its ID, and this one refuses the start once it has answered
 		return "", l.uncertain(worker)
@@ -151,7 +155,7 @@
 	return t.MayComeLate(l.now) && (worker == "" || t.Run == 0 || !l.inherited(t))
 }
 
-// uncertain reports whether an incarnation with the worker ID may still run what an earlier leader started.
+// uncertain reports whether an incarnation with the worker ID may have runs of an earlier leader that this one does not know.
 func (l *startLimits) uncertain(id string) bool {
 	for _, w := range l.session.incarnationsWithID(id) {
 		if l.session.uncertainIncarnations[w.Incarnation] != nil {
@@ -203,7 +207,7 @@
 	if c.inMode(modeOrphans) && !c.earlierStartsPossible(now) {
 		c.markAllDirty()
 	}
-	if _, known := c.earlierStoppedBy(); known && now.After(c.earlierStartsEnd(now)) {
+	if _, known := c.earlierStoppedBy(); known && now.After(c.earlierStartsEnd(now)) && len(c.uncertainIncarnations) == 0 {
 		clear(c.startsSettled)
 	}
 }
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -44,8 +44,10 @@
 	// listedAtConfirmation is set if the incarnation was listed when the store last confirmed the lead.
 	listedAtConfirmation bool
 	// answered is set once the incarnation has answered this leader. No order of an earlier leader is accepted there from
-	// then on.
-	answered bool
+	// then on. fullyListed is set once it has also listed all that had come of such orders, see listing.go.
+	answered, fullyListed bool
+	// partlyListedSince is when its first report that was not complete arrived, or zero if the first one was complete.
+	partlyListedSince time.Time
 	// listedSince is when the incarnation was first listed here. askedAt is when the call that it answered last was sent.
 	// reportedAt is a lower bound of the time at which its latest report was made.
 	listedSince, askedAt, reportedAt time.Time
@@ -229,9 +231,9 @@
 	return w.listed && !w.unreadable && w.lostReason == "" && w.answered && !w.Leaving && !w.beingEmptied && !w.drained && w.silentSince.IsZero() && !now.Before(w.startsPausedUntil)
 }
 
-// hasNoRuns reports whether the worker runs nothing, according to its own report.
+// hasNoRuns reports whether the worker runs nothing and has listed all ends, according to its own report.
 func (w *worker) hasNoRuns() bool {
-	return len(w.runs) == 0 && w.unreadRuns == 0 && w.answered && w.silentSince.IsZero()
+	return len(w.runs) == 0 && w.unreadRuns == 0 && w.fullyListed && w.silentSince.IsZero()
 }
 
 // updateCold records for how much longer the worker says that it is slow. A duration that is not longer than the
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -399,6 +399,7 @@
 		seed := *first + uint64(i)
 		calls, violations := runHistory(t, seed, func(h *history) {
 			h.repeatsBeforeFencing = seed%2 == 0
+			h.shortenLists(seed)
 			for range historySteps {
 				h.randomStep()
 			}
--- a/pool/waveempty.go
+++ b/pool/waveempty.go
@@ -73,7 +73,7 @@
 	if w == nil {
 		return c.isKnownIdle(machine, now)
 	}
-	if !w.answered || w.unreadRuns > 0 || !w.silentSince.IsZero() {
+	if !w.fullyListed || w.unreadRuns > 0 || !w.silentSince.IsZero() {
 		return false // it is not known what runs there
 	}
 	s.incarnation = w.Incarnation
--- a/pool/workerrestart_test.go
+++ b/pool/workerrestart_test.go
@@ -100,6 +100,7 @@
 		_, violations := runHistoryWith(t, seed, historyWorkers, simCapacity, 0.8, func(h *history) {
 			h.beforeCheck = func() { h.excludeGivenUp() }
 			h.repeatsBeforeFencing = seed%2 == 0
+			h.shortenLists(seed)
 			for range historySteps {
 				h.randomStep()
 				if !*lateOrders {
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -341,7 +341,7 @@
 	c.silentPending.Store(pending)
 	c.counts.silentWorkers.Update(float64(workers))
 	c.counts.uncertainRuns.Update(float64(runs))
-	c.expireUnheard(now)
+	c.expireUncertain(now)
 	every := listInterval
 	if silent || c.waveActive() {
 		every = silentListInterval
@@ -369,17 +369,18 @@
 	return w.answered || c.earlierLeasesOverOn(w, now)
 }
 
-// expireUnheard removes those workers from unheard on which every lease of the earlier leader has expired.
-func (c *session) expireUnheard(now time.Time) {
+// expireUncertain removes the incarnations from uncertainIncarnations on which every lease has expired. The leases that this leader has given count too: while it goes on,
+// a run that has ended can still be acknowledged.
+func (c *session) expireUncertain(now time.Time) {
 	ended := 0
 	for incarnation, w := range c.uncertainIncarnations {
-		if c.earlierLeasesOverOn(w, now) {
+		if c.leaseExpired(w, now) {
 			delete(c.uncertainIncarnations, incarnation)
 			ended++
 		}
 	}
 	if ended > 0 {
-		c.emit(event.WorkerLost, event.Subject{}, "the last lease of the earlier leader is over on %d workers", ended)
+		c.emit(event.WorkerLost, event.Subject{}, "the last lease is over on %d workers that had not listed what the earlier leader started", ended)
 		c.markAllDirty()
 	}
 }
