pool: a dropped job's state outlasts its submission

Cause: a leader takes a submission without a stored state for a new job. When a job is dropped, the deletion of its state is repeated until the store has it, while that of its submission was tried once, for a second, and left to a next leader that doesn't do it. The two were not ordered. The same held for the record that a job had failed since another organisation's job had its ID, and for a second submission through a partition of the intake that could not be read meanwhile.

Change: the submission goes first, and the state once the leader has read that deletion back from each partition that held the job. Deletions are repeated each 2 s, one call a partition for all that is due; failures are logged once a partition. A job is due by the time up to which all partitions have been read. An unanswered deletion that may still be carried out keeps the job, so that it can't hit a later submission. The next leader drops states whose submissions are gone.

Why it works: at each moment a job is in the store whole, or without its submission, or not at all, and none of these is a new job. That a deletion has been read from a partition says that all older records there have been read as well, while the job was still known.

TestTicketsGoWithTheirJob forgot a job by one call an hour later; it now also plays the deletion of the submission and its reading, and checks that the job stays until then.

--- a/pool/advice_test.go
+++ b/pool/advice_test.go
@@ -27,7 +27,12 @@
 	ended.StoredVersion = ended.Version
 	b.forget(time.Now())
 	c.Assert(b.tickets, quicktest.HasLen, 1, quicktest.Commentf("its state is still owed"))
-	b.forget(time.Now().Add(time.Hour))
+	later := time.Now().Add(time.Hour)
+	b.intakeReadUntil[0] = later
+	b.forget(later)
+	c.Assert(b.tickets, quicktest.HasLen, 1, quicktest.Commentf("its submission has not been read as deleted"))
+	b.readDeletion(0, feed.KeyedRecord{Key: j.Spec.QualifiedID().SubmissionKey()})
+	b.forget(later)
 	c.Assert(b.jobs, quicktest.HasLen, 0)
 	c.Assert(b.tickets, quicktest.HasLen, 0)
 }
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -47,13 +47,7 @@
 	records = c.appendAssignment(records)
 	records = c.appendStats(c.now(), records)
 	records = c.appendIDConflicts(records)
-	for _, id := range c.forgottenJobs {
-		records = append(records, feed.KeyedRecord{Key: stateKey + id})
-		for _, prefix := range sidePrefixes {
-			records = c.dropSideRecord(records, prefix+id)
-		}
-	}
-	c.forgottenJobs = c.forgottenJobs[:0]
+	records = c.appendForgotten(records)
 	records = c.appendJobs(done, records)
 	done.starts, c.plannedStarts = c.splitStarts(c.plannedStarts)
 	c.committing, c.inFlight = true, done
@@ -296,21 +290,3 @@
 	}
 	c.unacked[w] = true
 }
-
-// deleteIntakeRecords deletes a job's records from partitions of the intake. If that fails, the next leader deletes them.
-func (c *session) deleteIntakeRecords(name job.QualifiedID, parts uint64) {
-	_, id := name.Parts()
-	c.background.Go(func() {
-		for part, topic := range c.Intake {
-			if parts&(1<<part) == 0 {
-				continue
-			}
-			ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-			_, err := topic.Append(ctx, feed.Batch{ExpectedEnd: -1, Records: []feed.KeyedRecord{{Key: name.SubmissionKey()}, {Key: name.CancelKey()}}})
-			cancel()
-			if err != nil {
-				c.emit(event.StoreUnreachable, event.Subject{Job: id}, "old job not dropped: %v", err)
-			}
-		}
-	})
-}
--- a/pool/load.go
+++ b/pool/load.go
@@ -264,6 +264,7 @@
 			c.readCancel(i, r, now)
 		}
 	}
+	c.dropLeftStates(states)
 	c.recordEarlierLost(ended)
 	for _, j := range c.jobs {
 		c.openJob(j, now)
@@ -357,6 +358,7 @@
 			c.openJob(j, now)
 		}
 		c.readCancel(m.part, r, now)
+		c.readDeletion(m.part, r)
 	}
 }
 
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -51,6 +51,7 @@
 func (c *session) recordIDConflict(name job.QualifiedID, part int) bool {
 	organisation, id := name.Parts()
 	if _, ok := c.idConflicts[name]; ok {
+		c.intakePartitions[name] |= 1 << part
 		return true
 	}
 	j := c.jobs[id]
@@ -60,7 +61,7 @@
 	c.idConflicts[name] = &idConflict{since: c.now()}
 	c.idConflictsDirty = true
 	c.emit(event.JobRefused, event.Subject{Job: id}, "organisation=%s: the job ID is in use by another organisation's job; submit the job under a new ID", organisation)
-	c.deleteIntakeRecords(name, 1<<part)
+	c.intakePartitions[name] |= 1 << part
 	return true
 }
 
@@ -88,13 +89,3 @@
 func (c *session) restoreIDConflict(r feed.KeyedRecord, now time.Time) {
 	c.idConflicts[job.QualifiedID(strings.TrimPrefix(r.Key, idConflictKey))] = &idConflict{since: now, kept: true}
 }
-
-// forgetIDConflicts drops the conflicts whose state clients can no longer ask for.
-func (c *session) forgetIDConflicts(now time.Time) {
-	for name, t := range c.idConflicts {
-		if now.Sub(t.since) > c.Bounds().Status+forgetAfter {
-			delete(c.idConflicts, name)
-			c.idConflictsDropped = append(c.idConflictsDropped, name)
-		}
-	}
-}
--- a/pool/session.go
+++ b/pool/session.go
@@ -134,8 +134,11 @@
 	intakeOffsets   []int64
 	workersOffset   int64
 	// intakePartitions has one bit for each partition of the intake that holds records of a job. cancelled holds the
-	// jobs that clients asked to cancel.
+	// jobs that clients asked to cancel. removals holds the jobs whose records are being deleted from the intake, and
+	// intakeDeletions the deletions in each partition.
 	intakePartitions map[job.QualifiedID]uint64
+	removals         map[job.QualifiedID]*removal
+	intakeDeletions  []intakePartition
 	cancelled        map[job.QualifiedID]bool
 	// idConflicts holds the jobs whose ID is already in use by another organisation's job. idConflictsDirty is set
 	// while some of them are not stored; idConflictsDropped are those to delete from the store.
@@ -190,6 +193,7 @@
 		jobs: make(map[string]*job.Job), pools: make(map[string]*poolRow), workers: make(map[string]*worker), incarnationsByMachine: make(map[string][]*worker), incarnationsByID: make(map[string][]*worker), tokens: make(map[string]*atomic.Int64), endedIncarnations: make(map[string]bool),
 		unstoredJobs: make(map[*job.Job]int64), adoptedUnstored: make(map[*job.Job]int64), unacked: make(map[*worker]bool), maxBatchBytes: cmp.Or(s.MaxBatchBytes, batchMax), notDue: make(map[string]*job.Job), inheritedJobs: make(map[string]bool), unknownTasks: make(map[string]time.Time), readUnconfirmed: make(map[string]bool),
 		intakeReadUntil: make([]time.Time, len(s.Intake)), intakeOffsets: make([]int64, len(s.Intake)),
+		removals: make(map[job.QualifiedID]*removal), intakeDeletions: make([]intakePartition, len(s.Intake)),
 		intakePartitions: make(map[job.QualifiedID]uint64), cancelled: make(map[job.QualifiedID]bool), idConflicts: make(map[job.QualifiedID]*idConflict),
 		uncertainIncarnations: make(map[string]*worker), startsSettled: make(map[*job.Task]bool), retiredIDs: make(map[string]bool), orderableIDs: make(map[string]bool), keptIncarnations: make(map[string]bool), takeoverSteps: make(map[string]bool), storedIncarnations: make(map[string]bool), waveStates: make(map[int64]*waveState), drains: make(drains), firstHoldSemaphore: newCallSemaphore(),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
@@ -330,36 +334,6 @@
 	return n
 }
 
-// forgetAfter is how long the state of an ended job stays in the tables beyond Bounds.Status. Unknown tasks are
-// forgotten after the same time.
-const forgetAfter = 30 * time.Second
-
-// forget drops the jobs whose state clients can no longer ask for.
-func (c *session) forget(now time.Time) {
-	for name, since := range c.unknownTasks {
-		if now.Sub(since) > forgetAfter {
-			delete(c.unknownTasks, name)
-		}
-	}
-	for id, j := range c.jobs {
-		if j.State.Ended() && j.StoredVersion >= j.Version && now.Sub(j.Ended) > c.Bounds().Status+forgetAfter {
-			delete(c.jobs, id)
-			delete(c.inheritedJobs, id)
-			delete(c.aside, stateKey+id)
-			for _, prefix := range sidePrefixes {
-				delete(c.aside, prefix+id)
-			}
-			c.forgottenJobs = append(c.forgottenJobs, id)
-			c.forgetTickets(j)
-			name := j.Spec.QualifiedID()
-			c.deleteIntakeRecords(name, c.intakePartitions[name])
-			delete(c.intakePartitions, name)
-			delete(c.cancelled, name)
-		}
-	}
-	c.forgetIDConflicts(now)
-}
-
 func (c *session) emit(n event.Number, s event.Subject, format string, args ...any) {
 	c.Events.Emit(n, s, fmt.Sprintf(format, args...))
 }
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -40,6 +40,8 @@
 	simMaxAttempts = 3
 	// simMaxListedEnds is how many ends a worker lists at once. Histories of full lists lower it, since workers have few runs here.
 	simMaxListedEnds = 500
+	// simStatus is how long clients can ask for the state of an ended job. Histories of dropped jobs shorten it.
+	simStatus = 10 * time.Minute
 	// simWarmUp is how long a lasting task runs before it is at work.
 	simWarmUp = 300 * time.Millisecond
 	// Orders that take longer than simDelayThreshold to arrive are exempt from the check of planned ends.
@@ -112,6 +114,8 @@
 	acceptsOverload bool
 	// maxListedEnds is how many ends a worker lists at once.
 	maxListedEnds int
+	// status is how long clients can ask for the state of an ended job.
+	status time.Duration
 	// maxExtraTime is the most that a task takes beyond 200 ms.
 	maxExtraTime time.Duration
 	// idReuseRate is the share of restarted workers that keep the ID of the incarnation before. When it is above 0, workers
@@ -206,7 +210,7 @@
 func newSimulation(ctx context.Context, r *rand.Rand, zones, workers int, idReuseRate float64) *simulation {
 	sim := &simulation{
 		r: r, ctx: ctx, startedAt: time.Now(), events: new(event.Ring),
-		capacity: simCapacity, idReuseRate: idReuseRate, maxListedEnds: simMaxListedEnds, maxExtraTime: 2500 * time.Millisecond,
+		capacity: simCapacity, idReuseRate: idReuseRate, maxListedEnds: simMaxListedEnds, status: simStatus, maxExtraTime: 2500 * time.Millisecond,
 		topics: make(map[string]*topic), zones: make(map[string]string),
 		electors: make(map[string]*lead.Elector), frozen: make(map[string]time.Time), suspensions: make(map[string]*suspensions),
 		lastDisrupted: make(map[string]time.Time), killed: make(map[string]bool),
@@ -423,6 +427,16 @@
 	return err
 }
 
+// bounds returns the bounds that entries are configured with.
+func (sim *simulation) bounds() pool.Bounds {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return pool.Bounds{
+		Lease: simLease, Stop: simStopTime, Status: sim.status,
+		Maintenance: simMoveTime, Move: simMoveTime, MaxAbsence: simNotice, MaxOverTarget: 4 * time.Second,
+	}
+}
+
 // entry is one process that takes part in the election and may lead.
 type entry struct {
 	name      string
@@ -448,10 +462,7 @@
 		ParseWorker: parseWorker, Calls: sim.workerCalls(name), Machines: sim.machineAPI(name), Events: sim.events, Clock: clock,
 		PutWave: func(ctx context.Context, wave int64, done bool) error { return nil },
 	}
-	s.SetBounds(pool.Bounds{
-		Lease: simLease, Stop: simStopTime, Status: 10 * time.Minute,
-		Maintenance: simMoveTime, Move: simMoveTime, MaxAbsence: simNotice, MaxOverTarget: 4 * time.Second,
-	})
+	s.SetBounds(sim.bounds())
 	s.SetCatalog(&job.Catalog{
 		Version: 1,
 		Queues: map[string]job.Queue{
