pool: nothing of a job whose state can't be decoded starts

Callers would see work done twice: a job's state that the leader can't decode, of another version or damaged, counted as no state, so that the job ran as a new one, also after it was shown as succeeded. Found by reading, beside the removal of dropped jobs; no such record is known.

Cause: fillTables took the submission of each job for which no state was decoded for a new one.

Change: such a job is known and stands aside. Nothing of it starts, its state is neither overwritten nor dropped, ends of its tasks are not acknowledged, and a client that asks for it is told to ask again.

Measured: TestAJobWhoseStateCannotBeDecodedStartsNothing fails on the commit before (its task is placed at once) and passes now.

Why it works: what the state would have said is still in the store for a leader that can decode it, and nothing that contradicts it has been done meanwhile.

--- a/pool/aside.go
+++ b/pool/aside.go
@@ -93,8 +93,12 @@
 	}
 }
 
-// jobIsAside reports whether nothing more of a job may start because one of its records is rejected by the store.
+// jobIsAside reports whether nothing more of a job may start because one of its records is rejected by the store, or because its state can't be decoded: it may have
+// been written by another version, and tell of tasks that are done.
 func (c *session) jobIsAside(j *job.Job) bool {
+	if c.unreadableStates[j.Spec.ID] {
+		return true
+	}
 	if len(c.aside) == 0 {
 		return false
 	}
--- a/pool/commit.go
+++ b/pool/commit.go
@@ -75,6 +75,9 @@
 		if !ok {
 			break
 		}
+		if c.unreadableStates[j.Spec.ID] {
+			continue // what a version that can decode the state would know must not be overwritten
+		}
 		value, err := job.Encode(j.Stored())
 		if err != nil {
 			c.emit(event.RecordRefused, event.Subject{Job: j.Spec.ID}, "not kept: %v", err)
--- a/pool/forget_test.go
+++ b/pool/forget_test.go
@@ -16,7 +16,9 @@
 	"github.com/frankban/quicktest"
 
 	"rackstep.dev/feed"
+	"rackstep.dev/job"
 	"rackstep.dev/lead"
+	"rackstep.dev/work"
 )
 
 // memoryTopic is a topic in memory whose appends can fail.
@@ -293,3 +295,33 @@
 		c.Assert(intake[1].keys(""), quicktest.HasLen, 0)
 	})
 }
+
+// TestAJobWhoseStateCannotBeDecodedStartsNothing guards against jobs that run again although they have succeeded: their state was written by another version, and a leader
+// that can't decode it takes them for new.
+func TestAJobWhoseStateCannotBeDecodedStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		state, intake := storedJobs(c, 1)
+		id := fmt.Sprintf("%016x", 1)
+		unreadable := feed.KeyedRecord{Key: stateKey + id, Value: []byte("of another version")}
+		state.add(unreadable)
+		b := newStoredFixture(c, state, intake)
+		c.Assert(b.placeAndCount(), quicktest.Equals, 0)
+		reply := make(chan job.Answer, 1)
+		jobQuestion{job.Query{ID: id}, reply}.apply(b.session)
+		c.Assert(<-reply, quicktest.Equals, job.Answer{}, quicktest.Commentf("it is neither queued nor unknown"))
+		b.report("w1", 20, nil, work.EndedRun{Seq: 1, Task: id + ".0.0.0", Run: 5, Outcome: work.Succeeded})
+		intake[0].add(feed.KeyedRecord{Key: job.Qualify("", id).CancelKey(), Value: []byte{1}})
+		for range 2 * keptFor / tickInterval {
+			b.pass()
+		}
+		c.Assert(b.workers["w1"].acked.Load(), quicktest.Equals, int64(0), quicktest.Commentf("no record tells of the end"))
+		for _, r := range state.newest().Records {
+			if r.Key == unreadable.Key {
+				c.Assert(r.Value, quicktest.DeepEquals, unreadable.Value)
+				return
+			}
+		}
+		c.Fatal("the state was dropped")
+	})
+}
--- a/pool/load.go
+++ b/pool/load.go
@@ -184,7 +184,9 @@
 			var k job.Stored
 			if c.decodeRecord(r, &k) {
 				states[r.Key[len(stateKey):]] = k
+				continue
 			}
+			c.unreadableStates[r.Key[len(stateKey):]] = true
 		case strings.HasPrefix(r.Key, lostKey):
 			var k []job.StoredLost
 			if c.decodeRecord(r, &k) {
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -35,6 +35,10 @@
 		m.reply <- job.Answer{Certain: c.intakeIsCurrent()}
 		return
 	}
+	if c.unreadableStates[m.ID] {
+		m.reply <- job.Answer{} // a later leader may know
+		return
+	}
 	m.reply <- job.Answer{Known: true, State: j.VisibleState(), Organisation: j.Spec.Organisation}
 }
 
--- a/pool/session.go
+++ b/pool/session.go
@@ -63,8 +63,9 @@
 	legacyWorkersRecord bool
 	// writer appends to the state topic. It is used only by the append in progress.
 	writer *keep.Writer
-	// aside holds the records that the store always rejects.
-	aside asideRecords
+	// aside holds the records that the store always rejects. unreadableStates holds the jobs whose stored state can't be decoded.
+	aside            asideRecords
+	unreadableStates map[string]bool
 	// unstoredJobs maps each job with ordered but unstored runs to the job version that contains them. unacked holds
 	// the workers with ends that are not stored yet.
 	unstoredJobs map[*job.Job]int64
@@ -199,7 +200,7 @@
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*pendingMove), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), statsByQueue: make(map[string]*queueStats), unmovable: make(map[string]time.Time), movedAt: make(map[string]time.Time),
 	}
-	c.aside = make(asideRecords)
+	c.aside, c.unreadableStates = make(asideRecords), make(map[string]bool)
 	c.assignment.stored, c.assignment.atTakeover = make(map[string]poolAssignment), make(map[string]bool)
 	c.writer = c.newWriter()
 	c.ledger.SetDirectory(s.organisations.Load())
