pool: a cancellation without a job is dropped

Callers: a client that cancels a job once more after the job was dropped, or cancels an ID that no job has while the leader can't be asked, leaves a record in the intake. It stayed there for ever, as did its row in each leader's tables, and cancelled any later job of that ID when that was read. Found by reading, beside the removal of dropped jobs.

Cause: only the removal of a job deleted its cancellation.

Change: a cancellation for which no job is known is deleted after the time for which ended jobs are kept. Deletions go by key, so that one of a cancellation leaves a submission alone, and a job that is submitted under the ID meanwhile is not cancelled.

Why it works: it is the removal of jobs with one key less, so that it is repeated until it has been read back.

--- a/pool/forget.go
+++ b/pool/forget.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"rackstep.dev/event"
@@ -29,8 +30,11 @@
 	deletionInterval = 2 * time.Second
 )
 
-// removal is the state of a job whose records are being deleted from the intake.
+// removal is the state of a job, or of a cancellation without a job, whose records are being deleted from the intake.
 type removal struct {
+	// keys are the keys of those records. Without a submission among them, the job that the tables hold under the name, if any, is a later one and stays.
+	keys       []string
+	submission bool
 	// lateUntil is the time until which an unanswered deletion may still be carried out. A job that was submitted again under the ID by then would be lost.
 	lateUntil time.Time
 }
@@ -51,8 +55,8 @@
 	}
 	c.beginRemovals(now)
 	for name, r := range c.removals {
-		if c.intakePartitions[name] == 0 && !now.Before(r.lateUntil) {
-			c.endRemoval(name)
+		if !now.Before(r.lateUntil) && !slices.ContainsFunc(r.keys, c.inIntake) {
+			c.endRemoval(name, r)
 		}
 	}
 	c.deleteIntakeRecords(now)
@@ -69,33 +73,53 @@
 	isDue := func(since time.Time) bool { return now.Sub(since) > c.Bounds().Status+forgetAfter }
 	for _, j := range c.jobs {
 		if j.State.Ended() && j.StoredVersion >= j.Version && isDue(j.Ended) {
-			c.beginRemoval(j.Spec.QualifiedID())
+			c.beginRemoval(j.Spec.QualifiedID(), true)
 		}
 	}
 	for name, x := range c.idConflicts {
 		if x.kept && isDue(x.since) {
-			c.beginRemoval(name)
+			c.beginRemoval(name, true)
+		}
+	}
+	for name, since := range c.cancelled {
+		if isDue(since) && !c.isKnown(name) {
+			c.beginRemoval(name, false)
 		}
 	}
 }
 
-func (c *session) beginRemoval(name job.QualifiedID) {
-	if c.removals[name] == nil {
-		c.removals[name] = new(removal)
+func (c *session) beginRemoval(name job.QualifiedID, submission bool) {
+	if c.removals[name] != nil {
+		return
 	}
+	r := &removal{keys: []string{name.CancelKey()}, submission: submission}
+	if submission {
+		r.keys = append(r.keys, name.SubmissionKey())
+	}
+	c.removals[name] = r
+}
+
+// isKnown reports whether the tables hold a job of that name, or the record that its ID was taken.
+func (c *session) isKnown(name job.QualifiedID) bool {
+	_, id := name.Parts()
+	j := c.jobs[id]
+	return c.idConflicts[name] != nil || (j != nil && j.Spec.QualifiedID() == name)
 }
 
+// inIntake reports whether a partition of the intake holds a record under the key.
+func (c *session) inIntake(key string) bool { return c.intakePartitions[key] != 0 }
+
 // endRemoval drops what the tables hold under the name after its records have been deleted from the intake, and has the stored state deleted.
-func (c *session) endRemoval(name job.QualifiedID) {
+func (c *session) endRemoval(name job.QualifiedID, r *removal) {
 	delete(c.removals, name)
 	delete(c.cancelled, name)
-	if c.idConflicts[name] != nil {
+	_, id := name.Parts()
+	switch j := c.jobs[id]; {
+	case !r.submission:
+	case c.idConflicts[name] != nil:
 		delete(c.idConflicts, name)
 		c.idConflictsDropped = append(c.idConflictsDropped, name)
-		return
-	}
-	_, id := name.Parts()
-	if j := c.jobs[id]; j != nil && j.Spec.QualifiedID() == name {
+	case j != nil && j.Spec.QualifiedID() == name:
 		c.forgetJob(j)
 	}
 }
@@ -139,39 +163,35 @@
 		if p.inFlight || now.Sub(p.deletedAt) < deletionInterval {
 			continue
 		}
-		if names := c.removalsIn(part); len(names) > 0 {
+		if names, records := c.deletionsIn(part); len(records) > 0 {
 			p.inFlight, p.deletedAt = true, now
-			c.sendDeletion(part, names, now)
+			c.sendDeletion(part, names, records, now)
 		}
 	}
 }
 
-// removalsIn returns the jobs being removed that the partition still holds records of, as many as fit into one call.
-func (c *session) removalsIn(part int) []job.QualifiedID {
-	var names []job.QualifiedID
+// deletionsIn returns the jobs being removed of which the partition still holds records, and the records that delete those, as many as fit into one call.
+func (c *session) deletionsIn(part int) (names []job.QualifiedID, records []feed.KeyedRecord) {
 	size := 0
-	for name := range c.removals {
-		if c.intakePartitions[name]&(1<<part) == 0 {
+	for name, r := range c.removals {
+		before := len(records)
+		for _, key := range r.keys {
+			if c.intakePartitions[key]&(1<<part) != 0 {
+				records = append(records, feed.KeyedRecord{Key: key})
+			}
+		}
+		if len(records) == before {
 			continue
 		}
-		if size += recordsSize(deletionsOf(name)); size > c.maxBatchBytes {
+		names = append(names, name)
+		if size += recordsSize(records[before:]); size >= c.maxBatchBytes {
 			break
 		}
-		names = append(names, name)
 	}
-	return names
-}
-
-// deletionsOf returns the records that delete a job from a partition of the intake.
-func deletionsOf(name job.QualifiedID) []feed.KeyedRecord {
-	return []feed.KeyedRecord{{Key: name.CancelKey()}, {Key: name.SubmissionKey()}}
+	return names, records
 }
 
-func (c *session) sendDeletion(part int, names []job.QualifiedID, now time.Time) {
-	var records []feed.KeyedRecord
-	for _, name := range names {
-		records = append(records, deletionsOf(name)...)
-	}
+func (c *session) sendDeletion(part int, names []job.QualifiedID, records []feed.KeyedRecord, now time.Time) {
 	topic := c.Intake[part]
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
@@ -209,23 +229,24 @@
 	}
 }
 
-// readDeletion records that a partition of the intake holds nothing of a job any more.
+// readDeletion records that a partition of the intake holds no record under a key any more.
 func (c *session) readDeletion(part int, r feed.KeyedRecord) {
-	name, ok := job.ParseSubmissionKey(r.Key)
-	if !ok || len(r.Value) > 0 {
+	if len(r.Value) > 0 {
 		return
 	}
-	if c.intakePartitions[name] &^= 1 << part; c.intakePartitions[name] == 0 {
-		delete(c.intakePartitions, name)
+	if c.intakePartitions[r.Key] &^= 1 << part; !c.inIntake(r.Key) {
+		delete(c.intakePartitions, r.Key)
 	}
 }
 
 // dropLeftStates has the states deleted whose submissions an earlier leader has deleted already. A state whose submission is there and can't be decoded stays.
 func (c *session) dropLeftStates(states map[string]job.Stored) {
 	submitted := make(map[string]bool, len(c.intakePartitions))
-	for name := range c.intakePartitions {
-		_, id := name.Parts()
-		submitted[id] = true
+	for key := range c.intakePartitions {
+		if name, ok := job.ParseSubmissionKey(key); ok {
+			_, id := name.Parts()
+			submitted[id] = true
+		}
 	}
 	for id, k := range states {
 		switch {
--- a/pool/forget_test.go
+++ b/pool/forget_test.go
@@ -325,3 +325,36 @@
 		c.Fatal("the state was dropped")
 	})
 }
+
+// TestACancellationWithoutAJobIsDropped guards against cancellations that stay in the store for ever and cancel a later job that has the ID.
+func TestACancellationWithoutAJobIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		state, intake := storedJobs(c, 0)
+		b := newStoredFixture(c, state, intake)
+		var submissions []feed.KeyedRecord
+		for i := range 3 {
+			j := jobWithTasks(1)
+			j.Spec.ID = fmt.Sprintf("%016x", i+1)
+			submissions = append(submissions, record(c, j.Spec.QualifiedID().SubmissionKey(), j.Spec))
+			intake[1].add(feed.KeyedRecord{Key: j.Spec.QualifiedID().CancelKey(), Value: []byte{1}})
+		}
+		b.pass()
+		intake[0].add(submissions[0])
+		b.pass()
+		c.Assert(b.jobs[fmt.Sprintf("%016x", 1)].State, quicktest.Equals, job.Cancelled)
+		time.Sleep(keptFor)
+		intake[1].fail = func() (error, time.Duration, bool) { return feed.ErrUnavailable, 0, false }
+		b.pass()
+		intake[0].add(submissions[1])
+		b.pass()
+		c.Assert(b.jobs[fmt.Sprintf("%016x", 2)].State, quicktest.Not(quicktest.Equals), job.Cancelled, quicktest.Commentf("its cancellation was for an earlier job"))
+		intake[1].fail = nil
+		for range 50 {
+			b.pass()
+		}
+		c.Assert(intake[1].keys(""), quicktest.HasLen, 0)
+		c.Assert(b.cancelled, quicktest.HasLen, 0)
+		c.Assert(b.jobs, quicktest.HasLen, 1, quicktest.Commentf("the second job goes on"))
+	})
+}
--- a/pool/load.go
+++ b/pool/load.go
@@ -370,11 +370,11 @@
 	if !ok || len(r.Value) == 0 {
 		return nil
 	}
-	if c.recordIDConflict(name, part) {
+	c.intakePartitions[r.Key] |= 1 << part
+	if c.recordIDConflict(name) {
 		return nil
 	}
 	organisation, id := name.Parts()
-	c.intakePartitions[name] |= 1 << part
 	if c.jobs[id] != nil {
 		return nil // submitted twice
 	}
@@ -387,7 +387,10 @@
 	j := job.New(spec, now)
 	j.StoredVersion = j.Version // a new job is stored by the intake itself
 	c.jobs[spec.ID] = j
-	if c.cancelled[name] {
+	switch {
+	case c.removals[name] != nil: // the cancellation that is being removed was for an earlier job
+		delete(c.cancelled, name)
+	case !c.cancelled[name].IsZero():
 		c.cancel(j, now)
 	}
 	return j
@@ -400,8 +403,10 @@
 		return
 	}
 	organisation, id := name.Parts()
-	c.intakePartitions[name] |= 1 << part
-	c.cancelled[name] = true
+	c.intakePartitions[r.Key] |= 1 << part
+	if c.cancelled[name].IsZero() {
+		c.cancelled[name] = now
+	}
 	if j := c.jobs[id]; j != nil && j.Spec.Organisation == organisation {
 		c.cancel(j, now)
 	}
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -52,10 +52,9 @@
 // recordIDConflict reports whether another organisation's job in the tables has the ID, and if so marks the second
 // job as failed. The second job is shown as failed to its own organisation at once and does not affect the first one.
 // The decision is stored, so that every later leader makes the same one.
-func (c *session) recordIDConflict(name job.QualifiedID, part int) bool {
+func (c *session) recordIDConflict(name job.QualifiedID) bool {
 	organisation, id := name.Parts()
 	if _, ok := c.idConflicts[name]; ok {
-		c.intakePartitions[name] |= 1 << part
 		return true
 	}
 	j := c.jobs[id]
@@ -65,7 +64,6 @@
 	c.idConflicts[name] = &idConflict{since: c.now()}
 	c.idConflictsDirty = true
 	c.emit(event.JobRefused, event.Subject{Job: id}, "organisation=%s: the job ID is in use by another organisation's job; submit the job under a new ID", organisation)
-	c.intakePartitions[name] |= 1 << part
 	return true
 }
 
--- a/pool/session.go
+++ b/pool/session.go
@@ -134,13 +134,13 @@
 	intakeReadUntil []time.Time
 	intakeOffsets   []int64
 	workersOffset   int64
-	// intakePartitions has one bit for each partition of the intake that holds records of a job. cancelled holds the
-	// jobs that clients asked to cancel. removals holds the jobs whose records are being deleted from the intake, and
-	// intakeDeletions the deletions in each partition.
-	intakePartitions map[job.QualifiedID]uint64
+	// intakePartitions has, for each key of the intake, one bit for each partition that holds a record under it. cancelled
+	// holds the jobs that clients asked to cancel, and when that was read. removals holds the jobs whose records are being
+	// deleted from the intake, and intakeDeletions the deletions in each partition.
+	intakePartitions map[string]uint64
 	removals         map[job.QualifiedID]*removal
 	intakeDeletions  []intakePartition
-	cancelled        map[job.QualifiedID]bool
+	cancelled        map[job.QualifiedID]time.Time
 	// idConflicts holds the jobs whose ID is already in use by another organisation's job. idConflictsDirty is set
 	// while some of them are not stored; idConflictsDropped are those to delete from the store.
 	idConflicts        map[job.QualifiedID]*idConflict
@@ -195,7 +195,7 @@
 		unstoredJobs: make(map[*job.Job]int64), adoptedUnstored: make(map[*job.Job]int64), unacked: make(map[*worker]bool), maxBatchBytes: cmp.Or(s.MaxBatchBytes, batchMax), notDue: make(map[string]*job.Job), inheritedJobs: make(map[string]bool), unknownTasks: make(map[string]time.Time), readUnconfirmed: make(map[string]bool),
 		intakeReadUntil: make([]time.Time, len(s.Intake)), intakeOffsets: make([]int64, len(s.Intake)),
 		removals: make(map[job.QualifiedID]*removal), intakeDeletions: make([]intakePartition, len(s.Intake)),
-		intakePartitions: make(map[job.QualifiedID]uint64), cancelled: make(map[job.QualifiedID]bool), idConflicts: make(map[job.QualifiedID]*idConflict),
+		intakePartitions: make(map[string]uint64), cancelled: make(map[job.QualifiedID]time.Time), idConflicts: make(map[job.QualifiedID]*idConflict),
 		uncertainIncarnations: make(map[string]*worker), startsSettled: make(map[*job.Task]bool), retiredIDs: make(map[string]bool), orderableIDs: make(map[string]bool), keptIncarnations: make(map[string]bool), takeoverSteps: make(map[string]bool), storedIncarnations: make(map[string]bool), waveStates: make(map[int64]*waveState), drains: make(drains), firstHoldSemaphore: newCallSemaphore(),
 		machines: make(map[string]Machine), tickets: make(map[string]*stepTickets),
 		moves: make(map[string]*pendingMove), sideKeys: make(map[string]bool), trials: make(map[*worker]bool), fenced: make(map[string]bool), fencing: make(map[string]bool), statsByQueue: make(map[string]*queueStats), unmovable: make(map[string]time.Time), movedAt: make(map[string]time.Time),
