pool: instances that arrive for a gang stay until it starts

Cause: the pool asks for the instances that the gang lacks, but what it wants to keep follows from the work that waits, which may be less than an instance. The instances that arrive before the last one are idle and are moved away at the next pass.

Evidence: a history in which a pool has shrunk to one of six instances, with arrivals 0.2 s apart: 236 moves and no gang started in 30 s.

Change: the pool of the gang that has waited longest gives no instance away. One pool at a time, so that two don't wait for each other's; none for a gang that needs more instances than there are.

Why it works: the instances in a pool grow in number until the gang has room, and no pass takes one back meanwhile.

--- a/pool/demand.go
+++ b/pool/demand.go
@@ -342,7 +342,7 @@
 	limits := c.limitsOf(p.name, c.now())
 	for _, g := range p.open {
 		step := &g.Job.Spec.Steps[g.Step]
-		if (step.Label == "" && step.PerWorker == 0) || now.Sub(g.ReadySince) < stuckAfter || !usesInstances(g, limits) {
+		if !needsCertainInstances(step) || now.Sub(g.ReadySince) < stuckAfter || !usesInstances(g, limits) {
 			continue
 		}
 		c.countPlacedTasks(g, step)
--- a/pool/simmachines_test.go
+++ b/pool/simmachines_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"rackstep.dev/pool"
 )
@@ -60,7 +61,8 @@
 				}
 				m.incarnation.terminate(entry+" with a move", delayed)
 				m.pool = to
-				sim.restart(m, simMoveTime)
+				sim.moves++
+				sim.restart(m, simMoveTime+time.Duration(sim.moves%4)*sim.moveSpread/4)
 				return nil
 			})
 		},
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -109,6 +109,9 @@
 	// lastDisrupted is when an entry last started, was frozen, or got no answer from the store. Time-bounded rules do not
 	// apply to it until simContactGrace has passed.
 	lastDisrupted map[string]time.Time
+	// moves counts the moves of instances. One takes up to moveSpread longer than another.
+	moves      int
+	moveSpread time.Duration
 	// capacity is the CPU and the memory of an instance. With acceptsOverload, workers start tasks beyond it.
 	capacity        int
 	acceptsOverload bool
--- a/pool/size.go
+++ b/pool/size.go
@@ -105,6 +105,7 @@
 	c.retainForBursts(rows, now)
 	c.setExpected(rows, now)
 	c.setShortages(rows, instances, now)
+	c.holdForGang(rows, instances, now)
 	c.logSizes(rows, now)
 	return pools, instances
 }
