pool: states of dropped jobs are deleted before new states are stored

Cause: since the deletions of dropped jobs' states fill a batch at most, and the rest goes into the next one. A job that is submitted under the ID of a dropped one could have its own state deleted by that, and run twice after a takeover. Found by reading; it needs 10,000 jobs and more that are dropped at once.

Change: all deletions go into the next batch again, before the states of jobs.

--- a/pool/forget.go
+++ b/pool/forget.go
@@ -137,19 +137,16 @@
 	c.forgetTickets(j)
 }
 
-// appendForgotten appends deletions of the states and side records of dropped jobs until the batch is full.
+// appendForgotten appends deletions of the states and side records of dropped jobs. They go before the states of the batch: a job may have been submitted under the ID of a
+// dropped one.
 func (c *session) appendForgotten(records []feed.KeyedRecord) []feed.KeyedRecord {
-	size := recordsSize(records)
-	n := 0
-	for ; n < len(c.forgottenJobs) && size < c.maxBatchBytes; n++ {
-		id, before := c.forgottenJobs[n], len(records)
+	for _, id := range c.forgottenJobs {
 		records = append(records, feed.KeyedRecord{Key: stateKey + id})
 		for _, prefix := range sidePrefixes {
 			records = c.dropSideRecord(records, prefix+id)
 		}
-		size += recordsSize(records[before:])
 	}
-	c.forgottenJobs = append(c.forgottenJobs[:0], c.forgottenJobs[n:]...)
+	c.forgottenJobs = c.forgottenJobs[:0]
 	return records
 }
 
--- a/pool/forget_test.go
+++ b/pool/forget_test.go
@@ -358,3 +358,28 @@
 		c.Assert(b.jobs, quicktest.HasLen, 1, quicktest.Commentf("the second job goes on"))
 	})
 }
+
+// TestAJobUnderTheIDOfADroppedOneKeepsItsState guards against a job that runs twice: it was submitted under the ID of a job that has just been dropped, and the deletion of that
+// job's state is stored after its own.
+func TestAJobUnderTheIDOfADroppedOneKeepsItsState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		state, intake := storedJobs(c, 1)
+		b := newStoredFixture(c, state, intake)
+		submission := intake[0].records[0]
+		time.Sleep(keptFor)
+		for len(b.jobs) > 0 {
+			b.pass()
+			b.forget(b.now()) // the job leaves the tables, and its state is still stored
+		}
+		intake[0].add(submission)
+		page := intake[0].from(b.read[0])
+		b.read[0] = page.Next
+		intakeRead{page: page, asked: b.now()}.apply(b.session)
+		c.Assert(b.placeAndCount(), quicktest.Equals, 1)
+		b.pass()
+		next := newStoredFixture(c, state, intake)
+		c.Assert(next.jobs, quicktest.HasLen, 1)
+		c.Assert(next.jobs[fmt.Sprintf("%016x", 1)].Tasks[0].Run, quicktest.Not(quicktest.Equals), int64(0), quicktest.Commentf("its run is stored"))
+	})
+}
