pool: the fake of a topic returns its error last

Cause: staticcheck (ST1008) refuses the order of the results of a function in forget_test.go.

Change: the order; no check changes.

Measured: staticcheck reports nothing, and the tests of the file pass.

--- a/pool/forget_test.go
+++ b/pool/forget_test.go
@@ -26,8 +26,8 @@
 	mu      sync.Mutex
 	records []feed.KeyedRecord
 	appends int
-	// fail returns the error for the next append, how long the append takes, and whether it is carried out in spite of the error.
-	fail func() (err error, after time.Duration, done bool)
+	// fail returns how long the next append takes, its error, and whether it is carried out in spite of that.
+	fail func() (after time.Duration, done bool, err error)
 }
 
 func (m *memoryTopic) add(records ...feed.KeyedRecord) int64 {
@@ -46,7 +46,7 @@
 	fail := m.fail
 	m.mu.Unlock()
 	if fail != nil {
-		err, after, done := fail()
+		after, done, err := fail()
 		switch {
 		case err == nil:
 			time.Sleep(after)
@@ -190,11 +190,11 @@
 				intake[1].add(intake[0].records[0]) // submitted again
 				time.Sleep(keptFor - time.Second)
 				failing := true
-				intake[0].fail = func() (error, time.Duration, bool) {
+				intake[0].fail = func() (time.Duration, bool, error) {
 					if failing {
-						return x.err, x.after, x.done
+						return x.after, x.done, x.err
 					}
-					return nil, 0, false
+					return 0, false, nil
 				}
 				for range 100 {
 					b.pass()
@@ -241,7 +241,7 @@
 		c := quicktest.New(t)
 		state, intake := storedJobs(c, 300)
 		b := newStoredFixture(c, state, intake)
-		intake[0].fail = func() (error, time.Duration, bool) { return feed.ErrUnavailable, 0, false }
+		intake[0].fail = func() (time.Duration, bool, error) { return 0, false, feed.ErrUnavailable }
 		time.Sleep(keptFor)
 		for range 100 {
 			b.pass()
@@ -280,7 +280,7 @@
 		other := jobWithTasks(1).Spec
 		other.ID, other.Organisation = fmt.Sprintf("%016x", 1), "o"
 		intake[1].add(record(c, other.QualifiedID().SubmissionKey(), other))
-		intake[1].fail = func() (error, time.Duration, bool) { return feed.ErrUnavailable, 0, false }
+		intake[1].fail = func() (time.Duration, bool, error) { return 0, false, feed.ErrUnavailable }
 		for range 2 * keptFor / tickInterval {
 			b.pass()
 		}
@@ -344,7 +344,7 @@
 		b.pass()
 		c.Assert(b.jobs[fmt.Sprintf("%016x", 1)].State, quicktest.Equals, job.Cancelled)
 		time.Sleep(keptFor)
-		intake[1].fail = func() (error, time.Duration, bool) { return feed.ErrUnavailable, 0, false }
+		intake[1].fail = func() (time.Duration, bool, error) { return 0, false, feed.ErrUnavailable }
 		b.pass()
 		intake[0].add(submissions[1])
 		b.pass()
