pool: workers that end together for a common cause make no suspects

Cause: each loss of a worker was judged by itself. Its youngest runs became suspects, which start one at a time in trials, and a task that was lost four times was given up.

Change: a worker that ends within 0.1 s of two others that run nothing, or of three quarters of all workers in two pools or more, has ended for a common cause, and its runs are no suspects. Workers that the leader empties itself don't count.

Why it works: a task can't end a worker on which it doesn't run, nor can the tasks of one pool end those of others.

--- a/pool/session.go
+++ b/pool/session.go
@@ -54,8 +54,9 @@
 	tokens map[string]*atomic.Int64
 	// unusable holds the entries in the list of workers that do not describe a usable worker.
 	unusable unusableEntries
-	// endedIncarnations holds the incarnations that have ended.
+	// endedIncarnations holds the incarnations that have ended. recentEnds holds the unplanned ends of those that have left the tables, oldest first.
 	endedIncarnations map[string]bool
+	recentEnds        []workerEnd
 	// dirtyJobs and dirtyIncarnations hold the jobs and incarnations with unstored changes. legacyWorkersRecord is set while the
 	// store still holds the single record of all incarnations that earlier versions wrote.
 	dirtyJobs           keep.DirtyRows[*job.Job]
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -37,7 +37,7 @@
 // Which of them ended the incarnation is unknown. If the youngest one was on trial there, it is the likely culprit and the only suspect; otherwise all runs about as young as the
 // youngest are suspects, and are started again in trials. The other runs record the lost incarnation without becoming suspects. They have to: a task
 // that crashes its worker late would otherwise go free whenever a trial runs beside it, and ended seven incarnations in simulated histories. An expired lease is no such
-// evidence, and neither is a planned end of an incarnation.
+// evidence, and neither is a planned end of an incarnation, or one for a common cause (see commoncause.go).
 func (c *session) attributeLostRuns(w *worker, now time.Time) {
 	ended := w.endTime(now)
 	newest, beside := c.youngestRun(w, ended)
@@ -50,6 +50,7 @@
 		}
 	}
 	planned := w.Leaving // workers that this leader moves or maintains have been emptied before
+	common := !planned && c.endedByCommonCause(w)
 	for t, r := range w.runs {
 		if !r.countsAsLost() {
 			continue
@@ -66,9 +67,9 @@
 			l.Suspects = suspects
 		}
 		c.counts.runsLost.Inc(1)
-		c.emit(event.RunLost, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d age=%v newest=%v beside=%d suspects=%d tried=%t planned=%t lives=%d machine=%s",
-			r.number, age.Round(time.Millisecond), newest.Round(time.Millisecond), beside-1, l.Suspects, l.Isolated, planned, len(t.Lost), w.Machine)
-		if !planned {
+		c.emit(event.RunLost, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d age=%v newest=%v beside=%d suspects=%d tried=%t planned=%t common=%t lives=%d machine=%s",
+			r.number, age.Round(time.Millisecond), newest.Round(time.Millisecond), beside-1, l.Suspects, l.Isolated, planned, common, len(t.Lost), w.Machine)
+		if !planned && !common {
 			c.recordLostRun(t, l, age)
 		}
 	}
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -433,6 +433,7 @@
 	if c.endedIncarnations[w.Incarnation] && (w.successor == nil || w.BootID != 0) { // a successor of an incarnation without a boot ID may be the same incarnation
 		c.attributeLostRuns(w, c.now())
 	}
+	c.recordEnd(w, c.now())
 	c.abandonRuns(w, func(*job.Task, *run) bool { return true })
 	if w.cancel != nil {
 		w.cancel()
