--- a/pool/commoncause.go
+++ b/pool/commoncause.go
@@ -28,7 +28,7 @@
 	idle bool
 }
 
-// isIdle reports whether nothing runs on the worker as far as this leader knows.
+// isIdle reports whether nothing runs on the worker as far as this leader knows, whether or not it answers.
 func (w *worker) isIdle() bool {
 	return len(w.runs) == 0 && len(w.supersededRuns) == 0 && w.unknownRuns == 0 && w.unreadRuns == 0
 }
@@ -57,6 +57,18 @@
 	if !ok {
 		return false
 	}
+	if own.at.Sub(c.commonCauseAt).Abs() <= commonCauseWindow {
+		return true
+	}
+	if !c.othersEndedToo(own) {
+		return false
+	}
+	c.commonCauseAt = own.at
+	return true
+}
+
+// othersEndedToo reports whether the workers that ended together with one were idle, or nearly all. It looks at each worker.
+func (c *session) othersEndedToo(own workerEnd) bool {
 	ended, idle, survivors := 0, 0, 0
 	pools := make(map[string]bool)
 	count := func(end workerEnd) {
--- a/pool/forget.go
+++ b/pool/forget.go
@@ -39,8 +39,8 @@
 	lateUntil time.Time
 }
 
-// intakePartition is the state of the deletions in one partition of the intake.
-type intakePartition struct {
+// partitionDeletion is the state of the deletions in one partition of the intake.
+type partitionDeletion struct {
 	// deletedAt is when the latest deletion was sent. inFlight is set until it is answered, and failing from one that failed to the next that succeeds.
 	deletedAt         time.Time
 	inFlight, failing bool
--- a/pool/session.go
+++ b/pool/session.go
@@ -54,9 +54,11 @@
 	tokens map[string]*atomic.Int64
 	// unusable holds the entries in the list of workers that do not describe a usable worker.
 	unusable unusableEntries
-	// endedIncarnations holds the incarnations that have ended. recentEnds holds the unplanned ends of those that have left the tables, oldest first.
+	// endedIncarnations holds the incarnations that have ended. recentEnds holds the unplanned ends of those that have left the tables, oldest
+	// first, and commonCauseAt is when workers last ended for a common cause.
 	endedIncarnations map[string]bool
 	recentEnds        []workerEnd
+	commonCauseAt     time.Time
 	// dirtyJobs and dirtyIncarnations hold the jobs and incarnations with unstored changes. legacyWorkersRecord is set while the
 	// store still holds the single record of all incarnations that earlier versions wrote.
 	dirtyJobs           keep.DirtyRows[*job.Job]
@@ -143,7 +145,7 @@
 	// deleted from the intake, and intakeDeletions the deletions in each partition.
 	intakePartitions map[string]uint64
 	removals         map[job.QualifiedID]*removal
-	intakeDeletions  []intakePartition
+	intakeDeletions  []partitionDeletion
 	cancelled        map[job.QualifiedID]time.Time
 	// idConflicts holds the jobs whose ID is already in use by another organisation's job. idConflictsDirty is set
 	// while some of them are not stored; idConflictsDropped are those to delete from the store.
@@ -218,7 +220,7 @@
 		intakeReadUntil:       make([]time.Time, len(s.Intake)),
 		intakeOffsets:         make([]int64, len(s.Intake)),
 		removals:              make(map[job.QualifiedID]*removal),
-		intakeDeletions:       make([]intakePartition, len(s.Intake)),
+		intakeDeletions:       make([]partitionDeletion, len(s.Intake)),
 		intakePartitions:      make(map[string]uint64),
 		cancelled:             make(map[job.QualifiedID]time.Time),
 		idConflicts:           make(map[job.QualifiedID]*idConflict),
--- a/pool/suspects.go
+++ b/pool/suspects.go
@@ -50,7 +50,7 @@
 		}
 	}
 	planned := w.Leaving // workers that this leader moves or maintains have been emptied before
-	common := !planned && c.endedByCommonCause(w)
+	common := !planned && len(w.runs) > 0 && c.endedByCommonCause(w)
 	for t, r := range w.runs {
 		if !r.countsAsLost() {
 			continue
