--- a/review/5/main.go
+++ b/review/5/main.go
@@ -2,7 +2,7 @@
 
 //go:build review
 
-// Command 5 shows that one lasting work item that fails while its service is due for upkeep stops the service for good.
+// Command 5 shows that lasting work items that fail while their service is due for upkeep stop the service for good.
 package main
 
 import (
@@ -24,8 +24,9 @@
 	// lasting is a job of two work items a runner, of which two may be away at once. The other service has one item a runner.
 	lasting      = "00000000000b0001"
 	otherLasting = "00000000000b0002"
-	// failing is the work item that fails once, failsAfter its start.
-	failing    = lasting + ".0.0.5"
+	// failing are the work items that fail once each, failsAfter their start. They are on two runners.
+	failingA   = lasting + ".0.0.5"
+	failingB   = lasting + ".0.0.9"
 	failsAfter = 18 * time.Second
 	waveAfter  = 5 * time.Second
 	waveTime   = 26
@@ -34,14 +35,14 @@
 
 func main() {
 	var mu sync.Mutex
-	failed := false
+	failed := make(map[string]bool)
 	var s *rig.Site
 	p := &platformtest.Platform{
 		TaskDuration: func(task string) time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
-			case task == failing && s.Trouble && !failed:
+			case isFailing(task) && s.Trouble && !failed[task]:
 				return failsAfter
 			case strings.HasPrefix(task, "00000000000b"):
 				return 0
@@ -51,8 +52,8 @@
 		RunFails: func(task, _ string) bool {
 			mu.Lock()
 			defer mu.Unlock()
-			failed = failed || task == failing
-			return task == failing
+			failed[task] = true
+			return isFailing(task)
 		},
 	}
 	s = rig.Start(p)
@@ -86,8 +87,8 @@
 	p.Store.Put("keyed.op", "wave/1", wave)
 	time.Sleep(failsAfter - waveAfter + 500*time.Millisecond)
 	for _, x := range s.Runs(lasting) {
-		if x.Task == failing && x.Outcome == "failed" {
-			s.Note("disruption: the lasting work item %s has failed by itself, once", failing)
+		if x.Outcome == "failed" {
+			s.Note("disruption: the lasting work item %s on %s has failed by itself, once", x.Task, x.WorkerID)
 		}
 	}
 	time.Sleep(28 * time.Second)
@@ -119,3 +120,5 @@
 	}
 	s.End(rig.Held)
 }
+
+func isFailing(task string) bool { return task == failingA || task == failingB }
