--- a/review/7/main.go
+++ b/review/7/main.go
@@ -2,13 +2,12 @@
 
 //go:build review
 
-// Command 7 shows that a job is failed before its attempts are used up when its route leaves the configuration for some seconds.
+// Command 7 shows that runners are never used again whose upkeep began by a call that got no answer.
 package main
 
 import (
 	"fmt"
-	"net/http"
-	"sync"
+	"strings"
 	"time"
 
 	"rackstep.dev/internal/standin/platformtest"
@@ -17,71 +16,88 @@
 
 const (
 	runners  = 8
-	attempts = 4
-	// failures is how many runs of each work item fail before one is done.
-	failures = 3
+	cores    = 16000
+	memory   = 32000
+	jobs     = 20
+	silence  = 5 * time.Second
+	waitTime = 20 * time.Second
+	// items is how many lasting work items the last job has, each on a runner of its own.
+	items = 5
 )
 
 func main() {
-	var mu sync.Mutex
-	failed := make(map[string]int)
-	s := rig.Start(&platformtest.Platform{
-		TaskDuration: func(string) time.Duration { return time.Second },
-		RunFails: func(task, _ string) bool {
-			mu.Lock()
-			defer mu.Unlock()
-			if failed[task] == failures {
-				return false
-			}
-			failed[task]++
-			return true
-		},
-	})
+	s := rig.Start(&platformtest.Platform{TaskDuration: duration})
+	var machines []string
 	for i := range runners {
-		s.Platform.AddWorker(fmt.Sprintf("m-%d", i), "lookup-svc", 16000, 32000)
-	}
-	publish := func(version int, lookup bool) {
-		routes := []map[string]any{{"Name": "other", "Host": "parts.example", "PathPrefix": "/other/", "Service": "lookup-svc", "Priority": 0, "Attempts": attempts, "Stretch": 2, "TargetLatencyMs": 600}}
-		if lookup {
-			routes = append(routes, map[string]any{"Name": "part-lookup", "Host": "parts.example", "PathPrefix": "/lookup/", "Service": "lookup-svc", "Priority": 0, "Attempts": attempts, "Stretch": 2, "TargetLatencyMs": 600})
-		}
-		s.Note("the operator publishes version %d; it has the route part-lookup: %t", version, lookup)
-		s.Platform.Publish(map[string]any{"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "lookup-svc", "AdmissionCheck": true}}, "Limits": map[string]any{"MaxBodyBytes": 262144}})
+		machines = append(machines, fmt.Sprintf("m-%d", i))
+		s.Platform.AddWorker(machines[i], "lookup-svc", cores, memory)
 	}
-	publish(3, true)
+	s.Platform.Publish(map[string]any{
+		"Version":  1,
+		"Routes":   []map[string]any{{"Name": "part-lookup", "Host": "parts.example", "PathPrefix": "/lookup/", "Service": "lookup-svc", "Priority": 0, "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 600}},
+		"Services": []map[string]any{{"Name": "lookup-svc", "AdmissionCheck": true}},
+		"Limits":   map[string]any{"MaxBodyBytes": 262144},
+	})
 	s.StartEntries()
-	var jobs []string
-	for n := range 6 {
-		jobs = append(jobs, fmt.Sprintf("%016x", 0xa0000+n))
-		s.Submit("/lookup/"+jobs[n], map[string]any{"Spec": "lookup", "Steps": []map[string]any{{"Count": 2, "Cpu": 880, "MemMb": 256, "EstimateMs": 1000}}})
+	job := func(n int) string { return fmt.Sprintf("/lookup/%016x", 0xa0000+n) }
+	spec := map[string]any{"Spec": "lookup", "Steps": []map[string]any{{"Count": 2, "Cpu": 880, "MemMb": 256, "EstimateMs": 1000}}}
+	for n := range jobs / 2 {
+		s.Submit(job(n), spec)
+		time.Sleep(100 * time.Millisecond)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(4 * time.Second)
 	if s.Trouble {
-		publish(7, false)
-		time.Sleep(6 * time.Second)
-		publish(8, true)
-	}
-	time.Sleep(14 * time.Second)
-	broken := 0
-	for _, id := range jobs {
-		state := s.State("/lookup/" + id)
-		worst := 0
-		byTask := make(map[string]int)
-		for _, x := range s.Runs(id) {
-			if x.Outcome == "failed" {
-				byTask[x.Task]++
-				worst = max(worst, byTask[x.Task])
+		s.Note("disruption: for %v the machine interface carries calls out and answers none", silence)
+		machineCalls := s.Address(platformtest.MachinesAddress)
+		s.Platform.SetFaults(func(address, path string) platformtest.Fault {
+			if address == machineCalls {
+				return platformtest.DropReply
 			}
-		}
-		s.Note("job %s is %q; at most %d runs of one of its work items have failed, and the route allows %d", id, state, worst, attempts)
-		if state == "failed" && worst < attempts {
-			broken++
+			return platformtest.None
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.Note("upkeep is due for %d machines, at most %d at once", len(machines), 9)
+	s.Platform.RequestWave(1, machines, 9)
+	time.Sleep(silence - 200*time.Millisecond)
+	s.Note("the machine interface answers")
+	s.Platform.SetFaults(nil)
+	time.Sleep(12 * time.Second)
+	s.Note("the operator reads status/wave/1: %s", s.Platform.Store.Newest("keyed.status", "wave/1"))
+	for n := jobs / 2; n < jobs; n++ {
+		s.Submit(job(n), spec)
+		time.Sleep(100 * time.Millisecond)
+	}
+	const lasting = "00000000000b0001"
+	s.Submit("/lookup/"+lasting, map[string]any{"Spec": "listen", "Steps": []map[string]any{{"Count": items, "Cpu": 880, "MemMb": 256, "AntiAffinity": 1, "Daemon": true}}})
+	s.Note("the traffic has ended; nothing else happens for %v", waitTime)
+	time.Sleep(waitTime)
+	for n := range jobs {
+		s.State(job(n))
+	}
+	s.State("/lookup/" + lasting)
+	began := make(map[string]bool)
+	for _, x := range s.Runs(lasting) {
+		began[x.Task] = true
+	}
+	used := make(map[string]bool)
+	for _, x := range s.Platform.Runs() {
+		if x.End.IsZero() {
+			used[x.WorkerID] = true
 		}
 	}
-	s.Call(0, http.MethodGet, "/lookup/", nil)
-	if broken > 0 {
-		s.Note("LOST is broken: %d jobs appear as failed without cause", broken)
+	s.Note("%d of %d lasting work items have begun, %d of %d runners run something", len(began), items, len(used), runners)
+	if len(began) < items {
+		s.Note("LOST is broken: %d lasting work items had nothing running for %v, beside %d runners that are up, ready and empty", items-len(began), waitTime, runners-len(used))
 		s.End(rig.Broken)
 	}
 	s.End(rig.Held)
 }
+
+// duration returns how long a task runs: a lasting one does not end by itself.
+func duration(task string) time.Duration {
+	if strings.HasPrefix(task, "00000000000b") {
+		return 0
+	}
+	return time.Second
+}
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -2,13 +2,13 @@
 
 //go:build review
 
-// Command 8 shows that one lasting job that does not fit keeps all jobs of its service that end by themselves from starting.
+// Command 8 shows that a job is failed before its attempts are used up when its route leaves the configuration for some seconds.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"strings"
+	"sync"
 	"time"
 
 	"rackstep.dev/internal/standin/platformtest"
@@ -17,70 +17,70 @@
 
 const (
 	runners  = 8
-	cores    = 16000
-	memory   = 32000
-	jobs     = 40
-	waitTime = 20 * time.Second
-	lasting  = "/lookup/00000000000b0001"
-	hopeless = "/lookup/00000000000b0002"
+	attempts = 4
+	// failures is how many runs of each work item fail before one is done.
+	failures = 3
 )
 
 func main() {
-	s := rig.Start(&platformtest.Platform{TaskDuration: func(task string) time.Duration {
-		if strings.HasPrefix(task, "00000000000b") {
-			return 0 // a lasting one
-		}
-		return time.Second
-	}})
+	var mu sync.Mutex
+	failed := make(map[string]int)
+	s := rig.Start(&platformtest.Platform{
+		TaskDuration: func(string) time.Duration { return time.Second },
+		RunFails: func(task, _ string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if failed[task] == failures {
+				return false
+			}
+			failed[task]++
+			return true
+		},
+	})
 	for i := range runners {
-		s.Platform.AddWorker(fmt.Sprintf("m-%d", i), "lookup-svc", cores, memory)
+		s.Platform.AddWorker(fmt.Sprintf("m-%d", i), "lookup-svc", 16000, 32000)
 	}
-	s.Platform.Publish(map[string]any{
-		"Version":  1,
-		"Routes":   []map[string]any{{"Name": "lookup", "Host": "parts.example", "PathPrefix": "/lookup/", "Service": "lookup-svc", "Priority": 0, "Attempts": 3, "Stretch": 2, "TargetLatencyMs": 600}},
-		"Services": []map[string]any{{"Name": "lookup-svc", "AdmissionCheck": true}},
-		"Limits":   map[string]any{"MaxBodyBytes": 262144},
-	})
+	publish := func(version int, lookup bool) {
+		routes := []map[string]any{{"Name": "other", "Host": "parts.example", "PathPrefix": "/other/", "Service": "lookup-svc", "Priority": 0, "Attempts": attempts, "Stretch": 2, "TargetLatencyMs": 600}}
+		if lookup {
+			routes = append(routes, map[string]any{"Name": "part-lookup", "Host": "parts.example", "PathPrefix": "/lookup/", "Service": "lookup-svc", "Priority": 0, "Attempts": attempts, "Stretch": 2, "TargetLatencyMs": 600})
+		}
+		s.Note("the operator publishes version %d; it has the route part-lookup: %t", version, lookup)
+		s.Platform.Publish(map[string]any{"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "lookup-svc", "AdmissionCheck": true}}, "Limits": map[string]any{"MaxBodyBytes": 262144}})
+	}
+	publish(3, true)
 	s.StartEntries()
-	s.Submit(lasting, map[string]any{"Spec": "listen", "Steps": []map[string]any{{"Count": runners, "Cpu": 6000, "MemMb": 1024, "AntiAffinity": 1, "Daemon": true}}})
-	time.Sleep(time.Second)
-	job := func(n int) string { return fmt.Sprintf("/lookup/%016x", 0xa0000+n) }
-	spec := map[string]any{"Spec": "lookup", "Steps": []map[string]any{{"Count": 2, "Cpu": 880, "MemMb": 256, "EstimateMs": 1000}}}
-	for n := range jobs / 4 {
-		s.Submit(job(n), spec)
-		time.Sleep(100 * time.Millisecond)
+	var jobs []string
+	for n := range 6 {
+		jobs = append(jobs, fmt.Sprintf("%016x", 0xa0000+n))
+		s.Submit("/lookup/"+jobs[n], map[string]any{"Spec": "lookup", "Steps": []map[string]any{{"Count": 2, "Cpu": 880, "MemMb": 256, "EstimateMs": 1000}}})
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(500 * time.Millisecond)
 	if s.Trouble {
-		s.Note("disruption: one job that can never be done: eight lasting work items of 12 cores, where each of the 8 runners has 10 of 16 free for good")
-		var steps []map[string]any
-		for range runners {
-			steps = append(steps, map[string]any{"Count": 1, "Cpu": 12000, "MemMb": 1024, "AntiAffinity": 1, "Daemon": true})
-		}
-		s.Submit(hopeless, map[string]any{"Spec": "listen", "Steps": steps})
-	}
-	time.Sleep(time.Second)
-	for n := jobs / 4; n < jobs; n++ {
-		s.Submit(job(n), spec)
-		time.Sleep(100 * time.Millisecond)
+		publish(7, false)
+		time.Sleep(6 * time.Second)
+		publish(8, true)
 	}
-	s.Note("the traffic has ended; nothing else happens for %v", waitTime)
-	time.Sleep(waitTime)
-	lost := 0
-	for n := range jobs {
-		if s.State(job(n)); len(s.Runs(job(n)[len("/lookup/"):])) == 0 {
-			lost++
+	time.Sleep(14 * time.Second)
+	broken := 0
+	for _, id := range jobs {
+		state := s.State("/lookup/" + id)
+		worst := 0
+		byTask := make(map[string]int)
+		for _, x := range s.Runs(id) {
+			if x.Outcome == "failed" {
+				byTask[x.Task]++
+				worst = max(worst, byTask[x.Task])
+			}
+		}
+		s.Note("job %s is %q; at most %d runs of one of its work items have failed, and the route allows %d", id, state, worst, attempts)
+		if state == "failed" && worst < attempts {
+			broken++
 		}
 	}
-	s.Note("%d of %d jobs were accepted and never began", lost, jobs)
-	if s.Trouble {
-		s.Note("afterwards the job that can't be done is cancelled")
-		s.Call(0, http.MethodDelete, hopeless, nil)
-		time.Sleep(4 * time.Second)
-		s.State(job(jobs - 1))
-	}
-	if lost > 0 {
-		s.Note("LOST is broken: nothing of these jobs ran for %v, with 10 of 16 cores free on each of %d runners", waitTime, runners)
+	s.Call(0, http.MethodGet, "/lookup/", nil)
+	if broken > 0 {
+		s.Note("LOST is broken: %d jobs appear as failed without cause", broken)
 		s.End(rig.Broken)
 	}
 	s.End(rig.Held)
