review: clear up when a script is told to stop

Cause: a script that got SIGTERM ended its entries and left its temporary folder. Added: it ends as one that can't run, as after an error; a function that no case uses is gone.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -88,6 +89,12 @@
 	if err := p.Start(ctx); err != nil {
 		s.Fail("stand-in: %v", err)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		s.Fail("told to stop")
+	}()
 	time.AfterFunc(112*time.Second, func() { s.Fail("the script took too long") })
 	return s
 }
@@ -289,26 +296,6 @@
 	return out
 }
 
-// Kill ends the entry that leads, as far as its log tells, and returns its number.
-func (s *Site) Leader() int {
-	leader, newest := -1, int64(-1)
-	for i := range entryCount {
-		b, _ := os.ReadFile(filepath.Join(s.dir, fmt.Sprintf("log-%d", i)))
-		for _, line := range strings.Split(string(b), "\n") {
-			var term int64
-			if k := strings.Index(line, "name=lead-taken"); k >= 0 {
-				if t := strings.Index(line, "term="); t >= 0 {
-					_, _ = fmt.Sscanf(line[t:], "term=%d", &term)
-				}
-				if term > newest {
-					leader, newest = i, term
-				}
-			}
-		}
-	}
-	return leader
-}
-
 // Logged returns the lines of the entries' logs that contain all the texts.
 func (s *Site) Logged(texts ...string) []string {
 	var out []string
