--- a/review/5/main.go
+++ b/review/5/main.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"rackstep.dev/internal/standin/platformtest"
@@ -18,7 +19,8 @@
 	runners  = 8
 	cores    = 16000
 	memory   = 32000
-	jobs     = 40
+	lookups  = 30
+	rebuilds = 40
 	waitTime = 20 * time.Second
 )
 
@@ -36,30 +38,38 @@
 		"Services": []map[string]any{{"Name": "lookup-svc", "AdmissionCheck": true}},
 		"Limits":   map[string]any{"MaxBodyBytes": 262144},
 	})
+	s.CPU, s.Capacity = func(string) int { return 880 }, cores
 	s.StartEntries()
-	job := func(n int) string { return fmt.Sprintf("/rebuild/%016x", 0xa0000+n) }
 	spec := map[string]any{"Spec": "rebuild", "Steps": []map[string]any{{"Count": 2, "Cpu": 880, "MemMb": 256, "EstimateMs": 1000}}}
-	for n := range jobs / 4 {
-		s.Submit(job(n), spec)
-		time.Sleep(100 * time.Millisecond)
+	var jobs []string
+	submit := func(path string) {
+		jobs = append(jobs, path)
+		s.Submit(path, spec)
+		time.Sleep(90 * time.Millisecond)
 	}
-	time.Sleep(3 * time.Second)
+	for n := range rebuilds / 4 {
+		submit(fmt.Sprintf("/rebuild/%016x", 0xa0000+n))
+	}
+	// For 3 s, one of the first queue's 30 jobs is hopeless.
 	const gang = "/lookup/00000000000b0001"
-	if s.Trouble {
-		s.Note("disruption: one hopeless job: a gang of 300 work items of half a core, 150 cores, where the service has 128")
-		s.Submit(gang, map[string]any{"Spec": "gang", "Steps": []map[string]any{{"Count": 300, "Cpu": 500, "MemMb": 64, "EstimateMs": 1000, "Gang": true}}})
+	for n := range lookups {
+		if s.Trouble && n == lookups/2 {
+			s.Note("disruption: one of %d jobs is hopeless: a gang of 300 work items of half a core, 150 cores, where the service has 128", lookups)
+			s.Submit(gang, map[string]any{"Spec": "gang", "Steps": []map[string]any{{"Count": 300, "Cpu": 500, "MemMb": 64, "EstimateMs": 1000, "Gang": true}}})
+			time.Sleep(90 * time.Millisecond)
+			continue
+		}
+		submit(fmt.Sprintf("/lookup/%016x", 0xc0000+n))
 	}
-	time.Sleep(time.Second)
-	for n := jobs / 4; n < jobs; n++ {
-		s.Submit(job(n), spec)
-		time.Sleep(100 * time.Millisecond)
+	for n := rebuilds / 4; n < rebuilds; n++ {
+		submit(fmt.Sprintf("/rebuild/%016x", 0xa0000+n))
 	}
 	s.Note("the traffic has ended; nothing else happens for %v", waitTime)
 	time.Sleep(waitTime)
 	lost := 0
-	for n := range jobs {
-		state := s.State(job(n))
-		if runs := s.Runs(job(n)[len("/rebuild/"):]); state != "succeeded" && len(runs) == 0 {
+	for _, path := range jobs {
+		state := s.State(path)
+		if runs := s.Runs(path[strings.LastIndexByte(path, '/')+1:]); state != "succeeded" && len(runs) == 0 {
 			lost++
 		}
 	}
@@ -69,12 +79,12 @@
 			running++
 		}
 	}
-	s.Note("%d of %d jobs were accepted and never began; %d work items run on %d runners", lost, jobs, running, runners)
+	s.Note("%d of %d jobs that can be done were accepted and never began; %d work items run on %d runners", lost, len(jobs), running, runners)
 	if s.Trouble {
 		s.Note("afterwards the hopeless job is cancelled")
 		s.Call(0, http.MethodDelete, gang, nil)
 		time.Sleep(4 * time.Second)
-		s.State(job(jobs - 1))
+		s.State(jobs[len(jobs)-1])
 	}
 	if lost > 0 {
 		s.Note("LOST is broken: nothing of these jobs ran for %v although all runners were free", waitTime)
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -30,6 +30,7 @@
 	failsAfter = 18 * time.Second
 	waveAfter  = 5 * time.Second
 	waveTime   = 26
+	most       = 4
 	waitTime   = 20 * time.Second
 )
 
@@ -57,6 +58,12 @@
 		},
 	}
 	s = rig.Start(p)
+	s.CPU, s.Capacity = func(task string) int {
+		if strings.HasPrefix(task, "00000000000b") {
+			return 1000
+		}
+		return 880
+	}, cores
 	var due []string
 	for i := range runners {
 		due = append(due, fmt.Sprintf("m-%d", i))
@@ -79,11 +86,11 @@
 	s.Submit("/lookup/"+lasting, step(2*runners, 2, 2))
 	s.Submit("/chain/"+otherLasting, step(runners, 1, 1))
 	time.Sleep(waveAfter)
-	wave, err := json.Marshal(map[string]any{"Wave": 1, "Machines": due, "DurationS": waveTime, "Cap": 9})
+	wave, err := json.Marshal(map[string]any{"Wave": 1, "Machines": due, "DurationS": waveTime, "Cap": most})
 	if err != nil {
 		s.Fail("wave: %v", err)
 	}
-	s.Note("upkeep is due for the %d machines of lookup-svc, of %d in all, within %d s and at most 9 at once", runners, 2*runners, waveTime)
+	s.Note("upkeep is due for the %d machines of lookup-svc, of %d in all, within %d s and at most %d at once", runners, 2*runners, waveTime, most)
 	p.Store.Put("keyed.op", "wave/1", wave)
 	time.Sleep(failsAfter - waveAfter + 500*time.Millisecond)
 	for _, x := range s.Runs(lasting) {
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -18,7 +18,9 @@
 const (
 	runners  = 8
 	attempts = 4
-	// failures is how many runs of each work item fail before one is done.
+	jobCount = 20
+	// failing is the one work item that fails. Its first runs, failures of them, fail by themselves before one is done.
+	failing  = "00000000000a0007.0.0.1"
 	failures = 3
 )
 
@@ -30,7 +32,7 @@
 		RunFails: func(task, _ string) bool {
 			mu.Lock()
 			defer mu.Unlock()
-			if failed[task] == failures {
+			if task != failing || failed[task] == failures {
 				return false
 			}
 			failed[task]++
@@ -48,10 +50,11 @@
 		s.Note("the operator publishes version %d; it has the route part-lookup: %t", version, lookup)
 		s.Platform.Publish(map[string]any{"Version": version, "Routes": routes, "Services": []map[string]any{{"Name": "lookup-svc", "AdmissionCheck": true}}, "Limits": map[string]any{"MaxBodyBytes": 262144}})
 	}
+	s.CPU, s.Capacity = func(string) int { return 880 }, 16000
 	publish(3, true)
 	s.StartEntries()
 	var jobs []string
-	for n := range 6 {
+	for n := range jobCount {
 		jobs = append(jobs, fmt.Sprintf("%016x", 0xa0000+n))
 		s.Submit("/lookup/"+jobs[n], map[string]any{"Spec": "lookup", "Steps": []map[string]any{{"Count": 2, "Cpu": 880, "MemMb": 256, "EstimateMs": 1000}}})
 	}
@@ -80,7 +83,7 @@
 	}
 	s.Call(0, http.MethodGet, "/lookup/", nil)
 	if broken > 0 {
-		s.Note("LOST is broken: %d jobs appear as failed without cause", broken)
+		s.Note("LOST is broken: %d job(s) appear as failed without cause", broken)
 		s.End(rig.Broken)
 	}
 	s.End(rig.Held)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -45,14 +45,17 @@
 	host       = "parts.example"
 )
 
-// Bounds are the figures of the Muscat sheet that a settings file holds.
-const bounds = `{ContactMs: 3000, AckMs: 4000, DrainMs: 2000, GraceS: 6, ConfigApplyMs: 2000, MaxSkewMs: 5000, RecoveryS: 12, HoldMaxMs: 10000, StopMs: 400, GangTimeoutMs: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, FarFactor: 2, CheckpointS: 0.5, RestoreMs: 250, NoticeMs: 4500, MoveS: 1.5, UpkeepS: 2, EnforceFencing: true, LeaseMs: 3000, PaceMs: 100, HarmMs: 4000}`
+// Bounds are the figures of the Muscat sheet that a settings file holds, but for MoveS, which is that of the stand-in (the sheet has 1.5).
+const bounds = `{ContactMs: 3000, AckMs: 4000, DrainMs: 2000, GraceS: 6, ConfigApplyMs: 2000, MaxSkewMs: 5000, RecoveryS: 12, HoldMaxMs: 10000, StopMs: 400, GangTimeoutMs: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, FarFactor: 2, CheckpointS: 0.5, RestoreMs: 250, NoticeMs: 4500, MoveS: 2, UpkeepS: 2, EnforceFencing: true, LeaseMs: 3000, PaceMs: 100, HarmMs: 4000}`
 
 // Site is a small deployment: three entries as processes and a stand-in of the platform.
 type Site struct {
 	Platform *platformtest.Platform
 	// Trouble reports whether the disruption is to happen.
 	Trouble bool
+	// CPU is how much a run of a task takes and Capacity what a runner has, in thousandths of a core.
+	CPU      func(task string) int
+	Capacity int
 
 	program, dir string
 	started      time.Time
@@ -82,7 +85,10 @@
 	}
 	s.pickPorts()
 	s.client = &http.Client{Timeout: 4 * time.Second}
-	p.Listen = func(a string) (net.Listener, error) { return net.Listen("tcp", a) }
+	p.Listen = func(a string) (net.Listener, error) {
+		ln, err := net.Listen("tcp", a)
+		return resetter{ln}, err
+	}
 	p.MapAddress = s.platformAddress
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
@@ -328,6 +334,13 @@
 			s.Note("run: task=%s run=%d runner=%s from %.3f to %s %s acknowledged=%t", x.Task, x.Number, x.WorkerID, x.Start.Sub(s.started).Seconds(), end, outcome, x.Acked)
 		}
 	}
+	if peak := s.peak(); s.CPU != nil && code != CantRun {
+		s.Note("at most %d of a runner's %d thousandths of a core were taken at once", peak, s.Capacity)
+		if peak > s.Capacity {
+			s.Note("can't run: the stand-in held more runs than a runner has room for")
+			code = CantRun
+		}
+	}
 	s.Note("exit code %d", code)
 	for _, c := range s.entries {
 		_ = c.Process.Kill()
@@ -341,5 +354,47 @@
 	os.Exit(code)
 }
 
+// peak returns the most that the runs of one runner took at once.
+func (s *Site) peak() int {
+	most := 0
+	if s.Platform == nil || s.CPU == nil {
+		return 0
+	}
+	runs := s.Platform.Runs()
+	for _, x := range runs {
+		sum := 0
+		for _, y := range runs {
+			if y.WorkerID == x.WorkerID && !y.Start.After(x.Start) && (y.End.IsZero() || y.End.After(x.Start)) {
+				sum += s.CPU(y.Task)
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// resetter makes a runner that has ended reset its connections, as the platform's do: the stand-in answers 421 for it.
+type resetter struct{ net.Listener }
+
+func (l resetter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return resetConn{tcp}, err
+	}
+	return c, err
+}
+
+type resetConn struct{ *net.TCPConn }
+
+// Write implements net.Conn.
+func (c resetConn) Write(b []byte) (int, error) {
+	if bytes.HasPrefix(b, []byte("HTTP/1.1 421")) {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return c.TCPConn.Write(b)
+}
+
 // Address returns the loopback address at which the stand-in serves one of the platform's addresses.
 func (s *Site) Address(platform string) string { return s.platformAddress(platform) }
