review: list machines on their way as moving in case 4

Cause: the stand-in lists a machine that moves as one in upkeep, and the protocol has moving. Added: the shared code turns it round where no machine has upkeep.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -69,7 +69,12 @@
 }
 
 // Start starts the stand-in and the entries. The program's path is the first argument, that of the record the second.
-func Start(p *platformtest.Platform) *Site {
+func Start(p *platformtest.Platform) *Site { return start(p, false) }
+
+// StartMoving is like Start, for a case in which machines move and none has upkeep.
+func StartMoving(p *platformtest.Platform) *Site { return start(p, true) }
+
+func start(p *platformtest.Platform, moves bool) *Site {
 	if len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, "usage: PROGRAM ENTRY RECORD")
 		os.Exit(CantRun)
@@ -87,7 +92,7 @@
 	s.client = &http.Client{Timeout: 4 * time.Second}
 	p.Listen = func(a string) (net.Listener, error) {
 		ln, err := net.Listen("tcp", a)
-		return resetter{ln}, err
+		return resetter{ln, moves}, err
 	}
 	p.MapAddress = s.platformAddress
 	var ctx context.Context
@@ -374,17 +379,25 @@
 }
 
 // resetter makes a runner that has ended reset its connections, as the platform's do: the stand-in answers 421 for it.
-type resetter struct{ net.Listener }
+//
+// The stand-in lists a machine on its way as one in upkeep. If it is known that none has upkeep, it is listed as moving.
+type resetter struct {
+	net.Listener
+	moves bool
+}
 
 func (l resetter) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return resetConn{tcp}, err
+		return resetConn{tcp, l.moves}, err
 	}
 	return c, err
 }
 
-type resetConn struct{ *net.TCPConn }
+type resetConn struct {
+	*net.TCPConn
+	moves bool
+}
 
 // Write implements net.Conn.
 func (c resetConn) Write(b []byte) (int, error) {
@@ -393,6 +406,9 @@
 		_ = c.Close()
 		return 0, net.ErrClosed
 	}
+	if c.moves {
+		b = bytes.ReplaceAll(b, []byte(`"State":"upkeep"`), []byte(`"State":"moving"`))
+	}
 	return c.TCPConn.Write(b)
 }
 
