place: a group that can't start has no effect on those behind it

Cause: what a pass concludes from a group stays in force although the group isn't placed. The members of a gang were placed one by one and taken back, but not the note that a task of their need fits nowhere, which held only beside the other members. Each lasting step that found no worker reserved one, without a bound and whether waiting could help.

Change: whether a gang fits as a whole is counted before a member is placed, so that nothing is taken back. Suspects are bound by the same rule.

Why it works: capacity only decreases in a pass now, so that what did not fit earlier in it does not fit later.

--- a/place/confined.go
+++ b/place/confined.go
@@ -21,7 +21,7 @@
 				byID = indexByID(candidates)
 			}
 			if r := byID[t.ConfinedTo]; r != nil && fitsConfined(g, t, r, draft) {
-				reserve(g, r)
+				acquire(g, r)
 				draft.Acquire(g.organisation(), t.Spec().Need)
 				out = append(out, Choice{Task: t, Candidate: r, Ticket: g.Tickets[r.Worker.Incarnation], Slack: g.Slack})
 			}
--- a/place/sharing.go
+++ b/place/sharing.go
@@ -60,7 +60,7 @@
 		if over := uses[name] * weights; over > 1 {
 			g.sharedValue *= max(1/(over*over*over), minPart)
 		}
-		step := &g.Job.Spec.Steps[g.Step]
+		step := g.step()
 		uses[name] += float64(len(g.Tasks)) * org.Dominant(step.Need, s.Total) / s.Draft.Weight(name)
 	}
 }
--- a/place/suspects.go
+++ b/place/suspects.go
@@ -29,7 +29,7 @@
 func PlaceSuspects(groups []*Group, candidates []*Candidate, trials TrialLimits) ([]Choice, []*Candidate) {
 	var out []Choice
 	for _, g := range groups {
-		step := &g.Job.Spec.Steps[g.Step]
+		step := g.step()
 		if step.Gang {
 			continue // its members start together, so they can't be tried one by one
 		}
@@ -51,7 +51,7 @@
 			if !fits || r.RecentStart {
 				continue // reserved until it has the capacity and no recently started run that could cause the next crash
 			}
-			reserve(g, r)
+			acquire(g, r)
 			trials.Draft.Acquire(g.organisation(), step.Need)
 			out = append(out, Choice{Task: t, Candidate: r, Ticket: g.Tickets[r.Worker.Incarnation], Slack: g.Slack, Isolated: true})
 		}
@@ -60,12 +60,12 @@
 }
 
 // leastDisruptive returns the candidate on which a crash would do the least damage, and whether it has enough free
-// capacity now. It returns nil if no candidate is large enough.
+// capacity now. It returns nil if waiting makes no candidate large enough.
 func leastDisruptive(g *Group, step *job.Step, candidates []*Candidate) (*Candidate, bool) {
 	need := charge(step)
 	var best *Candidate
 	for _, r := range candidates {
-		if atLeast(r.Worker.Capacity, need) && mayRun(g, step, r) && (best == nil || lessDisruptive(r, best, need)) {
+		if atLeast(r.withoutFinite(), need) && mayRun(g, step, r) && (best == nil || lessDisruptive(r, best, need)) {
 			best = r
 		}
 	}
--- a/place/tasks.go
+++ b/place/tasks.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"rackstep.dev/job"
-	"rackstep.dev/org"
 	"rackstep.dev/work"
 )
 
@@ -20,6 +19,8 @@
 	// Serving and Filling are the numbers of its lasting tasks that serve users and of those that fill spare
 	// capacity.
 	Serving, Filling int
+	// HeldByLasting is the capacity that its lasting tasks are charged for. It does not become free by waiting.
+	HeldByLasting job.Need
 	// MaintenanceDue reports that the instance must be emptied soon for its maintenance.
 	MaintenanceDue bool
 	// Cold reports that the worker is slow since its start. It only gets tasks that no other worker has capacity
@@ -64,6 +65,9 @@
 // organisation returns the name of the organisation that submitted the job, or an empty string if there is none.
 func (g *Group) organisation() string { return g.Job.Spec.Organisation }
 
+// step returns the step that the tasks belong to.
+func (g *Group) step() *job.Step { return &g.Job.Spec.Steps[g.Step] }
+
 // Choice assigns a task to a worker.
 type Choice struct {
 	Task      *job.Task
@@ -105,95 +109,6 @@
 	return 1
 }
 
-// maxReserved is the maximum number of candidates that are reserved for short tasks that do not fit anywhere yet.
-const maxReserved = 2
-
-// Tasks chooses workers for the tasks of the groups, in the given order, and subtracts what the tasks need from the
-// candidates' free capacity.
-//
-// A task that does not fit anywhere reserves the emptiest candidate, so that small tasks behind it can't starve it.
-// A task that waits for its organisation's cap reserves none, since capacity would not help it.
-func Tasks(groups []*Group, candidates []*Candidate, draft *org.Draft) []Choice {
-	var out []Choice
-	var unplaceable []job.Need // unconditional needs for which no candidate was found
-	reserved := 0
-	free := newCapacityIndex(candidates)
-	for _, g := range groups {
-		if len(candidates) == 0 {
-			break
-		}
-		step := &g.Job.Spec.Steps[g.Step]
-		g.Capped = step.Gang && !draft.Admits(g.organisation(), step.Need, len(g.Tasks))
-		if g.Capped {
-			continue
-		}
-		unconditional := step.Label == "" && step.PerWorker == 0 && g.Tickets == nil
-		if unconditional && slices.ContainsFunc(unplaceable, func(n job.Need) bool { return atLeast(charge(step), n) }) {
-			continue
-		}
-		before := len(out)
-		for _, t := range g.Tasks {
-			if t.BackingOff || t.ConfinedTo != "" || (t.Suspect && !step.Gang) {
-				continue // backing off, or to be placed by Confined or PlaceSuspects
-			}
-			if !draft.Admits(g.organisation(), step.Need, 1) {
-				g.Capped = true
-				break
-			}
-			var r *Candidate
-			if unconditional && !step.Lasting && step.Rack == "" {
-				r = free.bestFit(charge(step), t.Avoid)
-			} else {
-				r = bestCandidate(g, t, candidates)
-			}
-			if r == nil {
-				if unconditional {
-					unplaceable = append(unplaceable, charge(step))
-				}
-				if !g.OverRate && (step.Lasting || reserved < maxReserved) {
-					if kept := emptiest(g, step, candidates); kept != nil {
-						candidates = slices.DeleteFunc(slices.Clone(candidates), func(o *Candidate) bool { return o == kept })
-						free.remove(kept)
-					}
-					reserved++
-				}
-				break
-			}
-			free.remove(r)
-			reserve(g, r)
-			free.insert(r)
-			draft.Acquire(g.organisation(), step.Need)
-			out = append(out, Choice{Task: t, Candidate: r, Ticket: g.Tickets[r.Worker.Incarnation], Slack: g.Slack})
-		}
-		if step.Gang && len(out)-before < len(g.Tasks) {
-			for _, c := range out[before:] {
-				indexed := free.remove(c.Candidate) // not if it has been reserved
-				release(g, c.Candidate)
-				draft.Release(g.organisation(), step.Need)
-				if indexed {
-					free.insert(c.Candidate)
-				}
-			}
-			out = out[:before]
-		}
-	}
-	return out
-}
-
-// emptiest returns the emptiest candidate that the step may use once it has enough free capacity, or nil.
-func emptiest(g *Group, step *job.Step, candidates []*Candidate) *Candidate {
-	var best *Candidate
-	for _, r := range candidates {
-		if !atLeast(r.Worker.Capacity, charge(step)) || !mayRun(g, step, r) {
-			continue
-		}
-		if best == nil || r.Free.MilliCPU > best.Free.MilliCPU {
-			best = r
-		}
-	}
-	return best
-}
-
 // charge returns the resources that a task of the step is charged for. Filling tasks are not charged for CPU.
 func charge(s *job.Step) job.Need {
 	n := s.Need
@@ -210,36 +125,30 @@
 	return a.MilliCPU >= b.MilliCPU && a.MemoryMB >= b.MemoryMB && a.GPU >= b.GPU
 }
 
-func reserve(g *Group, r *Candidate) {
-	adjust(g, r, -1)
-}
-
-func release(g *Group, r *Candidate) {
-	adjust(g, r, 1)
-}
-
-func adjust(g *Group, r *Candidate, sign int) {
-	step := &g.Job.Spec.Steps[g.Step]
-	n := charge(step)
-	r.Free.MilliCPU += sign * n.MilliCPU
-	r.Free.MemoryMB += sign * n.MemoryMB
-	r.Free.GPU += sign * n.GPU
+// acquire charges the candidate for a task of the group.
+func acquire(g *Group, r *Candidate) {
+	step := g.step()
+	r.Free = r.Free.Minus(charge(step))
 	if g.OnWorker != nil {
-		g.OnWorker[r.Worker.Incarnation] -= sign
+		g.OnWorker[r.Worker.Incarnation]++
 	}
 	if g.Racks != nil {
-		g.Racks[r.Worker.Rack] -= sign
+		g.Racks[r.Worker.Rack]++
 	}
-	if step.Lasting && step.Fills {
-		r.Filling -= sign
-	} else if step.Lasting {
-		r.Serving -= sign
+	if !step.Lasting {
+		return
+	}
+	r.HeldByLasting = r.HeldByLasting.Plus(charge(step))
+	if step.Fills {
+		r.Filling++
+	} else {
+		r.Serving++
 	}
 }
 
 // bestCandidate returns the best candidate for the task, or nil if none has enough free capacity.
 func bestCandidate(g *Group, t *job.Task, candidates []*Candidate) *Candidate {
-	step := &g.Job.Spec.Steps[g.Step]
+	step := g.step()
 	need := charge(step)
 	var best *Candidate
 	var bestScore float64
@@ -271,7 +180,7 @@
 
 // Fits returns how many of the step's tasks the candidate can take now.
 func (g *Group) Fits(r *Candidate) int {
-	step := &g.Job.Spec.Steps[g.Step]
+	step := g.step()
 	if !mayRun(g, step, r) {
 		return 0
 	}
@@ -284,7 +193,7 @@
 
 // Instances returns how many empty instances of capacity whole the given number of tasks need.
 func (g *Group) Instances(tasks int, whole job.Need) int {
-	step := &g.Job.Spec.Steps[g.Step]
+	step := g.step()
 	each := max(fitCount(charge(step), whole), 1)
 	if step.PerWorker > 0 {
 		each = min(each, step.PerWorker)
@@ -294,6 +203,9 @@
 
 // fitCount returns how many times the need fits into what is free.
 func fitCount(n, free job.Need) int {
+	if !atLeast(free, n) {
+		return 0
+	}
 	times := math.MaxInt32
 	for _, x := range [...]struct{ need, free int }{{n.MilliCPU, free.MilliCPU}, {n.MemoryMB, free.MemoryMB}, {n.GPU, free.GPU}} {
 		if x.need > 0 {
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -105,10 +105,7 @@
 	for _, w := range c.workers {
 		p := c.pool(w.Pool)
 		used := job.Need{MilliCPU: w.Capacity.MilliCPU - w.candidate.Free.MilliCPU, MemoryMB: w.Capacity.MemoryMB - w.candidate.Free.MemoryMB}
-		var lasting job.Need
-		if w.candidate.Serving+w.candidate.Filling > 0 {
-			lasting = longRunningNeed(w)
-		}
+		lasting := w.candidate.HeldByLasting
 		p.load.lasting += instanceShare(lasting, instance)
 		used.MilliCPU -= lasting.MilliCPU
 		used.MemoryMB -= lasting.MemoryMB
@@ -119,18 +116,6 @@
 	}
 }
 
-func longRunningNeed(w *worker) job.Need {
-	var sum job.Need
-	for t := range w.runs {
-		if t.Spec().Lasting {
-			n := place.Charge(t.Spec())
-			sum.MilliCPU += n.MilliCPU
-			sum.MemoryMB += n.MemoryMB
-		}
-	}
-	return sum
-}
-
 func (c *session) countWaiting(p *poolRow, instance job.Need) {
 	limits := c.limitsOf(p.name, c.now())
 	for _, g := range p.open {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -300,16 +300,16 @@
 	} else {
 		w.ledger.Release(t.Job.Spec.Organisation, s.Need)
 	}
-	w.candidate.Free.MilliCPU += sign * n.MilliCPU
-	w.candidate.Free.MemoryMB += sign * n.MemoryMB
-	w.candidate.Free.GPU += sign * n.GPU
-	switch {
-	case s.Lasting && s.Fills:
+	w.candidate.Free = w.candidate.Free.Plus(n.Times(sign))
+	if !s.Lasting {
+		w.finiteRuns.Add(int32(-sign))
+		return
+	}
+	w.candidate.HeldByLasting = w.candidate.HeldByLasting.Minus(n.Times(sign))
+	if s.Fills {
 		w.candidate.Filling -= sign
-	case s.Lasting:
+	} else {
 		w.candidate.Serving -= sign
-	default:
-		w.finiteRuns.Add(int32(-sign))
 	}
 }
 
