pool: a wave gives back the instances that it can't empty

Cause: an instance that a wave takes out takes no work, however long it can't be emptied, and nothing takes a step of a wave back. Once three fifths of a wave's time were over, a lasting task was stopped without another place, although the others on its instance might not follow: it then waits for a worker, and the wave for it.

Evidence: in the model's case "one of two on each worker may be away" there is one stop with why=upkeep, 15.7 s after the wave's request, and no event of the wave after it; all workers of the pool are being emptied.

Change: an instance with lasting tasks that makes no progress for 4 s is given back (event 849), and taken again once all its lasting tasks can leave beside those of the instances that are being emptied. An empty one that waits for others that don't return from their maintenance is given back too. A task without another place is stopped only if all tasks of its step on the instance may be away at once. A pool still asks for an instance for what was given back.

The tests of waves, drains and takeovers pass.

Why it works: what holds capacity has a bound now, and a task is only stopped if what the wave does next brings it back.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -91,6 +91,7 @@
 	PoolShort            Number = 846
 	InstancesShifted     Number = 847
 	WaveHeld             Number = 848
+	UpkeepPostponed      Number = 849
 	ModeBegun            Number = 850
 	ModeEnded            Number = 851
 	TakeoverStep         Number = 852
@@ -190,6 +191,7 @@
 	{PoolShort, "pool-short", "The pools together want more instances than there are: what this one wants, is granted and has, and how much of it serves lasting tasks and work that can be in time. state=ended tells the end for all pools.", "If it is often, add instances; see docs/OPERATIONS.md."},
 	{InstancesShifted, "instances-shifted", "During a shortage, instances were moved to the pool where they yield more; gain and loss are what the last of them yields there and would yield here, in seconds at work on mean jobs.", noAction},
 	{WaveHeld, "wave-held", "A wave of upkeep has begun or ended to leave instances at work that a burst of load needs; the text says which pools need them, how long they can wait at most, and why the wait ended.", noAction},
+	{UpkeepPostponed, "upkeep-postponed", "A wave has given an instance back that it could not empty or maintain, so that it gets work again; the text says why. The wave takes it again when it can be emptied.", "If the wave doesn't end, its lasting tasks have no other place: add instances, raise how many of them may be away, or take the wave back."},
 	{DrainChanged, "drain-changed", "A data centre was drained, so that its instances get no work, or its drain was ended; the text says what remains there and what delays it.", "If it does not become empty, see docs/operations/maintenance.md."},
 	{ModeBegun, "mode-begun", "The leader has begun to work in a degraded mode; the text names it and why.", "If it lasts, see docs/OPERATIONS.md."},
 	{ModeEnded, "mode-ended", "The leader has left a degraded mode; the text says how long it lasted and why it ended.", noAction},
--- a/pool/demand.go
+++ b/pool/demand.go
@@ -350,7 +350,7 @@
 // lasting task that fits on no other worker.
 func (c *session) countStranded(p *poolRow, lacks map[string]int, now time.Time) {
 	for _, w := range c.workers {
-		if w.Pool != p.name || !(w.beingEmptied || w.drained) || w.candidate.Serving+w.candidate.Filling == 0 {
+		if w.Pool != p.name || !w.hasLasting() || !(w.beingEmptied || w.drained || c.hasStalled(w.Machine)) {
 			continue
 		}
 		for t := range w.runs {
--- a/pool/disruption.go
+++ b/pool/disruption.go
@@ -18,6 +18,28 @@
 // Another task counts as serving only by a report that is newer than all planned ends that an earlier leader may have
 // ordered, because a run is listed as running until it has stopped.
 func (c *session) canDisrupt(t *job.Task, now time.Time) bool {
+	return c.canSpare(t, now, func(o *job.Task) bool { return o == t })
+}
+
+// canDisruptTogether reports the same for all tasks of the step on the task's worker at once.
+func (c *session) canDisruptTogether(t *job.Task, now time.Time) bool {
+	return c.canSpare(t, now, func(o *job.Task) bool { return o.Worker == t.Worker })
+}
+
+// canDisruptBesideEmptied reports the same as canDisrupt, or as canDisruptTogether, if the tasks on all other workers that are being emptied are
+// ended too.
+func (c *session) canDisruptBesideEmptied(t *job.Task, together bool, now time.Time) bool {
+	return c.canSpare(t, now, func(o *job.Task) bool {
+		if o.Worker == t.Worker {
+			return together || o == t
+		}
+		w := c.workers[o.Worker]
+		return w != nil && w.beingEmptied
+	})
+}
+
+// canSpare reports whether planned work may end the tasks of the step for which ending returns true.
+func (c *session) canSpare(t *job.Task, now time.Time, ending func(o *job.Task) bool) bool {
 	now = c.laterOf(now)
 	after := c.earlierStopsDone()
 	if now.Before(after) || !c.confirmed(now) {
@@ -26,11 +48,11 @@
 	down := 0
 	tasks := t.Job.StepTasks(t.Time, t.Step)
 	for i := range tasks {
-		if o := &tasks[i]; o != t && !c.isServing(o, after, now) {
+		if o := &tasks[i]; ending(o) || !c.isServing(o, after, now) {
 			down++
 		}
 	}
-	return down < t.Spec().MayMiss
+	return down <= t.Spec().MayMiss
 }
 
 // earlierStopsDone returns the time by which all planned ends ordered by an earlier leader have certainly been
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -45,6 +45,10 @@
 	finished bool
 	writing  bool
 	wait     waveWait
+	// stalled holds the instances that were given back because emptying them made no progress. waitsForSlot is set while no further ones are
+	// emptied, because those that were could not be maintained.
+	stalled      map[string]bool
+	waitsForSlot bool
 }
 
 // maintenanceStep is the progress of one instance through a wave.
@@ -59,6 +63,7 @@
 	// begun is the time of the answer to the call.
 	begun     time.Time
 	notBefore time.Time
+	progress  progress
 }
 
 // waveRequested is a request for a maintenance wave. Learned is when this entry first read it, which may be long before it leads.
@@ -79,7 +84,7 @@
 func (c *session) wave(n int64) *waveState {
 	row := c.waveStates[n]
 	if row == nil {
-		row = &waveState{begun: make(map[string]bool), requested: make(map[string]bool), requestedVersion: make(map[string]int), steps: make(map[string]*maintenanceStep)}
+		row = &waveState{begun: make(map[string]bool), requested: make(map[string]bool), requestedVersion: make(map[string]int), stalled: make(map[string]bool), steps: make(map[string]*maintenanceStep)}
 		row.Number = n
 		c.waveStates[n] = row
 	}
@@ -114,8 +119,10 @@
 	away := c.countAway(row)
 	noTimeLeft := row.known(now) >= time.Duration(maxWaitShare*float64(row.Within))
 	storeFailing := c.storeFailing(now) && !noTimeLeft
-	if !storeFailing {
-		next := c.nextInWave(row, now)
+	c.releaseStalled(row, now)
+	row.waitsForSlot = row.waitsForSlot && away >= max(row.MaxAway, 1)
+	if !storeFailing && !row.waitsForSlot {
+		next := c.nextInWave(row, noTimeLeft, now)
 		for _, x := range next.Take {
 			c.startEmptying(row, x.Name, now)
 		}
@@ -151,12 +158,13 @@
 }
 
 // nextInWave returns the instances of the wave that are to be emptied next.
-func (c *session) nextInWave(row *waveState, now time.Time) maintenance.Selection {
+func (c *session) nextInWave(row *waveState, noTimeLeft bool, now time.Time) maintenance.Selection {
 	w := maintenance.Wave{MaxAway: row.MaxAway, Out: len(row.steps), Remaining: len(row.steps), Within: row.Within, Elapsed: row.known(now), Each: c.Bounds().Maintenance}
 	var waiting []maintenance.Candidate
+	retries := false
 	for _, m := range row.Machines {
 		if s := row.steps[m]; s != nil {
-			if incarnation := c.workers[s.incarnation]; incarnation != nil && !s.away && incarnation.candidate.Serving+incarnation.candidate.Filling > 0 {
+			if incarnation := c.workers[s.incarnation]; incarnation != nil && !s.away && incarnation.hasLasting() {
 				w.OutLasting++
 			}
 			continue
@@ -170,6 +178,12 @@
 		}
 		x := maintenance.Candidate{Name: m, Pool: c.machines[m].Pool, Drained: c.drains[c.machines[m].DataCentre] != nil}
 		if incarnation := c.listedWorkerOn(m); incarnation != nil {
+			if row.stalled[m] && incarnation.hasLasting() {
+				if retries || !c.canEmpty(incarnation, noTimeLeft, now) {
+					continue
+				}
+				retries = true // only one, since the next one has to be judged beside it
+			}
 			x.Runs, x.Lasting = len(incarnation.runs), incarnation.candidate.Serving+incarnation.candidate.Filling
 		}
 		waiting = append(waiting, x)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -236,6 +236,9 @@
 	return len(w.runs) == 0 && w.unreadRuns == 0 && w.fullyListed && w.silentSince.IsZero()
 }
 
+// hasLasting reports whether lasting tasks run on the worker.
+func (w *worker) hasLasting() bool { return w.candidate.Serving+w.candidate.Filling > 0 }
+
 // updateCold records for how much longer the worker says that it is slow. A duration that is not longer than the
 // previous one does not extend the period.
 func (w *worker) updateCold(d time.Duration, now time.Time) {
--- a/pool/waveempty.go
+++ b/pool/waveempty.go
@@ -64,7 +64,8 @@
 }
 
 // tryEmpty reports whether the instance is empty, so that its maintenance interrupts nothing. It stops lasting tasks that their step may miss
-// and that fit elsewhere, or that the wave can't wait for, and other tasks after shortWorkGrace.
+// and that fit elsewhere, or that the wave can't wait for, and other tasks after shortWorkGrace. A lasting task that fits nowhere else is away until
+// the maintenance is over, so it is stopped only if all tasks of its step on the instance may be away at once.
 func (c *session) tryEmpty(machine string, s *maintenanceStep, now time.Time) bool {
 	w := c.workers[s.incarnation]
 	if w == nil {
@@ -78,11 +79,12 @@
 	}
 	s.incarnation = w.Incarnation
 	w.beingEmptied = true
+	s.progress.update(len(w.runs), now)
 	for t := range w.runs {
 		switch {
 		case t.Stopping:
 		case t.Spec().Lasting:
-			if c.canDisrupt(t, now) && (s.noTimeLeft || c.fitsElsewhere(t, now)) {
+			if c.canDisrupt(t, now) && (c.fitsElsewhere(t, now) || (s.noTimeLeft && c.canDisruptTogether(t, now))) {
 				c.stopTask(w, t, "upkeep")
 			}
 		case now.Sub(s.since) > shortWorkGrace:
--- /dev/null
+++ b/pool/wavestall.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: MIT
+
+package pool
+
+import (
+	"time"
+
+	"rackstep.dev/event"
+)
+
+// An instance that a wave empties takes no work. While its lasting tasks can't leave, perhaps for good, that holds up whatever waits for a worker,
+// among it the lasting tasks for whose return the wave waits. So the wave gives back an instance that makes no progress, and takes it again once
+// all its lasting tasks can leave.
+
+const (
+	// stallTimeout is how long an instance with lasting tasks is emptied without progress. It is longer than short tasks take to be ended, and
+	// shorter than the 6 s after which a lasting task must run again.
+	stallTimeout = 4 * time.Second
+	// slotTimeout is the same for an empty instance, beyond the duration of a maintenance.
+	slotTimeout = 4 * time.Second
+)
+
+// progress is what is known of how an instance is emptied.
+type progress struct {
+	// runs is the lowest number of runs on it so far, reached at the time at.
+	runs int
+	at   time.Time
+}
+
+// update records the number of runs that are left.
+func (p *progress) update(runs int, now time.Time) {
+	if p.at.IsZero() || runs < p.runs {
+		p.runs, p.at = runs, now
+	}
+}
+
+// releaseStalled gives back the instances of the wave that make no progress.
+func (c *session) releaseStalled(row *waveState, now time.Time) {
+	for m, s := range row.steps {
+		w := c.workers[s.incarnation]
+		if w == nil || s.mayBeAway() || row.requested[m] || s.progress.at.IsZero() {
+			continue
+		}
+		waited := now.Sub(s.progress.at)
+		switch {
+		case w.hasLasting() && waited > stallTimeout:
+			c.release(row, m, w, "lasting tasks can't leave")
+		case len(w.runs) == 0 && waited > c.Bounds().Maintenance+slotTimeout:
+			row.waitsForSlot = true
+			c.release(row, m, w, "others have not returned")
+		}
+	}
+}
+
+// release gives an instance back that has been taken out for the wave.
+func (c *session) release(row *waveState, machine string, w *worker, why string) {
+	delete(row.steps, machine)
+	w.beingEmptied = false
+	c.markPoolDirty(w.Pool)
+	row.stalled[machine] = true
+	c.emit(event.UpkeepPostponed, event.Subject{Instance: machine}, "wave=%d runs=%d why=%q", row.Number, len(w.runs), why)
+}
+
+// canEmpty reports whether all lasting tasks on the worker can leave now, beside those on the workers that are being emptied.
+func (c *session) canEmpty(w *worker, noTimeLeft bool, now time.Time) bool {
+	for t := range w.runs {
+		if !t.Spec().Lasting {
+			continue
+		}
+		canLeave := c.fitsElsewhere(t, now) && c.canDisruptBesideEmptied(t, false, now)
+		if !canLeave && !(noTimeLeft && c.canDisruptBesideEmptied(t, true, now)) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasStalled reports whether an instance was given back by a wave that has yet to maintain it.
+func (c *session) hasStalled(machine string) bool {
+	for _, row := range c.waveStates {
+		if row.stalled[machine] && !row.begun[machine] {
+			return true
+		}
+	}
+	return false
+}
