pool: an answer that a maintenance has begun ends only the incarnation that was there before any call

Cause: the call without an answer is repeated, and its answer tells that the maintenance has begun, not when. The leader took it for the end of the incarnation that is on the instance when the answer comes, which is the one that has come back. It then passes over all records of that incarnation.

Evidence: in the model's case "no answer for 5 s" events 832 ("its upkeep has begun") name the incarnations first seen 4.8 s before, in the millisecond of events 840.

Change: instanceCall holds a call with its repeats: the incarnation that was there when it was first sent, and whether an earlier call, of an earlier leader too, may have been carried out. Success proves the end of an incarnation only if that was there before any call. Whoever is there else works on once the step is over, which an answer to a call sent after the maintenance now shows too.

Why it works: an incarnation that was there before the first call can't outlive a maintenance that has begun since; of any other one the answer says nothing.

--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -53,11 +53,13 @@
 
 // maintenanceStep is the progress of one instance through a wave.
 type maintenanceStep struct {
-	// incarnation is the incarnation that the maintenance ends.
+	// instanceCall is the call to begin the maintenance.
+	instanceCall
+	// incarnation is the incarnation on the instance that has to be emptied.
 	incarnation string
 	since       time.Time
-	// inFlight means that a call is in progress, uncertain that a call got no answer, away that the maintenance has begun.
-	inFlight, uncertain, away bool
+	// away means that the maintenance has begun.
+	away bool
 	// noTimeLeft means that the wave can't wait any longer for capacity for the tasks that have to be moved.
 	noTimeLeft bool
 	// begun is the time of the answer to the call.
@@ -198,6 +200,7 @@
 		switch {
 		case s.away && c.maintenanceOver(m, s):
 			delete(row.steps, m)
+			c.reopen(s.incarnation)
 		case s.mayBeAway() || row.requested[m]:
 			away++
 		}
@@ -213,15 +216,18 @@
 // mayBeAway reports whether the instance is or may be under maintenance.
 func (s *maintenanceStep) mayBeAway() bool { return s.inFlight || s.uncertain || s.away }
 
-// maintenanceOver reports whether the maintenance has ended: its duration has passed, and either a new incarnation or the machine interface confirms
-// it.
+// maintenanceOver reports whether the maintenance has ended: its duration has passed, and either a new incarnation, an incarnation that has answered
+// since then, or the machine interface confirms it.
 func (c *session) maintenanceOver(machine string, s *maintenanceStep) bool {
 	end := s.begun.Add(c.Bounds().Maintenance + maintenanceMargin)
 	if c.now().Before(end) {
 		return false
 	}
-	if w := c.listedWorkerOn(machine); w != nil && w.Incarnation != s.incarnation && w.listedSince.After(s.begun) {
-		return true
+	if w := c.listedWorkerOn(machine); w != nil {
+		isNew := w.Incarnation != s.incarnation && w.listedSince.After(s.begun)
+		if isNew || w.askedAt.After(end) {
+			return true
+		}
 	}
 	x, ok := c.machines[machine]
 	return ok && c.machinesListedAt.After(end) && x.State != MachineInMaintenance
--- a/pool/simmachines_test.go
+++ b/pool/simmachines_test.go
@@ -15,6 +15,11 @@
 
 // machineAPI returns the machine interface as an entry calls it.
 func (sim *simulation) machineAPI(entry string) pool.Machines {
+	rates := func() (late, loss float64) {
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		return sim.lateChangeRate, sim.machineLossRate
+	}
 	unanswered := func(err error) error {
 		if err != nil {
 			return errLost
@@ -23,7 +28,8 @@
 	}
 	change := func(ctx context.Context, name string, fence int64, do func(m *machine, delayed bool) error) error {
 		answers := make(chan error, 1)
-		err := sim.call(ctx, entry, simMachineAPI, 0, 0, func(delayed, _ bool) {
+		late, loss := rates()
+		err := sim.call(ctx, entry, simMachineAPI, late, loss, func(delayed, _ bool) {
 			sim.mu.Lock()
 			defer sim.mu.Unlock()
 			m := sim.machines[name]
@@ -45,7 +51,8 @@
 	return pool.Machines{
 		List: func(ctx context.Context) ([]pool.Machine, error) {
 			lists := make(chan []pool.Machine, 1)
-			err := sim.call(ctx, entry, simMachineAPI, 0, 0, func(bool, bool) { lists <- sim.listMachines() })
+			_, loss := rates()
+			err := sim.call(ctx, entry, simMachineAPI, 0, loss, func(bool, bool) { lists <- sim.listMachines() })
 			if err != nil {
 				return nil, unanswered(err)
 			}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -126,7 +126,10 @@
 	idReuseRate float64
 	// lateOrderRate is the share of orders that workers carry out late and do not answer.
 	lateOrderRate float64
-	events        *event.Ring
+	// machineLossRate is the share of calls to the machine interface that are carried out and not answered, lateChangeRate that of changes of
+	// instances that are carried out late and not answered.
+	machineLossRate, lateChangeRate float64
+	events                          *event.Ring
 	// caps holds the organisations' caps in each configuration so far, in tasks. While it is empty, jobs belong to no
 	// organisation.
 	caps []capsVersion
--- a/pool/size.go
+++ b/pool/size.go
@@ -237,10 +237,7 @@
 
 // cancelMove leaves the instance in its pool.
 func (c *session) cancelMove(machine string, s *pendingMove) {
-	if w := c.workers[s.incarnation]; w != nil {
-		w.beingEmptied = false
-		c.markPoolDirty(w.Pool)
-	}
+	c.reopen(s.incarnation)
 	delete(c.moves, machine)
 }
 
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -191,6 +191,7 @@
 func (h *history) healAndCheck() {
 	h.mu.Lock()
 	h.partitions, h.storeLossRate, h.lateOrderRate = nil, 0, 0
+	h.machineLossRate, h.lateChangeRate = 0, 0
 	h.storeDownUntil = time.Time{}
 	clear(h.frozen)
 	h.mu.Unlock()
--- a/pool/waveempty.go
+++ b/pool/waveempty.go
@@ -16,7 +16,9 @@
 // repeated call may be answered like the first one.
 func (c *session) startEmptying(row *waveState, machine string, now time.Time) {
 	begun := c.machines[machine].State == MachineInMaintenance && !c.inOtherWave(row, machine)
-	s := &maintenanceStep{since: now, uncertain: row.requested[machine] || begun}
+	s := &maintenanceStep{since: now}
+	s.uncertain = row.requested[machine] || begun
+	s.fromEarlierLeader = s.uncertain
 	if w := c.workerOn(machine); w != nil {
 		w.beingEmptied = true
 		s.incarnation = w.Incarnation
--- a/pool/waverequest.go
+++ b/pool/waverequest.go
@@ -19,7 +19,7 @@
 	if !c.confirmed(now) || !c.machineCalls.tryAcquire(c.Machines.PerSecond, now) {
 		return
 	}
-	s.inFlight = true
+	s.begin(s.incarnation)
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 		defer cancel()
@@ -44,7 +44,7 @@
 	case m.err == nil:
 		m.step.away, m.step.uncertain, m.step.begun = true, false, now
 		m.row.markBegun(m.machine)
-		if w := c.workers[m.step.incarnation]; w != nil {
+		if w := c.workers[m.step.incarnation]; w != nil && m.step.provesEndOf(w.Incarnation) {
 			c.endIncarnation(w, "its upkeep has begun")
 		}
 		c.counts.maintenances.Inc(1)
--- a/pool/wavestall.go
+++ b/pool/wavestall.go
@@ -55,12 +55,19 @@
 // release gives an instance back that has been taken out for the wave.
 func (c *session) release(row *waveState, machine string, w *worker, why string) {
 	delete(row.steps, machine)
-	w.beingEmptied = false
-	c.markPoolDirty(w.Pool)
+	c.reopen(w.Incarnation)
 	row.stalled[machine] = true
 	c.emit(event.UpkeepPostponed, event.Subject{Instance: machine}, "wave=%d runs=%d why=%q", row.Number, len(w.runs), why)
 }
 
+// reopen lets the worker get starts again, if the incarnation has not ended.
+func (c *session) reopen(incarnation string) {
+	if w := c.workers[incarnation]; w != nil {
+		w.beingEmptied = false
+		c.markPoolDirty(w.Pool)
+	}
+}
+
 // canEmpty reports whether all lasting tasks on the worker can leave now, beside those on the workers that are being emptied.
 func (c *session) canEmpty(w *worker, noTimeLeft bool, now time.Time) bool {
 	for t := range w.runs {
