pool: the answer to a repeated move overrides no list

Their worker came with a move whose call got no answer, and was cut off soon after the answer to the repeated call.

Cause: the answer was taken for the moment of the move. The leader noted that the instance has no worker yet, and kept that against the list for 3 s, so that the silent worker was taken for ended while its lease went on.

Change: only a move that was made by the call that got the answer overrides the list. The end of an incarnation is concluded by the rule for maintenances.

The tests of waves, moves, drains, takeovers and shortages pass.

Why it works: a worker that came with the move is named by each list that was asked for after it had been seen; only that can end it before its lease.

--- a/pool/session.go
+++ b/pool/session.go
@@ -190,8 +190,8 @@
 	// call of an earlier leader is rejected there. fencing holds those with such a call in flight.
 	fenced, fencing map[string]bool
 	// unmovable maps instances that could not be moved to the time until which no move is retried. movedAt is when
-	// this leader moved an instance.
-	unmovable, movedAt map[string]time.Time
+	// this leader moved an instance, and listIgnoredUntil until when the machine interface's list, which lags, does not apply to it.
+	unmovable, movedAt, listIgnoredUntil map[string]time.Time
 }
 
 func newSession(s *Scheduler, t lead.Term) *session {
@@ -244,6 +244,7 @@
 		statsByQueue:          make(map[string]*queueStats),
 		unmovable:             make(map[string]time.Time),
 		movedAt:               make(map[string]time.Time),
+		listIgnoredUntil:      make(map[string]time.Time),
 	}
 	c.aside, c.unreadableStates = make(asideRecords), make(map[string]bool)
 	c.assignment.stored, c.assignment.atTakeover = make(map[string]poolAssignment), make(map[string]bool)
--- a/pool/size.go
+++ b/pool/size.go
@@ -20,17 +20,19 @@
 	moveRetryPause = 600 * time.Millisecond
 	// moveArrivalMargin is added to the stated duration of a move as the time limit for an instance to appear in its new pool.
 	moveArrivalMargin = 4 * time.Second
-	// localStateTTL is how long the state of an instance that this leader has moved takes precedence over the machine interface's list.
+	// localStateTTL is how long the state of an instance that this leader has just moved takes precedence over the machine interface's list.
 	localStateTTL = 3 * time.Second
 )
 
 // pendingMove is the move of an instance to another pool.
 type pendingMove struct {
+	// instanceCall is the call to move the instance.
+	instanceCall
 	to, incarnation string
 	since           time.Time
-	// inFlight means that a call is in progress, moved that the move has succeeded, queued that the call waits for the rate limit.
-	inFlight, moved, queued bool
-	notBefore               time.Time
+	// moved means that the move has succeeded, queued that the call waits for the rate limit.
+	moved, queued bool
+	notBefore     time.Time
 }
 
 // sizePools moves instances between pools according to their load.
@@ -256,7 +258,7 @@
 	if s.queued {
 		return
 	}
-	s.inFlight = true
+	s.begin(s.incarnation)
 	c.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 		defer cancel()
@@ -286,17 +288,7 @@
 	case m.err == nil:
 		s.moved, s.since = true, now
 		c.fenced[m.machine] = true
-		x := c.machines[m.machine]
-		from := x.Pool
-		x.Pool, x.State, x.ID = s.to, MachineUp, ""
-		c.machines[m.machine] = x
-		c.movedAt[m.machine] = now
-		if w := c.workers[s.incarnation]; w != nil {
-			c.endIncarnation(w, "its instance was moved")
-		}
-		c.counts.moves.Inc(1)
-		c.countShift(from, s.to)
-		c.emit(event.InstanceMoved, event.Subject{Instance: m.machine}, "from=%s to=%s", from, s.to)
+		c.recordMove(m.machine, s, now)
 	case errors.Is(m.err, ErrFenced):
 		c.Lost(c.term.Fence)
 	case errors.Is(m.err, ErrTooMany):
@@ -309,6 +301,27 @@
 		c.postponeMove(m.machine, s)
 	default: // the move may have been carried out; repeating the call is harmless
 		c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "move to=%s err=%q", s.to, m.err)
+		s.uncertain = true
 		s.notBefore = now.Add(moveRetryPause)
 	}
 }
+
+// recordMove updates the tables after the answer that an instance has been moved. Unless the move was made by the call that got the answer, the
+// instance may have had a new incarnation for a while, which only the machine interface's next list names.
+func (c *session) recordMove(machine string, s *pendingMove, now time.Time) {
+	x := c.machines[machine]
+	from := x.Pool
+	x.Pool, x.State = s.to, MachineUp
+	c.movedAt[machine] = now
+	if s.madeNow() {
+		x.ID = ""
+		c.listIgnoredUntil[machine] = now.Add(localStateTTL)
+	}
+	c.machines[machine] = x
+	if w := c.workers[s.incarnation]; w != nil && s.provesEndOf(w.Incarnation) {
+		c.endIncarnation(w, "its instance was moved")
+	}
+	c.counts.moves.Inc(1)
+	c.countShift(from, s.to)
+	c.emit(event.InstanceMoved, event.Subject{Instance: machine}, "from=%s to=%s", from, s.to)
+}
--- a/pool/workers.go
+++ b/pool/workers.go
@@ -505,7 +505,7 @@
 	named := make(map[string]bool, len(m.list))
 	for _, x := range m.list {
 		named[x.Name] = true
-		if now.Sub(c.movedAt[x.Name]) > localStateTTL {
+		if now.After(c.listIgnoredUntil[x.Name]) {
 			c.machines[x.Name] = x
 		}
 	}
