pool: a list of instances that got no answer does not delay the next

Callers: after some seconds without an answer of the machine interface the leader lists no instances for up to half a minute; maintenances that are over count as away meanwhile, so that a wave stands still.

Cause: the pause between two lists is five times as long as the last one took, since lists grow with the fleet. One that fails takes until its timeout, 6 s.

Change: only a list that was answered counts for the pause.

Measured: TestAListWithoutAnAnswerDoesNotDelayTheNext fails without the change and passes with it.

Why it works: how long a call waits in vain says nothing about how long the next list takes; lists that fail are still asked for one at a time and 1.5 s apart.

--- a/pool/workers.go
+++ b/pool/workers.go
@@ -495,12 +495,12 @@
 
 func (m machinesListed) apply(c *session) {
 	c.machinesAsking = false
-	c.machinesListTime = c.now().Sub(m.asked)
 	if m.err != nil { // retried at the next interval
 		c.emit(event.PlatformUnreachable, event.Subject{Entry: c.Entry}, "list of instances: %v", m.err)
 		return
 	}
 	now := c.now()
+	c.machinesListTime = now.Sub(m.asked) // a list that fails takes until its timeout, which tells nothing about the next one
 	c.machinesListedAt = m.asked
 	named := make(map[string]bool, len(m.list))
 	for _, x := range m.list {
