pool: a refused maintenance call closes no earlier one without an answer

Cause: a call for a maintenance that got no answer may still be carried out. If its repeat was refused as busy, or was never sent because the lead was no longer confirmed, the instance stopped counting as one that may be away.

Evidence: two cases of TestARefusalAfterAnUnansweredCallFreesNoSlot fail without the change.

Change: instanceCall knows whether this leader has sent a call that got no answer; only then does it stay uncertain after a refusal. A call that was not sent changes nothing.

Measured: the test passes, as do those of waves, maintenances, drains and moves.

Why it works: the instance counts as away until a call is answered with success, or until no call of this leader is open. Calls of earlier leaders are closed by a refusal, which shows that the instance has seen a higher token.

--- a/pool/instancecall.go
+++ b/pool/instancecall.go
@@ -12,9 +12,9 @@
 	sent   bool
 	// inFlight is set while a call is in progress.
 	inFlight bool
-	// uncertain is set while the change may have been made, or may still be, by a call that got no answer. fromEarlierLeader is set if an earlier
-	// leader may have sent such a call.
-	uncertain, fromEarlierLeader bool
+	// uncertain is set while the change may have been made, or may still be, by a call that got no answer. unanswered is set if this leader has sent
+	// such a call, and fromEarlierLeader if an earlier one may have.
+	uncertain, unanswered, fromEarlierLeader bool
 }
 
 // begin records that the call is being sent for the incarnation that is on the instance now.
@@ -25,6 +25,13 @@
 	}
 }
 
+// gotNoAnswer records that the latest call may have been carried out.
+func (k *instanceCall) gotNoAnswer() { k.uncertain, k.unanswered = true, true }
+
+// refused records that the change has not been made and can't be made now. A call of this leader that got no answer may still be carried out; one of
+// an earlier leader can't, since the instance has seen a higher token.
+func (k *instanceCall) refused() { k.uncertain, k.fromEarlierLeader = k.unanswered, false }
+
 // madeNow reports whether an answer that the change has been made also tells when: it was made by the call that got the answer.
 func (k *instanceCall) madeNow() bool { return !k.uncertain && !k.fromEarlierLeader }
 
--- a/pool/instancecall_test.go
+++ b/pool/instancecall_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,6 +61,34 @@
 	}
 }
 
+// TestARefusalAfterAnUnansweredCallFreesNoSlot guards against more instances under maintenance at once than a wave allows: a call without an answer may
+// still be carried out although its repeat was refused, or was never sent.
+func TestARefusalAfterAnUnansweredCallFreesNoSlot(t *testing.T) {
+	for _, x := range [...]struct {
+		name    string
+		answers []error
+		away    int
+	}{
+		{"no answer, then busy", []error{context.DeadlineExceeded, ErrBusy}, 1},
+		{"no answer, then not sent", []error{context.DeadlineExceeded, fmt.Errorf("%w: %w", errNotCalled, ErrBusy)}, 1},
+		{"busy", []error{ErrBusy}, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := newFixture(c, nil)
+			row, s := b.wave(1), new(maintenanceStep)
+			row.steps["m0"] = s
+			row.markRequested("m0")
+			for _, err := range x.answers {
+				s.begin("w1")
+				b.machineCalls.inFlight++
+				maintenanceAnswered{row: row, machine: "m0", step: s, err: err}.apply(b.session)
+			}
+			c.Assert(b.countAway(row), quicktest.Equals, x.away)
+		})
+	}
+}
+
 // applyAll waits for the calls in progress and applies the messages about them.
 func (b *fixture) applyAll() {
 	synctest.Wait()
--- a/pool/machinecalls.go
+++ b/pool/machinecalls.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -62,12 +63,14 @@
 	return true
 }
 
+// errNotCalled means that a call to the machine interface was not sent, because the lead was no longer confirmed.
+var errNotCalled = errors.New("machine interface not called, the lead was no longer confirmed")
+
 // callIfConfirmed makes a call to the machine interface unless the store's last confirmation of the lead has expired. A process that was suspended,
-// or a goroutine that waited for the processor, could otherwise send the call after the next leader has taken over. The error means that nothing was
-// release.
+// or a goroutine that waited for the processor, could otherwise send the call after the next leader has taken over.
 func (c *session) callIfConfirmed(call func() error) error {
 	if !c.confirmed(c.now()) {
-		return fmt.Errorf("machine interface not called, the lead was no longer confirmed: %w", ErrBusy)
+		return fmt.Errorf("%w: %w", errNotCalled, ErrBusy)
 	}
 	return call()
 }
--- a/pool/size.go
+++ b/pool/size.go
@@ -301,7 +301,7 @@
 		c.postponeMove(m.machine, s)
 	default: // the move may have been carried out; repeating the call is harmless
 		c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "move to=%s err=%q", s.to, m.err)
-		s.uncertain = true
+		s.gotNoAnswer()
 		s.notBefore = now.Add(moveRetryPause)
 	}
 }
--- a/pool/waverequest.go
+++ b/pool/waverequest.go
@@ -52,16 +52,19 @@
 		return
 	case errors.Is(m.err, ErrTooMany):
 		c.machineCalls.pause(now) // the step is retried unchanged
+	case errors.Is(m.err, errNotCalled): // the step is retried unchanged
 	case errors.Is(m.err, ErrBusy):
-		m.step.uncertain = false
-		m.row.clearRequested(m.machine) // it has not begun, and calls with a lower fencing token can't begin it any more
+		m.step.refused()
+		if !m.step.uncertain {
+			m.row.clearRequested(m.machine)
+		}
 	case errors.Is(m.err, ErrFenced):
 		c.Lost(c.term.Fence)
 	case errors.Is(m.err, ErrNotInWave):
 		m.row.markBegun(m.machine) // the instance no longer exists or does not belong to the wave
 		delete(m.row.steps, m.machine)
 	default:
-		m.step.uncertain = true
+		m.step.gotNoAnswer()
 	}
 	m.step.notBefore = now.Add(maintenanceRetryPause)
 	c.emit(event.UpkeepRefused, event.Subject{Instance: m.machine}, "wave=%d err=%q", m.row.Number, m.err)
