pool, intake: a job goes on under its queue's settings when the queue leaves the configuration

Cause: all settings of a queue are read from the newest configuration at the moment of use. A queue that it does not name got defaults: 3 attempts, priority 0, no advice.

Change: each entry keeps the settings of queues that have left the configuration. An entry that accepts a job writes the settings of its queue with it, in one append, unless it has written the same before; so the next leader has them although it has never read that configuration. The leader goes by the configuration if that has the queue, else by the later of the two. Entries of an earlier version pass over the new records.

Why it works: what a job was accepted under is in the store no later than the job, and no later version without the queue takes it away.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"rackstep.dev/event"
@@ -34,10 +35,17 @@
 	// Query queries the scheduling entry about a job or a queue.
 	Query  func(ctx context.Context, q job.Query) (job.Answer, error)
 	Events *event.Ring
+
+	mu sync.Mutex
+	// writtenQueues holds the settings of queues as this entry has last written them.
+	writtenQueues map[string]job.Queue
 }
 
-// Submit writes the job; the error is ErrRefused, ErrInDoubt or a *job.SpecError.
-func (i *Intake) Submit(ctx context.Context, s *job.Spec) error {
+// Submit writes the job, which was accepted under the given settings of its queue; the error is ErrRefused, ErrInDoubt or a *job.SpecError.
+//
+// The settings are written with it, unless this entry has written them before: the queue may leave the configuration before any scheduling entry
+// has read the job.
+func (i *Intake) Submit(ctx context.Context, s *job.Spec, q job.QueueVersion) error {
 	if err := s.Check(); err != nil {
 		i.Events.Emit(event.JobRefused, event.Subject{Job: s.ID}, err.Error())
 		return err
@@ -47,12 +55,44 @@
 	if err != nil {
 		return err
 	}
+	records, err := i.queueRecord(q)
+	if err != nil {
+		return err
+	}
+	records = append(records, feed.KeyedRecord{Key: s.QualifiedID().SubmissionKey(), Value: value})
 	start := time.Now()
-	offset, attempts, err := i.Writer.Write(ctx, feed.KeyedRecord{Key: s.QualifiedID().SubmissionKey(), Value: value})
+	offset, attempts, err := i.Writer.Write(ctx, records...)
+	if err == nil && len(records) > 1 {
+		i.recordWritten(q.Queue)
+	}
 	i.emitResult(s.ID, fmt.Sprintf("submit queue=%s organisation=%q", s.Queue, s.Organisation), offset, attempts, time.Since(start), err)
 	return err
 }
 
+// queueRecord returns the record with the settings of a queue, or nothing if this entry has written them before.
+func (i *Intake) queueRecord(q job.QueueVersion) ([]feed.KeyedRecord, error) {
+	i.mu.Lock()
+	written, ok := i.writtenQueues[q.Name]
+	i.mu.Unlock()
+	if ok && written.Equal(q.Queue) {
+		return nil, nil
+	}
+	value, err := job.EncodeQueue(q)
+	if err != nil {
+		return nil, err
+	}
+	return []feed.KeyedRecord{{Key: job.QueueKey(q.Name), Value: value}}, nil
+}
+
+func (i *Intake) recordWritten(q job.Queue) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.writtenQueues == nil {
+		i.writtenQueues = make(map[string]job.Queue)
+	}
+	i.writtenQueues[q.Name] = q
+}
+
 // Cancel writes a cancellation of the job; the error is ErrRefused, ErrInDoubt or ErrNotFound.
 //
 // It is written unless the job certainly can't run: the scheduling entry may not have read a job yet that was accepted a moment ago.
--- a/intake/writer.go
+++ b/intake/writer.go
@@ -44,11 +44,11 @@
 	failing, silent bool
 }
 
-// pendingWrite is a record that is queued or being appended.
+// pendingWrite is a request whose records are queued or being appended.
 type pendingWrite struct {
-	record feed.KeyedRecord
-	ctx    context.Context
-	start  time.Time
+	records []feed.KeyedRecord
+	ctx     context.Context
+	start   time.Time
 	// clientTimeout is how long the client waits, counted from start; it is unset when bounded is false.
 	clientTimeout time.Duration
 	bounded       bool
@@ -64,11 +64,11 @@
 	err      error
 }
 
-// Write appends the record. It returns the topic's end offset, the number of append attempts, and ErrRefused or ErrInDoubt.
+// Write appends the records together. It returns the topic's end offset, the number of append attempts, and ErrRefused or ErrInDoubt.
 //
 // While the store fails and a batch is being retried, further records are refused immediately without being sent.
-func (w *Writer) Write(ctx context.Context, r feed.KeyedRecord) (end int64, attempts int, err error) {
-	p := &pendingWrite{record: r, ctx: ctx, start: w.Clock.ExactNow(), done: make(chan writeResult, 1)}
+func (w *Writer) Write(ctx context.Context, records ...feed.KeyedRecord) (end int64, attempts int, err error) {
+	p := &pendingWrite{records: records, ctx: ctx, start: w.Clock.ExactNow(), done: make(chan writeResult, 1)}
 	if d, ok := ctx.Deadline(); ok {
 		p.clientTimeout, p.bounded = time.Until(d), true
 	}
@@ -172,12 +172,12 @@
 		limit = probeTimeout
 	}
 	w.mu.Unlock()
-	records := make([]feed.KeyedRecord, len(batch))
+	records := make([]feed.KeyedRecord, 0, len(batch))
 	now := w.Clock.Now()
 	var latest time.Duration
 	bounded := false
-	for i, p := range batch {
-		records[i] = p.record
+	for _, p := range batch {
+		records = append(records, p.records...)
 		if p.bounded {
 			latest, bounded = max(latest, p.remaining(now)), true
 		}
--- a/job/queue.go
+++ b/job/queue.go
@@ -2,7 +2,10 @@
 
 package job
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Queue is the configuration of the jobs of one route.
 type Queue struct {
@@ -21,6 +24,21 @@
 	Advice *Advice
 }
 
+// Equal reports whether two queues have the same settings.
+func (q Queue) Equal(o Queue) bool {
+	if (q.Advice == nil) != (o.Advice == nil) || (q.Advice != nil && *q.Advice != *o.Advice) {
+		return false
+	}
+	q.Advice, o.Advice = nil, nil
+	return q == o
+}
+
+// QueueVersion is a queue as one version of the configuration has it.
+type QueueVersion struct {
+	Queue
+	Version int64
+}
+
 // Advice describes the timing of the advice service, which decides which workers may run a step.
 type Advice struct {
 	Decide, Each, Valid time.Duration
@@ -41,3 +59,24 @@
 	Queues  map[string]Queue
 	Pools   map[string]Pool
 }
+
+// RemovedQueues holds the queues that the configuration does not have any more, by name, as the latest version had them that did. Jobs that were
+// accepted then go on under these settings.
+type RemovedQueues map[string]QueueVersion
+
+// After returns the removed queues once a version of the configuration has replaced the previous one, which may be nil.
+func (r RemovedQueues) After(previous, next *Catalog) RemovedQueues {
+	removed := maps.Clone(r)
+	if removed == nil {
+		removed = make(RemovedQueues)
+	}
+	if previous != nil {
+		for name, q := range previous.Queues {
+			removed[name] = QueueVersion{Queue: q, Version: previous.Version}
+		}
+	}
+	for name := range next.Queues {
+		delete(removed, name)
+	}
+	return removed
+}
--- a/pool/load.go
+++ b/pool/load.go
@@ -302,6 +302,9 @@
 
 // readIntake adds the job of a submission record and returns it if it is new.
 func (c *session) readIntake(part int, r feed.KeyedRecord, now time.Time) *job.Job {
+	if c.readQueue(r) {
+		return nil
+	}
 	name, ok := job.ParseSubmissionKey(r.Key)
 	if !ok || len(r.Value) == 0 {
 		return nil
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -163,6 +163,8 @@
 	UnstoredOrdersAnnounced func() bool
 
 	catalog atomic.Pointer[job.Catalog]
+	// removedQueues are those that catalog does not have any more, as this entry has read them. It is guarded by mu.
+	removedQueues job.RemovedQueues
 	// organisations belongs to the same configuration version as catalog.
 	organisations atomic.Pointer[org.Directory]
 	bounds        atomic.Pointer[Bounds]
@@ -186,9 +188,10 @@
 
 // SetCatalog puts a version of the configuration in force.
 func (s *Scheduler) SetCatalog(c *job.Catalog) {
-	s.catalog.Store(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.removedQueues = s.removedQueues.After(s.catalog.Load(), c)
+	s.catalog.Store(c)
 	if s.current != nil {
 		s.current.post(catalogChanged{c})
 	}
--- a/pool/session.go
+++ b/pool/session.go
@@ -180,6 +180,10 @@
 	startedAt          time.Time
 	statsByQueue       map[string]*queueStats
 	statsStoredAt      time.Time // when the statistics were last stored
+	// storedQueues holds the settings of queues that are stored with the jobs accepted under them, the latest version of each.
+	storedQueues map[string]job.QueueVersion
+	// removedQueues are the queues that config does not have any more, as this entry has read them.
+	removedQueues job.RemovedQueues
 	// sideKeys is the set of keys of the stored side records of jobs.
 	sideKeys map[string]bool
 	// silentPending counts the silent workers whose next incarnation may carry out an unanswered start.
@@ -208,6 +212,7 @@
 		incarnationsByMachine: make(map[string][]*worker),
 		incarnationsByID:      make(map[string][]*worker),
 		tokens:                make(map[string]*atomic.Int64),
+		storedQueues:          make(map[string]job.QueueVersion),
 		endedIncarnations:     make(map[string]bool),
 		unstoredJobs:          make(map[*job.Job]int64),
 		adoptedUnstored:       make(map[*job.Job]int64),
@@ -252,6 +257,7 @@
 	c.ledger.SetDirectory(s.organisations.Load())
 	s.mu.Lock()
 	drainsChanged{s.drained}.apply(c) // takes effect before the first start
+	c.removedQueues = s.removedQueues
 	s.mu.Unlock()
 	return c
 }
@@ -323,20 +329,6 @@
 	c.updateOrganisationGauges(now)
 }
 
-// queue returns the configuration of the job's queue. For a queue that has been removed it returns defaults based on
-// the job itself.
-func (c *session) queue(j *job.Job) job.Queue {
-	if c.config != nil {
-		if q, ok := c.config.Queues[j.Spec.Queue]; ok {
-			return q
-		}
-	}
-	return job.Queue{Name: j.Spec.Queue, Pool: j.Spec.Pool, Attempts: defaultAttempts, Stretch: 2, Target: time.Second}
-}
-
-// defaultAttempts applies to jobs whose queue was removed before its settings were read.
-const defaultAttempts = 3
-
 func (c *session) pool(name string) *poolRow {
 	p := c.pools[name]
 	if p == nil {
@@ -351,6 +343,7 @@
 
 func (m catalogChanged) apply(c *session) {
 	c.config = m.catalog
+	c.updateRemovedQueues()
 	c.retryUnusable()
 	for _, p := range c.pools {
 		clear(p.open)
