job: a due time beyond the range of a duration is not in the past

Callers: none seen; found when the decoders were gone through. The later times of a job whose interval is years long are due at once, so that its tasks start before their time (ORDER): 30 times at the longest interval that is accepted are enough.

Cause: the number of the time was multiplied by the interval as a duration, which ends at 292 years.

Evidence: TestDueTimesFarAwayAreInTheFuture fails without the change.

Change: due times are computed in milliseconds since 1970, and end at the latest one. A target latency beyond ten years counts as ten years.

Measured: the tests of the package pass.

Why it works: Check bounds both factors so that the product fits; the sum is bounded here.

--- a/job/job.go
+++ b/job/job.go
@@ -183,7 +183,7 @@
 	if j.Spec.Times == 0 {
 		return time.Time{}
 	}
-	return j.Spec.First.Time().Add(time.Duration(repetition) * j.Spec.Every.Duration())
+	return j.Spec.First.plus(repetition, j.Spec.Every).Time()
 }
 
 // StepOpen reports whether all steps that the step depends on are done and its time is due.
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -152,3 +153,18 @@
 		}
 	})
 }
+
+// Guards against tasks that start before their time because it lies beyond the range of a duration, or of the clock.
+func TestDueTimesFarAwayAreInTheFuture(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	for _, first := range []UnixMilli{UnixMilli(now.UnixMilli()), math.MaxInt64} {
+		j := New(&Spec{ID: "00112233445566aa", Steps: []Step{{Count: 1}}, Times: 200, First: first, Every: Milli(maxSpan)}, now)
+		c.Assert(j.Spec.Check(), quicktest.IsNil)
+		for k := 1; k < j.Spec.Times; k++ {
+			c.Assert(j.Due(k).After(now.Add(time.Hour)), quicktest.IsTrue, quicktest.Commentf("%d: %v", k, j.Due(k)))
+			c.Assert(j.StepOpen(k, 0, now), quicktest.IsFalse)
+		}
+	}
+	c.Assert(Milli(math.MaxInt64).Duration() > 0, quicktest.IsTrue)
+}
--- a/job/spec.go
+++ b/job/spec.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -39,8 +40,17 @@
 // Milli is a duration in milliseconds, as it is stored.
 type Milli int64
 
-// Duration returns the duration as a time.Duration.
-func (m Milli) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+// Duration returns the duration as a time.Duration, but at most maxSpan.
+func (m Milli) Duration() time.Duration { return time.Duration(min(m, Milli(maxSpan))) * time.Millisecond }
+
+// plus returns the time after n intervals. A time beyond the type is the latest one.
+func (u UnixMilli) plus(n int, interval Milli) UnixMilli {
+	later := int64(n) * int64(interval) // Check bounds both factors
+	if int64(u) > math.MaxInt64-later {
+		return math.MaxInt64
+	}
+	return u + UnixMilli(later)
+}
 
 // Need is the resources that one task takes from its worker.
 type Need struct {
