pool, platform: odd entries of workers take bounded memory

Callers: none seen. From the reports of other operators: an odd entry ends the machines that read the list again and again. Entries that can't be used were held whole, up to 4,096 of them, each as large as the store's records: 1 GB, where an entry has some hundred MB. Their errors, which may quote a field of any length, were logged whole.

Cause: the bound was on the number of entries. They are held to be parsed again after a change of the configuration, which helps only those whose pool is not in it yet.

Evidence: TestForeignEntriesTakeBoundedMemory fails without the change: 80 entries of 100 KB are all held.

Change: only entries of unknown pools are held, 1 MB at most; the others are known by their key. An event quotes 300 bytes of an error.

Measured: the tests of platform and those of unusable entries pass.

Why it works: an entry costs at most its key once it is known to be odd; one that was not held is read again with the worker's next heartbeat.

--- a/pool/unreadable_test.go
+++ b/pool/unreadable_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -101,3 +102,35 @@
 	b.applyWorkerRecord("x1", nil)
 	c.Assert(b.unusable.entries, quicktest.HasLen, maxUnusable-1)
 }
+
+// TestForeignEntriesTakeBoundedMemory guards against a process that runs out of memory, or whose log does, because another writer has left large entries among
+// those of the workers.
+func TestForeignEntriesTakeBoundedMemory(t *testing.T) {
+	c := quicktest.New(t)
+	b := newFixture(c, nil)
+	b.parsePoolNames()
+	catalog := *b.config
+	catalog.Pools = map[string]job.Pool{"p": {Name: "p"}}
+	b.config = &catalog
+	large := strings.Repeat("x", 100<<10)
+	for i := range 40 {
+		b.applyWorkerRecord(fmt.Sprint("invalid", i), []byte("\x00"+large))
+		b.applyWorkerRecord(fmt.Sprint("elsewhere", i), []byte(large))
+	}
+	held := func() (bytes int) {
+		for _, value := range b.unusable.entries {
+			bytes += len(value)
+		}
+		return bytes
+	}
+	c.Assert(b.unusable.entries, quicktest.HasLen, 80)
+	c.Assert(held() <= maxUnusableBytes, quicktest.IsTrue, quicktest.Commentf("%d bytes are held", held()))
+	c.Assert(held(), quicktest.Equals, b.unusable.bytes)
+	for _, e := range b.Events.Since(0) {
+		c.Assert(len(e.Text) < 2*maxUnusableText, quicktest.IsTrue, quicktest.Commentf("an event of %d bytes", len(e.Text)))
+	}
+	for i := range 40 {
+		b.applyWorkerRecord(fmt.Sprint("elsewhere", i), nil)
+	}
+	c.Assert(b.unusable.bytes, quicktest.Equals, 0)
+}
--- a/pool/unusable.go
+++ b/pool/unusable.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,25 +16,49 @@
 const (
 	maxUnusable       = 4096
 	maxUnusableEvents = 100
+	// maxUnusableBytes bounds the values that are held to be parsed again, and maxUnusableText the length of an error in an event: a value may have
+	// as many bytes as the store accepts in a record.
+	maxUnusableBytes = 1 << 20
+	maxUnusableText  = 300
 )
 
 // unusableEntries holds the entries of the list of workers that do not describe a usable worker, by key: the value can't be parsed, required fields are missing, or
 // the pool is not in the configuration yet. The zero value is empty.
-type unusableEntries struct{ entries map[string][]byte }
+type unusableEntries struct {
+	// entries holds the values, or nil for those that no change of the configuration makes usable or that are beyond maxUnusableBytes. bytes is the
+	// sum of their lengths.
+	entries map[string][]byte
+	bytes   int
+}
 
-func (f *unusableEntries) has(incarnation string) bool { return f.entries[incarnation] != nil }
+func (f *unusableEntries) has(id string) bool {
+	_, ok := f.entries[id]
+	return ok
+}
 
-// put stores an entry unless maxUnusable is reached.
-func (f *unusableEntries) put(incarnation string, value []byte) {
+// put stores an entry unless maxUnusable is reached. The value is nil if it need not be parsed again.
+func (f *unusableEntries) put(id string, value []byte) {
 	if f.entries == nil {
 		f.entries = make(map[string][]byte)
 	}
-	if f.has(incarnation) || len(f.entries) < maxUnusable {
-		f.entries[incarnation] = value
+	f.drop(id)
+	if len(f.entries) >= maxUnusable {
+		return
+	}
+	if f.bytes+len(value) > maxUnusableBytes {
+		value = nil
 	}
+	f.entries[id] = value
+	f.bytes += len(value)
 }
 
-func (f *unusableEntries) drop(incarnation string) { delete(f.entries, incarnation) }
+func (f *unusableEntries) drop(id string) {
+	f.bytes -= len(f.entries[id])
+	delete(f.entries, id)
+}
+
+// errUnknownPool means that an entry names a pool that the configuration does not have.
+var errUnknownPool = errors.New("the configuration has no pool")
 
 // parseEntry parses an entry of the list of workers. A new incarnation must name a pool of the configuration; a known one stays in its pool when the pool is removed. Once a
 // worker has reported a boot ID, an entry without one must come from another writer and is an error.
@@ -51,7 +76,7 @@
 		return row, nil
 	}
 	if _, ok := c.config.Pools[row.Pool]; !ok {
-		return row, fmt.Errorf("worker %s: the configuration has no pool %q; add it, or correct the entry", id, row.Pool)
+		return row, fmt.Errorf("worker %s: %w %q; add it, or correct the entry", id, errUnknownPool, row.Pool)
 	}
 	return row, nil
 }
@@ -64,7 +89,11 @@
 		w.unreadable = true
 	}
 	if !c.unusable.has(id) && len(c.unusable.entries) < maxUnusableEvents {
-		c.emit(event.RecordRefused, event.Subject{Instance: id}, "list of workers: known=%t err=%q", len(known) > 0, err)
+		text := err.Error()
+		c.emit(event.RecordRefused, event.Subject{Instance: id}, "list of workers: known=%t err=%q", len(known) > 0, text[:min(len(text), maxUnusableText)])
+	}
+	if !errors.Is(err, errUnknownPool) {
+		value = nil
 	}
 	c.unusable.put(id, value)
 }
@@ -86,8 +115,8 @@
 // retryUnusable parses the unusable entries of unknown workers again after a change of the configuration.
 func (c *session) retryUnusable() {
 	for id, value := range maps.Clone(c.unusable.entries) {
-		if len(c.incarnationsWithID(id)) > 0 {
-			continue // this is the unusable entry of a known worker
+		if value == nil || len(c.incarnationsWithID(id)) > 0 {
+			continue // it stays unusable, or is the entry of a known worker
 		}
 		if w := c.applyWorkerRecord(id, value); w != nil {
 			c.startHolds(w)
