pool: random histories with hopeless jobs, failing lasting tasks, removed queues and unanswered calls

Change: TestRandomTroublesOfJobsMachinesAndQueues adds jobs that can never run, lasting tasks that fail while all workers of a pool are due, queues that leave the configuration and come back at each entry's own time, with 1 to 5 attempts, and a machine interface that loses answers or carries changes out late. Jobs are submitted with the record of their queue, as entries do. The oracle counted failures of lasting tasks toward their queue's attempts; they carry no such limit ("Work items that last carry no such limit"), and none failed in a history before. Tasks of a job that has failed because another of its tasks has used up its attempts count as settled; no job failed so in a history before.

--- a/pool/simchecks_test.go
+++ b/pool/simchecks_test.go
@@ -42,7 +42,7 @@
 	if sim.inContact(by) && excess+1 >= simExcessStarts && crashed >= simCrashBudget {
 		sim.report("BUDGET %s run=%d on %s by %s: %d starts after it had crashed %d workers", o.Task, o.Run, l.name, by, excess+1, simCrashBudget)
 	}
-	if failed >= simMaxAttempts {
+	if failed >= sim.attempts && !spec.Steps[n.Step].Lasting { // lasting tasks carry no such limit
 		sim.report("BUDGET %s run=%d by %s after %d failures", o.Task, o.Run, by, failed)
 	}
 	for _, after := range spec.Steps[n.Step].After {
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -138,6 +138,12 @@
 	drained      []string
 	// drainsVersion counts the changes of drained.
 	drainsVersion int
+	// attempts is how often a task of a queue may fail, and failRate the share of all runs that fail. While it is 0, an eighth of all first runs does.
+	attempts int
+	failRate float64
+	// removedQueues are the queues that the configuration does not have now. catalogVersion counts the changes.
+	removedQueues  map[string]bool
+	catalogVersion int
 	// tracef writes a line of the trace. It is nil when tracing is off.
 	tracef func(text string, args ...any)
 	// waveRequests holds the maintenance waves that the operator has requested.
@@ -216,6 +222,7 @@
 func newSimulation(ctx context.Context, r *rand.Rand, zones, workers int, idReuseRate float64) *simulation {
 	sim := &simulation{
 		r: r, ctx: ctx, startedAt: time.Now(), events: new(event.Ring),
+		attempts: simMaxAttempts, removedQueues: make(map[string]bool),
 		capacity: simCapacity, idReuseRate: idReuseRate, maxListedEnds: simMaxListedEnds, status: simStatus, maxExtraTime: 2500 * time.Millisecond,
 		topics: make(map[string]*topic), zones: make(map[string]string),
 		electors: make(map[string]*lead.Elector), frozen: make(map[string]time.Time), suspensions: make(map[string]*suspensions),
@@ -450,8 +457,8 @@
 	scheduler *pool.Scheduler
 	cancel    context.CancelFunc
 	ended     chan struct{}
-	// drainsVersion is the version of the drained data centres that it has learned of.
-	drainsVersion int
+	// drainsVersion is the version of the drained data centres that it has learned of, catalogVersion that of the queues.
+	drainsVersion, catalogVersion int
 }
 
 // start starts an entry in a zone.
@@ -469,15 +476,9 @@
 		PutWave: func(ctx context.Context, wave int64, done bool) error { return nil },
 	}
 	s.SetBounds(sim.bounds())
-	s.SetCatalog(&job.Catalog{
-		Version: 1,
-		Queues: map[string]job.Queue{
-			"q0": {Name: "q0", Pool: "p0", Attempts: simMaxAttempts, Stretch: 2, Target: time.Second},
-			"q1": {Name: "q1", Pool: "p1", Attempts: simMaxAttempts, Stretch: 2, Target: time.Second},
-		},
-		Pools: map[string]job.Pool{"p0": {Name: "p0"}, "p1": {Name: "p1"}, "off": {Name: "off", Headroom: true}},
-	})
 	sim.mu.Lock()
+	s.SetCatalog(sim.catalog())
+	e.catalogVersion = sim.catalogVersion
 	if len(sim.caps) > 0 {
 		s.SetOrganisations(sim.caps[len(sim.caps)-1].directory)
 	}
--- a/pool/simwavestall_test.go
+++ b/pool/simwavestall_test.go
@@ -77,8 +77,8 @@
 
 // submitLasting submits a job with one lasting step.
 func (h *history) submitLasting(queue string, count, perWorker, mayMiss int) string {
-	h.jobCount++
-	id := fmt.Sprintf("%016x", 0x800+h.jobCount)
+	h.extraJobs++
+	id := fmt.Sprintf("%016x", 0x800+h.extraJobs)
 	h.submitSpec(&job.Spec{ID: id, Queue: queue, Pool: "p" + queue[1:], Steps: []job.Step{{
 		Count: count, Lasting: true, PerWorker: perWorker, MayMiss: mayMiss, Need: job.Need{MilliCPU: simTaskCPU, MemoryMB: 100}, Estimate: 1000,
 	}}})
--- a/pool/simworkers_test.go
+++ b/pool/simworkers_test.go
@@ -264,7 +264,7 @@
 	if s := sim.specs[n.ID]; s == nil || s.Steps[n.Step].Lasting {
 		return 0, false
 	}
-	if len(sim.runsByTask[task]) == 1 && sim.r.IntN(8) == 0 {
+	if sim.chance(sim.failRate) || (sim.failRate == 0 && len(sim.runsByTask[task]) == 1 && sim.r.IntN(8) == 0) {
 		return 200 * time.Millisecond, true
 	}
 	return 200*time.Millisecond + time.Duration(sim.r.Int64N(int64(sim.maxExtraTime))), false
--- a/pool/takeover_test.go
+++ b/pool/takeover_test.go
@@ -57,7 +57,9 @@
 	// beforeCheck, unless nil, is called before unfinished tasks are reported.
 	beforeCheck func()
 	jobCount    int
-	lastWave    int64
+	// extraJobs counts the jobs that are not submitted by submit.
+	extraJobs int
+	lastWave  int64
 }
 
 // runHistory runs a history on fake time. It returns the number of calls and the violations.
@@ -137,7 +139,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.specs[s.ID] = s
-	h.topic("intake").add(feed.KeyedRecord{Key: s.QualifiedID().SubmissionKey(), Value: value})
+	h.topic("intake").add(h.queueRecord(s.Queue), feed.KeyedRecord{Key: s.QualifiedID().SubmissionKey(), Value: value})
 }
 
 func (h *history) cancelJob(id string) {
@@ -258,7 +260,7 @@
 			crashed++
 		}
 	}
-	return failed >= simMaxAttempts || crashed >= 2 || h.mayBeGivenUp(task)
+	return failed >= h.attempts || crashed >= 2 || h.mayBeGivenUp(task) || h.jobHasFailed(task)
 }
 
 // mayBeGivenUp reports whether the task's job holds a task that crashes its workers: such a job may be given up.
