--- a/job/spec.go
+++ b/job/spec.go
@@ -41,7 +41,9 @@
 type Milli int64
 
 // Duration returns the duration as a time.Duration, but at most maxSpan.
-func (m Milli) Duration() time.Duration { return time.Duration(min(m, Milli(maxSpan))) * time.Millisecond }
+func (m Milli) Duration() time.Duration {
+	return time.Duration(min(m, Milli(maxSpan))) * time.Millisecond
+}
 
 // plus returns the time after n intervals. A time beyond the type is the latest one.
 func (u UnixMilli) plus(n int, interval Milli) UnixMilli {
