pool: a gang whose member can't start is stopped

Cause: a planned start is dropped if its worker can't be used any more when it is to be sent. The other members went on, unlike when a worker refuses a member.

Evidence: TestAGangWhoseMemberCannotStartIsStopped fails in its three cases without the change.

Change: the other members are stopped, and those that have not been sent are taken back.

Measured: the test passes.

Why it works: the gang waits as a whole again, and is placed anew once there is room for all.

--- a/pool/orders.go
+++ b/pool/orders.go
@@ -90,6 +90,9 @@
 	// The worker's capacity may have shrunk or the organisation's cap been lowered since the run was planned.
 	if t.Job.State.Ended() || !w.usable(now) || w.candidate.Free.AnyNegative() || c.ledger.OverCap(t.Job.Spec.Organisation, t.Spec().Need) {
 		w.dropRun(t)
+		if t.Spec().Gang {
+			c.stopGang(t, "a member can't start")
+		}
 		c.requeue(t)
 		return
 	}
