intake: each half of a split batch has a result of its own

Cause: the errors of the two halves were joined, and the first one counted for both.

Evidence: TestTheHalvesOfABatchHaveResultsOfTheirOwn: two of its three cases fail without the change.

Change: each pending write holds the error of its latest append.

Measured: the tests of intake and entry pass.

Why it works: whether a record may have been written is decided by the appends that included it.

--- a/intake/writer.go
+++ b/intake/writer.go
@@ -3,7 +3,6 @@
 package intake
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,8 +53,10 @@
 	bounded       bool
 	// uncertain means that an append that included the record got no reply.
 	uncertain bool
-	attempts  int
-	done      chan writeResult
+	// err is the error of the latest append that included the records.
+	err      error
+	attempts int
+	done     chan writeResult
 }
 
 type writeResult struct {
@@ -119,8 +120,7 @@
 // run appends batches until the queue is empty and no record is left to retry.
 func (w *Writer) run() {
 	for batch := w.nextBatch(nil); len(batch) > 0; batch = w.nextBatch(batch) {
-		failed, err := w.appendBatch(batch)
-		batch = w.retryable(failed, err)
+		batch = w.retryable(w.appendBatch(batch))
 	}
 }
 
@@ -143,25 +143,26 @@
 	return batch
 }
 
-// appendBatch appends a batch and returns the records to retry, with the error.
+// appendBatch appends a batch and returns the records to retry, each with its error.
 //
 // When the store rejects a batch because of its contents, the batch is split in halves, which are sent separately. So only the
-// records that are invalid by themselves are refused.
-func (w *Writer) appendBatch(batch []*pendingWrite) ([]*pendingWrite, error) {
+// records that are invalid by themselves are refused. What became of one half says nothing about the other.
+func (w *Writer) appendBatch(batch []*pendingWrite) []*pendingWrite {
 	err := w.send(batch)
 	var rejected *feed.RefusedError
 	switch {
 	case err == nil:
-		return nil, nil
+		return nil
 	case !errors.As(err, &rejected):
-		return batch, err
+		for _, p := range batch {
+			p.err = err
+		}
+		return batch
 	case len(batch) == 1:
 		batch[0].done <- writeResult{attempts: batch[0].attempts, err: fmt.Errorf("%w: %w", ErrRefused, err)}
-		return nil, nil
+		return nil
 	}
-	first, err := w.appendBatch(batch[:len(batch)/2])
-	second, secondErr := w.appendBatch(batch[len(batch)/2:])
-	return slices.Concat(first, second), cmp.Or(err, secondErr)
+	return slices.Concat(w.appendBatch(batch[:len(batch)/2]), w.appendBatch(batch[len(batch)/2:]))
 }
 
 // send sends one append, limited by the store's timeout and by the latest deadline of the batch's clients.
@@ -199,27 +200,23 @@
 
 // retryable updates the writer's state after an append, reports the final result of the records that are not retried, and returns
 // the others after a delay.
-func (w *Writer) retryable(batch []*pendingWrite, err error) []*pendingWrite {
-	silent := errors.Is(err, feed.ErrUncertain)
-	w.mu.Lock()
-	if silent && w.silent {
-		w.rejectQueued(err)
-	}
-	w.silent, w.failing = silent, err != nil
-	w.mu.Unlock()
-	if err == nil {
+func (w *Writer) retryable(failed []*pendingWrite) []*pendingWrite {
+	if len(failed) == 0 {
+		w.setState(false, false, nil)
 		return nil
 	}
+	silent := slices.ContainsFunc(failed, (*pendingWrite).unanswered)
+	w.setState(silent, true, failed[len(failed)-1].err)
 	delay := rejectedRetryDelay
 	if silent {
 		delay = silentRetryDelay
 	}
 	var retry []*pendingWrite
 	now := w.Clock.ExactNow()
-	for _, p := range batch {
-		p.uncertain = p.uncertain || silent
+	for _, p := range failed {
+		p.uncertain = p.uncertain || p.unanswered()
 		if p.shouldGiveUp(delay, now) {
-			p.done <- writeResult{attempts: p.attempts, err: p.finalError(err)}
+			p.done <- writeResult{attempts: p.attempts, err: p.finalError()}
 			continue
 		}
 		retry = append(retry, p)
@@ -230,6 +227,16 @@
 	return retry
 }
 
+// setState records the outcome of an append. The queue is refused after two in a row without a reply.
+func (w *Writer) setState(silent, failing bool, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if silent && w.silent {
+		w.rejectQueued(err)
+	}
+	w.silent, w.failing = silent, failing
+}
+
 // rejectQueued refuses all queued records, none of which has been sent. It is called after two consecutive appends without a
 // reply; a single one may be due to the connection rather than the store.
 func (w *Writer) rejectQueued(err error) {
@@ -263,10 +270,13 @@
 	return true
 }
 
+// unanswered reports whether the latest append that included the records got no reply.
+func (p *pendingWrite) unanswered() bool { return errors.Is(p.err, feed.ErrUncertain) }
+
 // finalError returns the error for a record that is not retried, in doubt if it may have been written.
-func (p *pendingWrite) finalError(err error) error {
+func (p *pendingWrite) finalError() error {
 	if p.uncertain {
-		return fmt.Errorf("%w: %w", ErrInDoubt, err)
+		return fmt.Errorf("%w: %w", ErrInDoubt, p.err)
 	}
-	return fmt.Errorf("%w: %w", ErrRefused, err)
+	return fmt.Errorf("%w: %w", ErrRefused, p.err)
 }
--- a/intake/writer_test.go
+++ b/intake/writer_test.go
@@ -236,3 +236,41 @@
 		c.Assert(taken, quicktest.HasLen, 9)
 	})
 }
+
+// Guards against a job that is told to be refused and runs: the store rejects a batch for its size, turns one half away, and does not reply to the
+// other.
+func TestTheHalvesOfABatchHaveResultsOfTheirOwn(t *testing.T) {
+	for _, x := range [...]struct {
+		name          string
+		first, second error
+		want          []error
+	}{
+		{"the second gets no reply", feed.ErrUnavailable, feed.ErrUncertain, []error{ErrRefused, ErrInDoubt}},
+		{"the first gets no reply", feed.ErrUncertain, feed.ErrUnavailable, []error{ErrInDoubt, ErrRefused}},
+		{"the second is taken", feed.ErrUnavailable, nil, []error{ErrRefused, nil}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				results := []error{nil, &feed.RefusedError{}, x.first, x.second}
+				w, _ := newTestWriter(50*time.Millisecond, func(n int) error {
+					if n <= len(results) {
+						return results[n-1]
+					}
+					return feed.ErrUnavailable
+				})
+				errs := make([]error, 2)
+				var all sync.WaitGroup
+				all.Go(func() { _, _, _ = write(w, "before") }) // the others come during its append, so that they leave together
+				for i := range errs {
+					time.Sleep(10 * time.Millisecond)
+					all.Go(func() { _, _, errs[i] = write(w, fmt.Sprint(i)) })
+				}
+				all.Wait()
+				for i, want := range x.want {
+					c.Check(errors.Is(errs[i], want), quicktest.IsTrue, quicktest.Commentf("%d: %v", i, errs[i]))
+				}
+			})
+		})
+	}
+}
