pool: an instance that is not of a wave gets work again

A worker gets no more work, for as long as its leader stays, if a wave names its instance and the machine interface answers that it does not belong to the wave.

Beside it, since instances are given back: of two waves that take out the same one, the first would have opened it while the other had asked for its maintenance.

Change: the worker is given back, here and elsewhere only if neither another wave nor a move has taken its instance out.

Why it works: each place that drops a step goes through reopen, which asks all owners.

--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -65,7 +65,7 @@
 	// begun is the time of the answer to the call.
 	begun     time.Time
 	notBefore time.Time
-	progress  progress
+	progress  emptyingProgress
 }
 
 // waveRequested is a request for a maintenance wave. Learned is when this entry first read it, which may be long before it leads.
--- a/pool/moves.go
+++ b/pool/moves.go
@@ -107,8 +107,8 @@
 
 // cancelMove leaves the instance in its pool.
 func (c *session) cancelMove(machine string, s *pendingMove) {
-	c.reopen(s.incarnation)
 	delete(c.moves, machine)
+	c.reopen(s.incarnation)
 }
 
 // postponeMove cancels the move and excludes the instance from moves for moveRetryPause.
--- a/pool/waverequest.go
+++ b/pool/waverequest.go
@@ -63,6 +63,7 @@
 	case errors.Is(m.err, ErrNotInWave):
 		m.row.markBegun(m.machine) // the instance no longer exists or does not belong to the wave
 		delete(m.row.steps, m.machine)
+		c.reopen(m.step.incarnation)
 	default:
 		m.step.gotNoAnswer()
 	}
--- a/pool/wavestall.go
+++ b/pool/wavestall.go
@@ -20,15 +20,15 @@
 	slotTimeout = 4 * time.Second
 )
 
-// progress is what is known of how an instance is emptied.
-type progress struct {
+// emptyingProgress is how far an instance has been emptied.
+type emptyingProgress struct {
 	// runs is the lowest number of runs on it so far, reached at the time at.
 	runs int
 	at   time.Time
 }
 
 // update records the number of runs that are left.
-func (p *progress) update(runs int, now time.Time) {
+func (p *emptyingProgress) update(runs int, now time.Time) {
 	if p.at.IsZero() || runs < p.runs {
 		p.runs, p.at = runs, now
 	}
@@ -60,12 +60,14 @@
 	c.emit(event.UpkeepPostponed, event.Subject{Instance: machine}, "wave=%d runs=%d why=%q", row.Number, len(w.runs), why)
 }
 
-// reopen lets the worker get starts again, if the incarnation has not ended.
+// reopen lets the worker get starts again, unless the incarnation has ended or another wave or a move has taken its instance out.
 func (c *session) reopen(incarnation string) {
-	if w := c.workers[incarnation]; w != nil {
-		w.beingEmptied = false
-		c.markPoolDirty(w.Pool)
+	w := c.workers[incarnation]
+	if w == nil || c.moves[w.Machine] != nil || c.inWave(w.Machine) {
+		return
 	}
+	w.beingEmptied = false
+	c.markPoolDirty(w.Pool)
 }
 
 // canEmpty reports whether all lasting tasks on the worker can leave now, beside those on the workers that are being emptied.
