--- a/place/pass.go
+++ b/place/pass.go
@@ -52,12 +52,14 @@
 
 // atOnce returns how many tasks of the group must start together.
 func (g *Group) atOnce() int {
-	if g.Job.Spec.Steps[g.Step].Gang {
+	if g.step().Gang {
 		return len(g.Tasks)
 	}
 	return 1
 }
 
+// placeGroup places as many tasks of the group as fit, or all members of a gang or none. It may reserve a candidate for those
+// that do not fit.
 func (p *pass) placeGroup(g *Group) {
 	step := g.step()
 	g.Capped = step.Gang && !p.draft.Admits(g.organisation(), step.Need, len(g.Tasks))
