pool: a test of instances that wait for one that never returns

Cause: the bound on how long an emptied instance waits for others had no test of its own.

Change: a wave of three with one away at once, whose first instance does not return and does later.

--- a/pool/wavestall_test.go
+++ b/pool/wavestall_test.go
@@ -42,3 +42,38 @@
 	b.release(b.wave(2), "m-w1", w, "a test")
 	c.Assert(w.beingEmptied, quicktest.IsFalse)
 }
+
+// TestInstancesDoNotWaitForOneThatNeverReturns guards against empty workers that get no work because an instance does not return from its maintenance, and
+// against a wave that doesn't go on once it does.
+func TestInstancesDoNotWaitForOneThatNeverReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newFixture(c, nil, "w0", "w1", "w2")
+		b.SetBounds(Bounds{Lease: 10 * time.Second, Stop: 400 * time.Millisecond, Status: time.Minute, Maintenance: 2 * time.Second})
+		b.PutWave = func(context.Context, int64, bool) error { return nil }
+		wave := Wave{Number: 1, MaxAway: 1, Within: 20 * time.Second}
+		for _, id := range []string{"w0", "w1", "w2"} {
+			machine := "m-" + id
+			wave.Machines = append(wave.Machines, machine)
+			b.machines[machine] = Machine{Name: machine, Pool: "p", ID: id}
+			b.report(id, 10, nil)
+		}
+		b.Machines.Maintenance = func(_ context.Context, machine string, _, _ int64) error {
+			b.machines[machine] = Machine{Name: machine, Pool: "p", State: MachineInMaintenance}
+			return nil
+		}
+		waveRequested{wave: wave}.apply(b.session)
+		b.runWavesFor(15 * time.Second)
+		c.Assert(b.waveStates[1].begun, quicktest.HasLen, 1)
+		for _, w := range b.workers {
+			c.Check(w.beingEmptied, quicktest.IsFalse, quicktest.Commentf("%s", w.Incarnation))
+		}
+		for range 2 {
+			for name := range b.waveStates[1].begun {
+				b.machines[name] = Machine{Name: name, Pool: "p"} // it has returned
+			}
+			b.runWavesFor(5 * time.Second)
+		}
+		c.Assert(b.waveStates[1].begun, quicktest.HasLen, 3)
+	})
+}
