pool: the histories' entries learn of changes in one way

Cause: drained data centres and removed queues were told to the entries by the same lines, twice.

Change: tellEntries.

Measured: the histories of drained data centres, caps and random troubles pass.

--- a/pool/simcaps_test.go
+++ b/pool/simcaps_test.go
@@ -17,6 +17,22 @@
 // simConfigDelay is how long after a new configuration an older one may still be in force at some entry.
 const simConfigDelay = 3 * time.Second
 
+// tellEntries lets each running entry learn of a change at its own time within simConfigDelay. The lock is held during the call.
+func (h *history) tellEntries(tell func(e *entry)) {
+	for _, e := range h.entries {
+		h.mu.Lock()
+		after := time.Duration(h.r.Int64N(int64(simConfigDelay)))
+		h.mu.Unlock()
+		time.AfterFunc(after, func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if !h.killed[e.name] {
+				tell(e)
+			}
+		})
+	}
+}
+
 // capsVersion is one version of the organisations' caps, in tasks.
 type capsVersion struct {
 	at        time.Time
--- a/pool/simdrains_test.go
+++ b/pool/simdrains_test.go
@@ -30,19 +30,12 @@
 	h.drainsVersion++
 	version := h.drainsVersion
 	h.mu.Unlock()
-	for _, e := range h.entries {
-		h.mu.Lock()
-		after := time.Duration(h.r.Int64N(int64(simConfigDelay)))
-		h.mu.Unlock()
-		time.AfterFunc(after, func() {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			if version > e.drainsVersion && !h.killed[e.name] {
-				e.drainsVersion = version
-				e.scheduler.SetDrains(now)
-			}
-		})
-	}
+	h.tellEntries(func(e *entry) {
+		if version > e.drainsVersion {
+			e.drainsVersion = version
+			e.scheduler.SetDrains(now)
+		}
+	})
 }
 
 // checkDrain reports a start in a data centre that was drained more than simDrainGrace ago. Starts that are carried out late
--- a/pool/simqueues_test.go
+++ b/pool/simqueues_test.go
@@ -51,19 +51,12 @@
 	h.catalogVersion++
 	version, c := h.catalogVersion, h.catalog()
 	h.mu.Unlock()
-	for _, e := range h.entries {
-		h.mu.Lock()
-		after := time.Duration(h.r.Int64N(int64(simConfigDelay)))
-		h.mu.Unlock()
-		time.AfterFunc(after, func() {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			if version > e.catalogVersion && !h.killed[e.name] {
-				e.catalogVersion = version
-				e.scheduler.SetCatalog(c)
-			}
-		})
-	}
+	h.tellEntries(func(e *entry) {
+		if version > e.catalogVersion {
+			e.catalogVersion = version
+			e.scheduler.SetCatalog(c)
+		}
+	})
 }
 
 // jobHasFailed reports whether another task of the task's job has used up its attempts, so that the job has failed. The lock must be held.
