--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -416,6 +416,18 @@
 	{"store-refuses", func(f *fleet) {
 		f.loseCalls("store-refuses", []string{platformtest.CallAppend}, 30+f.random.IntN(70), platformtest.Refuse, f.millis(1000, 4000))
 	}},
+	{"store-rejects", func(f *fleet) { f.rejectStoreCalls(f.millis(2000, 5000)) }},
+	{"store-rejects-leader-killed", func(f *fleet) {
+		over := f.startRejecting(f.millis(2500, 5000))
+		time.Sleep(f.millis(500, 2500))
+		f.killLeader()
+		<-over
+	}},
+	{"store-rejects-twice", func(f *fleet) {
+		f.rejectStoreCalls(f.millis(1500, 4500))
+		time.Sleep(f.millis(8000, 16000))
+		f.rejectStoreCalls(f.millis(1500, 4500))
+	}},
 	{"appends-unanswered", func(f *fleet) {
 		f.loseCalls("appends-unanswered", []string{platformtest.CallAppend}, 20+f.random.IntN(60), platformtest.DropReply, f.millis(800, 2500))
 	}},
@@ -554,6 +566,19 @@
 	f.platform.SetFaults(nil)
 }
 
+// rejectStoreCalls has the store reject all calls at once for a time. It returns at the end of that time.
+func (f *fleet) rejectStoreCalls(lasts time.Duration) { <-f.startRejecting(lasts) }
+
+// startRejecting has the store reject all calls at once for a time, at the end of which it closes the channel.
+func (f *fleet) startRejecting(lasts time.Duration) <-chan struct{} {
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		f.loseCalls("store-rejects", []string{platformtest.CallAppend, platformtest.CallRead, platformtest.CallNewest}, 100, platformtest.Refuse, lasts)
+	}()
+	return over
+}
+
 // judge reports every interval that the rule counts.
 func (f *fleet) judge(seed uint64, end time.Time) {
 	f.mu.Lock()
