pool: a start tells for how long its task was held, and by what

On-call engineers saw in event 829 one waiting task of each queue and reason, three lines a second at most.

Event 820 (run-ordered) now ends with held and heldby: the longest time for which the task, though it could run, waited for one reason since its last start. Event 829 has the age of the job, which goes on over takeovers.

TestAStartTellsWhatHeldItsTask did not build before.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -40,7 +41,11 @@
 	fleetLoad    = flag.Float64("fleet-load", 0.3, "mean demand for each pool, as a share of its capacity")
 	fleetFaults  = flag.String("fleet-faults", "", "only faults whose name contains this")
 	fleetLogs    = flag.String("fleet-logs", "", "the directory to which logs of a failed seed are moved; a temporary one when empty")
+	fleetKeep    = flag.Bool("fleet-keep", false, "keep the logs of seeds that passed too")
 	fleetPreempt = flag.Duration("fleet-preempt", 0, "in calm times the leader is stopped for half of this to all of it at random times; this stands for a machine that is short of processor and doesn't count as a fault")
+	fleetWaves   = flag.Float64("fleet-waves", 0, "share of the instances that a wave of maintenance covers in each cycle, a fifth of all at most at a time")
+	fleetFails   = flag.Int("fleet-fails", 0, "the first run of one task in so many fails; none when 0")
+	fleetCancels = flag.Float64("fleet-cancels", 0, "share of the finite jobs that their clients cancel")
 	fleetReuse   = flag.String("fleet-reuse", "", "whether crashed workers return under their IDs: always, never, or by the seed when empty")
 )
 
@@ -114,12 +119,14 @@
 	jobs   []*observedJob
 	faults []span
 	lost   int // submissions without an answer in time
+	failed map[string]bool
+	waves  int
 	calls  sync.WaitGroup
 }
 
 func runFleet(c *quicktest.C, program string, seed uint64) {
 	f := &fleet{
-		c: c, program: program, random: rand.New(rand.NewPCG(seed, 11)),
+		c: c, program: program, failed: make(map[string]bool), random: rand.New(rand.NewPCG(seed, 11)),
 		http: &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
 	root := *fleetLogs
@@ -131,7 +138,7 @@
 	f.dir, err = os.MkdirTemp(root, fmt.Sprintf("seed-%d-", seed))
 	c.Assert(err, quicktest.IsNil)
 	c.Cleanup(func() {
-		if !c.Failed() {
+		if !c.Failed() && !*fleetKeep {
 			_ = os.RemoveAll(f.dir)
 		}
 	})
@@ -148,6 +155,7 @@
 	f.platform = &platformtest.Platform{
 		Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }, MapAddress: address, Lease: 6 * time.Second, ReuseIDs: seed%2 == 1,
 		TaskDuration: func(task string) time.Duration { return lasts[task[:2]] }, // 0 for lasting tasks
+		RunFails:     func(task, _ string) bool { return f.failsOnce(task) },
 	}
 	switch *fleetReuse {
 	case "always":
@@ -178,6 +186,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	for range *fleetCycles {
+		f.requestWave()
 		f.injectSeries()
 		f.passCalmTime()
 	}
@@ -319,6 +328,52 @@
 	}
 }
 
+// failsOnce reports whether a run of a task fails: the first run of one task in fleetFails.
+func (f *fleet) failsOnce(task string) bool {
+	if *fleetFails == 0 {
+		return false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(task)) // never fails
+	if h.Sum32()%uint32(*fleetFails) != 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := !f.failed[task]
+	f.failed[task] = true
+	return first
+}
+
+// requestWave requests maintenance of fleetWaves of the instances.
+func (f *fleet) requestWave() {
+	n := int(*fleetWaves * float64(*fleetWorkers))
+	if n == 0 {
+		return
+	}
+	var machines []string
+	for _, i := range rand.Perm(*fleetWorkers)[:n] {
+		machines = append(machines, fmt.Sprint("m", i))
+	}
+	f.waves++
+	f.platform.RequestWave(f.waves, machines, *fleetWorkers/5)
+}
+
+// cancel cancels a job after a while.
+func (f *fleet) cancel(queue string, j *observedJob) {
+	time.Sleep(time.Duration(rand.IntN(3000)) * time.Millisecond)
+	f.mu.Lock()
+	j.ended = time.Now()
+	f.mu.Unlock()
+	for range 20 {
+		status, _ := f.call(f.entries[rand.IntN(len(f.entries))], http.MethodDelete, queue, j.id, "")
+		if status/100 == 2 || status == http.StatusGone {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // submitLasting submits a job of lasting tasks.
 func (f *fleet) submitLasting(number int, q fleetQueue, n int) {
 	id := fmt.Sprintf("%02x%014x", number+129, n+1)
@@ -346,9 +401,13 @@
 	for try := range 12 {
 		p := f.entries[rand.IntN(len(f.entries))]
 		if status, _ := f.call(p, http.MethodPost, queue, id, string(b)); status/100 == 2 {
+			j := &observedJob{id: id, pool: q.pool, steps: steps, accepted: time.Now()}
 			f.mu.Lock()
-			f.jobs = append(f.jobs, &observedJob{id: id, pool: q.pool, steps: steps, accepted: time.Now()})
+			f.jobs = append(f.jobs, j)
 			f.mu.Unlock()
+			if stop != nil && rand.Float64() < *fleetCancels {
+				f.calls.Go(func() { f.cancel(queue, j) })
+			}
 			return
 		}
 		select {
@@ -589,7 +648,7 @@
 		f.c.Errorf("seed %d: %s from %s (%.2f s)", seed, x, x.from.UTC().Format("15:04:05.000"), x.from.Sub(f.begin).Seconds())
 	}
 	if len(found) > 0 {
-		f.writeHistory(h)
+		f.writeHistory(h, found)
 	}
 	calm := 0
 	for _, ok := range h.calm {
@@ -601,9 +660,12 @@
 		time.Duration(calm)*idleGrid, end.Sub(f.begin).Round(time.Second), f.dir)
 }
 
-// writeHistory writes the workers' history beside the logs.
-func (f *fleet) writeHistory(h *idleHistory) {
+// writeHistory writes the intervals and the workers' history beside the logs.
+func (f *fleet) writeHistory(h *idleHistory, found []idleInterval) {
 	var b strings.Builder
+	for _, x := range found {
+		fmt.Fprintf(&b, "%s to %s idle %s runs %d\n", x.from.UTC().Format("15:04:05.000"), x.to.UTC().Format("15:04:05.000"), x.task, x.runs)
+	}
 	for _, x := range h.runs {
 		fmt.Fprintf(&b, "%s %s run %d on %s", x.Start.UTC().Format("15:04:05.000"), x.Task, x.Number, x.WorkerID)
 		if !x.End.IsZero() {
--- a/job/waitnote.go
+++ b/job/waitnote.go
@@ -14,4 +14,7 @@
 	Logged uint32
 	// Reason is a value of the leader's type of reasons.
 	Reason uint8
+	// Longest is the longest time for which the task has waited for one reason since its latest run was ordered, and LongestReason that reason.
+	Longest       time.Duration
+	LongestReason uint8
 }
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -109,7 +109,7 @@
 		Task: t.Name(), Run: r.number, Text: t.Job.Spec.Text, Deadline: r.deadline,
 		Fence: w.token.Load(), Saved: t.Saved, Ticket: r.ticket,
 	}
-	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Incarnation}, "run=%d waited=%v slack=%v free=%d config=%d", r.number, c.now().Sub(t.Job.Received).Round(time.Millisecond), r.slack.Round(time.Millisecond), w.candidate.Free.MilliCPU, c.config.Version)
+	c.emit(event.RunOrdered, event.Subject{Job: o.Task, Instance: w.Incarnation}, "run=%d waited=%v slack=%v free=%d config=%d%s", r.number, c.now().Sub(t.Job.Received).Round(time.Millisecond), r.slack.Round(time.Millisecond), w.candidate.Free.MilliCPU, c.config.Version, takeLongestWait(t))
 	c.counts.ordered.Inc(1)
 	c.reportTakeoverStep("first-start", now)
 	if !t.Job.Began {
--- a/pool/waiting.go
+++ b/pool/waiting.go
@@ -327,12 +327,15 @@
 func (s *waitCheck) remember(g *waitGroup, t *job.Task, reason waitReason) {
 	x, now := &t.Wait, s.now.Sub(s.startedAt)
 	if x.Check == 0 || x.Check != s.waits.check-1 {
-		*x = job.WaitNote{Since: now}
+		*x = job.WaitNote{Since: now, Longest: x.Longest, LongestReason: x.LongestReason}
 	}
 	x.Check = s.waits.check
 	if waitReason(x.Reason) != reason {
 		x.Reason, x.ReasonSince = uint8(reason), now
 	}
+	if held := now - x.ReasonSince; held > x.Longest {
+		x.Longest, x.LongestReason = held, uint8(reason)
+	}
 	waited := now - x.Since
 	s.oldest = max(s.oldest, waited)
 	if waited > overdueAfter && x.Logged&(1<<reason) == 0 {
--- a/pool/waiting_test.go
+++ b/pool/waiting_test.go
@@ -156,6 +156,33 @@
 	c.Assert(strings.Contains(texts[3], "reason=back-off for=0s waited=10s"), quicktest.IsTrue, quicktest.Commentf("%q", texts))
 }
 
+// TestAStartTellsWhatHeldItsTask guards against a wait that the log of a task does not explain, because other tasks of its queue waited longer.
+func TestAStartTellsWhatHeldItsTask(t *testing.T) {
+	c := quicktest.New(t)
+	b := heardBench(c, jobWithTasks(2), "w1", "w2")
+	b.task(1).LateUntil = b.now().Add(time.Minute)
+	b.checkAt(0)
+	b.checkAt(time.Second)
+	b.checkAt(4 * time.Second)
+	b.task(1).LateUntil = time.Time{}
+	b.checkAt(5 * time.Second)
+	b.placeAndCount()
+	var texts []string
+	for range 2 { // the second start of a run tells nothing of the wait before the first
+		for _, p := range b.plannedStarts {
+			b.sendStart(p.worker, p.task, p.run, b.now())
+		}
+	}
+	for _, e := range b.Events.Since(0) {
+		if e.Number == event.RunOrdered && e.Subject.Job == b.task(1).Name() {
+			texts = append(texts, e.Text)
+		}
+	}
+	c.Assert(texts, quicktest.HasLen, 2)
+	c.Assert(strings.HasSuffix(texts[0], " held=4s heldby=late-start"), quicktest.IsTrue, quicktest.Commentf("%q", texts))
+	c.Assert(strings.Contains(texts[1], "held"), quicktest.IsFalse, quicktest.Commentf("%q", texts))
+}
+
 // TestEventsAboutWaitsAreFewEachSecond guards against a log that many queues fill at once.
 func TestEventsAboutWaitsAreFewEachSecond(t *testing.T) {
 	c := quicktest.New(t)
--- a/pool/waitlog.go
+++ b/pool/waitlog.go
@@ -82,11 +82,28 @@
 		instance = t.Worker
 	}
 	s.emit(event.TaskWaits, event.Subject{Job: t.Name(), Instance: instance},
-		"reason=%v for=%v waited=%v run=%d failed=%d lost=%d refused=%d jobruns=%d queue=%s same=%d runs=%d pool=%s free=%dm/%dMB fits=%d %s",
-		x.reason, s.since(s.startedAt.Add(t.Wait.ReasonSince)), s.since(s.startedAt.Add(t.Wait.Since)), t.Run, len(t.FailedRuns), len(t.Lost), t.Refused, runningTasks(t.Job),
+		"reason=%v for=%v waited=%v age=%v run=%d failed=%d lost=%d refused=%d jobruns=%d queue=%s same=%d runs=%d pool=%s free=%dm/%dMB fits=%d %s",
+		x.reason, s.since(s.startedAt.Add(t.Wait.ReasonSince)), s.since(s.startedAt.Add(t.Wait.Since)), jobAge(t.Job), t.Run, len(t.FailedRuns), len(t.Lost), t.Refused, runningTasks(t.Job),
 		t.Job.Spec.Queue, g.queue.waiting[x.reason], g.queue.running, g.pool.name, g.room.usable.free.MilliCPU, g.room.usable.free.MemoryMB, g.room.usable.count(g.Group, maxCountedFits), s.detail(g, t, x.reason))
 }
 
+// jobAge returns the time since a job was accepted, by the clocks of the entry that accepted it and of this one.
+func jobAge(j *job.Job) time.Duration {
+	return wallClock().Sub(j.Spec.Taken.Time()).Round(time.Millisecond)
+}
+
+// takeLongestWait returns for an event why a task has waited longest although it could run, since its latest run was ordered, and forgets it. It returns nothing for a task that no check
+// has found waiting twice.
+func takeLongestWait(t *job.Task) string {
+	x := &t.Wait
+	held, reason := x.Longest, waitReason(x.LongestReason)
+	x.Longest, x.LongestReason = 0, 0
+	if held == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" held=%v heldby=%v", held.Round(time.Millisecond), reason)
+}
+
 // maxCountedFits bounds the number of tasks in an event that would fit.
 const maxCountedFits = 100
 
