pool: a failing test of tasks that wait after a store that rejects

Histories in which the store rejects all calls at once for 3 to 4.2 s, twice some 19 s apart, and the leader is lost within the last 0.6 s of each outage.

--- a/pool/simstore_test.go
+++ b/pool/simstore_test.go
@@ -73,7 +73,7 @@
 		sim.awaitThaw(entry)
 		sim.mu.Lock()
 		down, lossRate := time.Until(sim.storeDownUntil), sim.storeLossRate
-		refuses := sim.chance(0.5)
+		refuses := sim.storeRejects || sim.chance(0.5)
 		if down > 0 {
 			sim.lastDisrupted[entry] = sim.storeDownUntil
 		}
--- a/pool/simulation_test.go
+++ b/pool/simulation_test.go
@@ -100,7 +100,9 @@
 	// writer's epoch.
 	repeatsBeforeFencing bool
 	// storeDownUntil is when the store's outage ends; storeLossRate is the share of its answers that are lost.
+	// Calls in an outage are rejected at once if storeRejects is set, else half of them get no answer.
 	storeDownUntil time.Time
+	storeRejects   bool
 	storeLossRate  float64
 	// corrupts reports whether the next list entry of a worker is truncated. No entry is when corrupts is nil.
 	corrupts func(l *incarnation) bool
