pool: a task whose run has ended starts again where a late copy would come

Cause: a leader whose store does not answer starts tasks that it can't store. So the next one has each inherited task start at its assigned worker under the number that such a start has, and treats the run as one with an unanswered attempt. If that run fails or is stopped, the task waited until no copy can come, 15 s after the takeover.

Change: while a copy may come, the task starts again under a new number on the incarnation that has listed its run's end. That one refuses copies of the run, and a later one carries a copy out only once this one, and the new run with it, has ended. A start is not sent again to a worker that lists another run of the task. The worker must not fail other tasks too, so that attempts are not used up on a faulty one, and must have answered all starts lately, so that the new start is not held up beside the copy.

--- a/job/job.go
+++ b/job/job.go
@@ -71,9 +71,12 @@
 	// LateUntil is the time until which a later incarnation of the worker may still carry out an unanswered start of the
 	// task. The task is not started elsewhere before then. The zero time means that no such start is outstanding.
 	LateUntil time.Time
-	// ConfinedTo is the ID of the only worker on which the task may start, or empty if any may. It was set when the task was
-	// last considered.
-	ConfinedTo string
+	// ConfinedTo is the ID of the only worker on which the task may start, or empty if any may. With ReusesNumber it starts there under the
+	// number that a start before it may have had. Both were set when the task was last considered.
+	ConfinedTo   string
+	ReusesNumber bool
+	// EndedOn is the incarnation of the worker that has listed the end of a run of the task, or empty if there is none or a later run was planned elsewhere.
+	EndedOn string
 	// Refused counts the consecutive starts that were refused. Failures counts the consecutive runs that ended
 	// soon: for a lasting task those that failed, for any task also those with an unspecified outcome.
 	Refused, Failures int
--- a/pool/orders.go
+++ b/pool/orders.go
@@ -41,6 +41,9 @@
 	r.previous = t.Run
 	t.Phase, t.Run, t.Worker, t.RunSince = job.Starting, r.number, w.Incarnation, now
 	t.Stopping, t.AtWork, t.Percent, t.Gauge = false, false, 0, 0
+	if t.EndedOn != w.Incarnation {
+		t.EndedOn = ""
+	}
 	c.addRun(w, t, r)
 	w.lastStartAt = now
 	t.Job.Version++
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -331,6 +331,7 @@
 	for _, t := range tasks {
 		worker, wait := limits.limit(t)
 		t.ConfinedTo = worker
+		t.ReusesNumber = worker != "" && !limits.startsAgain(t, worker)
 		t.BackingOff = wait || now.Before(t.NotBefore) || limits.held(t, worker)
 		if t.BackingOff {
 			held++
@@ -367,10 +368,13 @@
 	if choice.Grouped {
 		c.startGroupTrial(w, t, r.number)
 	}
-	r.restatesSettled = t.ConfinedTo != "" && c.sideKeys[settledKey+t.Job.Spec.ID]
+	r.restatesSettled = t.ReusesNumber && c.sideKeys[settledKey+t.Job.Spec.ID]
 	c.planStart(w, t, r, now)
-	if t.ConfinedTo != "" && c.startPossible(t, now) {
+	switch {
+	case t.ReusesNumber && c.startPossible(t, now):
 		c.notePossibleStart(t, r, now)
+	case t.ConfinedTo != "" && !t.ReusesNumber:
+		r.pending.unknown = true // starts of earlier runs count like starts of this one, so that the task stays with the worker's ID
 	}
 }
 
@@ -379,7 +383,7 @@
 	switch {
 	case t.Spec().Gang:
 		return c.gangRunNumber(t)
-	case t.ConfinedTo != "":
+	case t.ReusesNumber:
 		return unstoredRunNumber(t)
 	}
 	return c.nextRunNumber()
--- a/pool/report.go
+++ b/pool/report.go
@@ -116,7 +116,7 @@
 		case known == nil:
 			w.unknownRuns++
 		case w.runs[known] == nil || w.runs[known].number != row.Run:
-			besides = append(besides, supersededRun{organisation: known.Job.Spec.Organisation, step: known.Spec()})
+			besides = append(besides, supersededRun{task: known, organisation: known.Job.Spec.Organisation, step: known.Spec()})
 		}
 	}
 	w.setSupersededRuns(besides)
@@ -276,7 +276,7 @@
 	switch {
 	case r.confirmed > 0 && rep.Clock > r.confirmed:
 		c.emit(event.RunMissing, event.Subject{Job: t.Name(), Instance: w.Incarnation}, "run=%d confirmed=%d clock=%d", r.number, r.confirmed, rep.Clock)
-	case (r.carriedOver || r.fromEarlierLeader) && c.mustStay(w, t, r, c.now()):
+	case (r.carriedOver || r.fromEarlierLeader) && c.mustStay(w, t, r, c.now()) && !w.listsSuperseded(t):
 		r.markForResend()
 		c.planResend(w, t, r, c.now())
 		return
@@ -344,6 +344,7 @@
 	}
 	if current && t.Phase != job.Finished {
 		c.requeue(t)
+		t.EndedOn = w.Incarnation
 	}
 	c.jobChanged(j)
 }
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -124,6 +124,8 @@
 		return l.limitInherited(t)
 	case l.ownUnstored && t.Run == 0:
 		return l.limitOwn(t), false
+	case t.MayComeLate(l.now):
+		return l.limitEnded(t), false
 	}
 	return "", false
 }
@@ -156,10 +158,40 @@
 	return worker
 }
 
+// limitEnded returns the ID of the worker on which a task may start again under a new number although a start of an earlier run may still be carried out, or an empty string if it must wait.
+//
+// The incarnation that has listed the end of a run refuses that run's starts. A later one under the ID can carry them out, but only once this incarnation, and the new run with it, has ended.
+// The new start could then be carried out beside them if it was held up as well, so the worker must have answered all starts lately.
+func (l *startLimits) limitEnded(t *job.Task) string {
+	w := l.session.workers[t.EndedOn]
+	switch {
+	case w == nil, w.Pool != l.pool, w.successor != nil, len(l.session.incarnationsWithID(w.ID)) > 1, !w.usable(l.now), w.hasPendingStarts(l.now):
+		return ""
+	case t.Suspect, t.Spec().Gang, l.session.queue(t.Job).Advice != nil:
+		return ""
+	case w.failures > len(t.FailedRuns):
+		return "" // it fails other tasks too
+	}
+	return w.ID
+}
+
+// startsAgain reports whether a waiting task that is limited to the given worker is limited by limitEnded.
+func (l *startLimits) startsAgain(t *job.Task, worker string) bool {
+	return worker != "" && !l.inherited(t) && (!l.ownUnstored || t.Run != 0)
+}
+
 // held reports whether a waiting task that is limited to the given worker must not start yet, because a start of another run of it may be carried out late. A start
 // under the number of an unstored one does no harm at the same worker.
 func (l *startLimits) held(t *job.Task, worker string) bool {
-	return t.MayComeLate(l.now) && (worker == "" || t.Run == 0 || !l.inherited(t))
+	switch {
+	case !t.MayComeLate(l.now):
+		return false
+	case worker == "":
+		return true
+	case l.startsAgain(t, worker):
+		return false
+	}
+	return t.Run == 0 || !l.inherited(t)
 }
 
 // uncertain reports whether an incarnation with the worker ID may have runs of an earlier leader that this one does not know.
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -181,6 +181,7 @@
 
 // supersededRun is the step and the organisation of a run that is no longer the latest of its task.
 type supersededRun struct {
+	task         *job.Task
 	organisation string
 	step         *job.Step
 }
@@ -312,6 +313,11 @@
 	w.supersededRuns = now
 }
 
+// listsSuperseded reports whether the worker's latest report lists a run of the task that is not the latest one.
+func (w *worker) listsSuperseded(t *job.Task) bool {
+	return slices.ContainsFunc(w.supersededRuns, func(b supersededRun) bool { return b.task == t })
+}
+
 func (w *worker) charge(t *job.Task, sign int) {
 	s := t.Spec()
 	n := place.Charge(s)
--- a/pool/unstoredlate_test.go
+++ b/pool/unstoredlate_test.go
@@ -160,3 +160,27 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice because it is started again, on the worker where its run has failed, while a start of the leader before may still be carried out: starts of both leaders are
+// held up, and the worker crashes.
+func TestTasksThatFailAfterAnOutageStartOnce(t *testing.T) {
+	for i := range *outageHistories {
+		runOutageHistoryOf(t, *outageFirst+uint64(i), 500*time.Millisecond, func(h *history, seed uint64) []*entry {
+			h.mu.Lock()
+			h.failRate = 0.4
+			h.mu.Unlock()
+			h.outageWithLateStarts(seed)
+			lost := []*entry{h.killLeader()}
+			time.Sleep(2 * time.Second)
+			h.setLate(0.1 * float64(1+seed%5))
+			h.submitLoad(time.Second, 40*time.Millisecond)
+			h.crashRepeatedly(10, seed)
+			h.setLate(0)
+			h.crashRepeatedly(6, seed)
+			h.mu.Lock()
+			h.failRate = 0
+			h.mu.Unlock()
+			return lost
+		})
+	}
+}
