pool: the record of an ended incarnation names its instance

Cause: while unstored starts of an earlier leader may be carried out, an inherited task waits for the worker ID that it is assigned to. An ID that no incarnation will have any more frees its tasks, which the leader concludes when another ID answers from the same instance. Which instance an ended incarnation was on was known to its leader alone: the stored record of an ended incarnation was empty. So when the leader was lost between the end (maintenance or a move) and the instance's return, the next one waited until no copy can come.

Change: the record of an ended incarnation has the instance and the pool, in new fields, so that earlier versions go on reading it as ended. The next leader remembers them as it does for incarnations that end under itself.

TestStoredFormsStay fills the record without the new fields, as a record of a live incarnation never has them, and pins the form of an ended one beside it. The existing test of a takeover between the move and the return kept the same session, which remembers the instance; the new one has a fresh session that reads what the leader before has stored.

Result: TestAnInheritedTaskIsFreeOnceItsWorkersInstanceIsBackAfterATakeover fails without the change.

--- a/pool/encoding_test.go
+++ b/pool/encoding_test.go
@@ -22,7 +22,10 @@
 	golden.Check(c, "wave", wave, job.Encode, job.Decode)
 	var incarnation keptIncarnation
 	golden.Fill(&incarnation)
+	ended := keptIncarnation{LastMachine: incarnation.LastMachine, LastPool: incarnation.LastPool}
+	incarnation.LastMachine, incarnation.LastPool = "", ""
 	golden.Check(c, "life", incarnation, job.Encode, job.Decode)
+	golden.Check(c, "life-ended", ended, job.Encode, job.Decode)
 	golden.Check(c, "workers", []keptWorker{{Incarnation: "life", Machine: "machine", Pool: "pool", Address: "address"}}, job.Encode, job.Decode)
 }
 
--- a/pool/incarnationrecords.go
+++ b/pool/incarnationrecords.go
@@ -17,10 +17,13 @@
 	Machine string `cbor:"1,keyasint,omitempty"`
 	Pool    string `cbor:"2,keyasint,omitempty"`
 	Address string `cbor:"3,keyasint,omitempty"`
+	// LastMachine and LastPool replace Machine and Pool once the incarnation has ended. Earlier versions do not know them, and must take it for ended too.
+	LastMachine string `cbor:"4,keyasint,omitempty"`
+	LastPool    string `cbor:"5,keyasint,omitempty"`
 }
 
-// ended reports whether the incarnation has ended: its record is empty then, and says only that starts may have been sent to its worker ID.
-func (k keptIncarnation) ended() bool { return k == keptIncarnation{} }
+// ended reports whether the incarnation has ended. Its record says only that starts may have been sent to its worker ID, and on which instance it was.
+func (k keptIncarnation) ended() bool { return k.Machine == "" && k.Pool == "" && k.Address == "" }
 
 // keptWorker is an element of the single record of all incarnations that earlier versions wrote.
 type keptWorker struct {
@@ -97,6 +100,7 @@
 		k = keptIncarnation{Machine: w.Machine, Pool: w.Pool, Address: w.Address}
 	} else {
 		c.keptIncarnations[incarnation] = true
+		k.LastMachine, k.LastPool = c.placeOfDeparted(work.ParseIncarnation(incarnation).ID)
 	}
 	value, err := job.Encode(k)
 	if err != nil {
@@ -125,6 +129,9 @@
 		c.orderableIDs[l.ID] = true
 		if k.ended() {
 			c.keptIncarnations[incarnation] = true
+			if k.LastMachine != "" {
+				c.departed[k.LastMachine] = append(c.departed[k.LastMachine], departedWorker{id: l.ID, pool: k.LastPool, listedSince: c.now()})
+			}
 			continue
 		}
 		w, ended := c.restoredRow(incarnation)
--- a/pool/incarnations.go
+++ b/pool/incarnations.go
@@ -164,6 +164,18 @@
 	c.departed[w.Machine] = append(c.departed[w.Machine], d)
 }
 
+// placeOfDeparted returns the instance and the pool of the ended incarnation with a worker ID, or nothing if it is not remembered.
+func (c *session) placeOfDeparted(id string) (machine, pool string) {
+	for machine, departed := range c.departed {
+		for _, d := range departed {
+			if d.id == id {
+				return machine, d.pool
+			}
+		}
+	}
+	return "", ""
+}
+
 // retireDeparted retires the IDs of the ended incarnations of an instance on which an incarnation with another ID has just answered for the first time.
 func (c *session) retireDeparted(w *worker) {
 	rest := slices.DeleteFunc(c.departed[w.Machine], func(d departedWorker) bool {
--- a/pool/retiredid_test.go
+++ b/pool/retiredid_test.go
@@ -5,12 +5,14 @@
 package pool
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"rackstep.dev/feed"
 	"rackstep.dev/job"
 	"rackstep.dev/work"
 )
@@ -58,6 +60,56 @@
 	})
 }
 
+// TestAnInheritedTaskIsFreeOnceItsWorkersInstanceIsBackAfterATakeover guards against a task that waits for lateMax because the leader that ended the incarnation w@9, and knew its instance, is lost
+// before the instance answers as x.
+func TestAnInheritedTaskIsFreeOnceItsWorkersInstanceIsBackAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		earlier := newSuccessorFixture(c, jobWithTasks(1), 9)
+		earlier.report("w@9", 50, nil)
+		earlier.report("v@9", 50, nil)
+		earlier.endIncarnation(earlier.workers["w@9"], "its upkeep has begun")
+		stored := earlier.storedRecord(incarnationKey + "w@9")
+		c.Assert(stored.Value, quicktest.Not(quicktest.HasLen), 0)
+		b := newSuccessorFixtureWith(c, jobWithTasks(1), 0, stored)
+		b.report("v@9", 50, nil)
+		b.commitAll()
+		b.turn()
+		c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
+		b.movesInstanceOf("")
+		b.startsElsewhere(c)
+	})
+}
+
+// TestAnEndedIncarnationsInstanceIsRememberedOverTwoTakeovers guards against the same wait where the leader after that is lost as well.
+func TestAnEndedIncarnationsInstanceIsRememberedOverTwoTakeovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ended := record(c, incarnationKey+"w@9", keptIncarnation{LastMachine: "m-w", LastPool: "p"})
+		second := newSuccessorFixtureWith(c, jobWithTasks(1), 0, ended)
+		second.markIncarnationDirty("w@9")
+		c.Assert(second.storedRecord(ended.Key), quicktest.DeepEquals, ended)
+	})
+}
+
+// storedRecord commits what has changed and returns the record with the key that is stored by it.
+func (b *successorFixture) storedRecord(key string) (stored feed.KeyedRecord) {
+	b.State.Append = func(_ context.Context, x feed.Batch) (int64, error) {
+		for _, r := range x.Records {
+			if r.Key == key {
+				stored = r
+			}
+		}
+		return 1, nil
+	}
+	b.commit()
+	synctest.Wait()
+	for _, m := range b.inbox.takeAll() {
+		m.apply(b.session)
+	}
+	return stored
+}
+
 // TestATaskWithAnUnansweredStartIsFreeOnceItsWorkersInstanceHasMoved guards against a task that waits for lateMax beside free capacity: its start got no answer, its worker's incarnation has
 // ended and left the tables, and the instance now serves under another ID.
 func TestATaskWithAnUnansweredStartIsFreeOnceItsWorkersInstanceHasMoved(t *testing.T) {
--- a/pool/takeoverlate_test.go
+++ b/pool/takeoverlate_test.go
@@ -32,6 +32,11 @@
 // newSuccessorFixture returns the session of a leader that has read the given state of the job and the incarnations w@9 and v@9 from the store. The list of workers
 // has the given boot ID for w. The task is assigned to w, so that no other worker can have an unstored start of it.
 func newSuccessorFixture(c *quicktest.C, j *job.Job, bootID byte) *successorFixture {
+	return newSuccessorFixtureWith(c, j, bootID, record(c, incarnationKey+"w@9", keptIncarnation{Machine: "m-w", Pool: "p"}))
+}
+
+// newSuccessorFixtureWith is newSuccessorFixture with the given record of w@9 in the store. The list of workers does not have w if the boot ID is 0.
+func newSuccessorFixtureWith(c *quicktest.C, j *job.Job, bootID byte, stored feed.KeyedRecord) *successorFixture {
 	b := &successorFixture{fixture: newBootIDFixture(c, j)}
 	b.term = lead.Term{Number: 2, Fence: 2 << 16, PredecessorRenewed: time.Now(), PredecessorsUnstored: true}
 	b.Calls.Start = func(_ context.Context, w *work.Worker, _ work.Start) (work.Answer, error) {
@@ -41,11 +46,12 @@
 		return work.Answer{Clock: 60}, nil
 	}
 	state := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, stateKey+j.Spec.ID, j.Stored()), record(c, assignmentKey+"p", poolAssignment{Workers: [][]string{{"w"}}, MilliCPU: 1000})}}
-	for _, id := range [...]string{"w", "v"} {
-		state.Records = append(state.Records, record(c, incarnationKey+id+"@9", keptIncarnation{Machine: "m-" + id, Pool: "p"}))
-	}
+	state.Records = append(state.Records, stored, record(c, incarnationKey+"v@9", keptIncarnation{Machine: "m-v", Pool: "p"}))
 	intake := feed.KeyedPage{Records: []feed.KeyedRecord{record(c, j.Spec.QualifiedID().SubmissionKey(), j.Spec)}}
-	list := feed.KeyedPage{Records: []feed.KeyedRecord{{Offset: 1, Key: "w", Value: []byte{bootID}}, {Offset: 2, Key: "v", Value: []byte{9}}}}
+	list := feed.KeyedPage{Records: []feed.KeyedRecord{{Offset: 2, Key: "v", Value: []byte{9}}}}
+	if bootID != 0 {
+		list.Records = append(list.Records, feed.KeyedRecord{Offset: 1, Key: "w", Value: []byte{bootID}})
+	}
 	b.fillTables(state, []feed.KeyedPage{intake}, list)
 	for _, id := range [...]string{"w", "v"} {
 		b.machines["m-"+id] = Machine{Name: "m-" + id, ID: id, Pool: "p", DataCentre: "of " + id}
