pool: a task whose run has ended is free once its worker's ID is retired

Cause: a task with a start that may come late waits for the ID of its worker. When the ID is retired, because another one answers from the same instance, the tasks with runs there are freed. Those whose runs had ended before were not known any more: only the rows of runs tell where a task was.

Change: the row of an incarnation remembers the tasks whose runs have ended there while a start may come late, and they are freed with the ID.

Result: TestATaskThatFailedIsFreeOnceItsWorkersInstanceHasMoved fails without the change.

--- a/pool/incarnations.go
+++ b/pool/incarnations.go
@@ -122,7 +122,7 @@
 // retireID records that no later incarnation will have the ID of the row's incarnation.
 func (c *session) retireID(w *worker) {
 	w.idRetired = true
-	c.retire(departedWorker{id: w.ID, pool: w.Pool})
+	c.retire(departedWorker{id: w.ID, pool: w.Pool, late: w.lateEndedTasks(c.now())})
 }
 
 // departedWorker is what is remembered of an incarnation that has left the tables until its instance has another one.
@@ -137,11 +137,7 @@
 // ended incarnations.
 func (c *session) retire(d departedWorker) {
 	c.retiredIDs[d.id] = true
-	for _, t := range d.late {
-		if t.Phase == job.Waiting && !t.Job.State.Ended() {
-			c.clearLate(t)
-		}
-	}
+	c.clearLateOf(d.late)
 	for incarnation := range c.keptIncarnations {
 		if work.ParseIncarnation(incarnation).ID == d.id {
 			c.markIncarnationDirty(incarnation)
@@ -150,12 +146,21 @@
 	c.markPoolDirty(d.pool)
 }
 
+// clearLateOf clears the LateUntil of the tasks that wait.
+func (c *session) clearLateOf(tasks []*job.Task) {
+	for _, t := range tasks {
+		if t.Phase == job.Waiting && !t.Job.State.Ended() {
+			c.clearLate(t)
+		}
+	}
+}
+
 // noteDeparted remembers the ID of an incarnation that leaves the tables, until it is known whether the next one on its instance has the same ID.
 func (c *session) noteDeparted(w *worker) {
 	if w.Machine == "" || w.BootID == 0 || w.idRetired {
 		return
 	}
-	d := departedWorker{id: w.ID, pool: w.Pool, listedSince: w.listedSince}
+	d := departedWorker{id: w.ID, pool: w.Pool, listedSince: w.listedSince, late: w.lateEndedTasks(c.now())}
 	for t := range w.runs {
 		if t.MayComeLate(c.now()) {
 			d.late = append(d.late, t)
@@ -164,6 +169,19 @@
 	c.departed[w.Machine] = append(c.departed[w.Machine], d)
 }
 
+// noteLateEnd remembers a task whose run has ended on the worker although a start of it may still be carried out under the worker's ID.
+func (w *worker) noteLateEnd(t *job.Task, now time.Time) {
+	w.endedLate = append(w.lateEndedTasks(now), t)
+}
+
+// lateEndedTasks returns the tasks that wait after the end of a run on the worker, because a start of theirs may still be carried out under its ID.
+func (w *worker) lateEndedTasks(now time.Time) []*job.Task {
+	w.endedLate = slices.DeleteFunc(w.endedLate, func(t *job.Task) bool {
+		return t.Phase != job.Waiting || t.EndedOn != w.Incarnation || !t.MayComeLate(now)
+	})
+	return slices.Clone(w.endedLate)
+}
+
 // placeOfDeparted returns the instance and the pool of the ended incarnation with a worker ID, or nothing if it is not remembered.
 func (c *session) placeOfDeparted(id string) (machine, pool string) {
 	for machine, departed := range c.departed {
--- a/pool/report.go
+++ b/pool/report.go
@@ -345,6 +345,9 @@
 	if current && t.Phase != job.Finished {
 		c.requeue(t)
 		t.EndedOn = w.Incarnation
+		if t.MayComeLate(now) {
+			w.noteLateEnd(t, now)
+		}
 	}
 	c.jobChanged(j)
 }
--- a/pool/retiredid_test.go
+++ b/pool/retiredid_test.go
@@ -131,6 +131,34 @@
 	})
 }
 
+// TestATaskThatFailedIsFreeOnceItsWorkersInstanceHasMoved guards against a task that waits for lateMax beside free capacity: its run has ended on a worker under whose ID no copy of its start can come any more.
+func TestATaskThatFailedIsFreeOnceItsWorkersInstanceHasMoved(t *testing.T) {
+	for _, x := range [...]struct {
+		name string
+		ends func(b *successorFixture)
+	}{
+		{"the move is recorded", func(b *successorFixture) { b.movesInstanceOf("w@9") }},
+		{"its address has another life", func(b *successorFixture) {
+			b.otherIncarnationAnswered(b.workers["w@9"], work.Answer{})
+			b.listsMovedInstanceAs("x")
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				b := newSuccessorFixture(c, jobWithTasks(1), 9)
+				b.failsLate(c)
+				b.workers["w@9"].beingEmptied = true // the task can't start there again
+				b.turnsFor(time.Second)
+				c.Assert(b.starts(), quicktest.HasLen, 1)
+				x.ends(b)
+				b.commitAll()
+				b.startsElsewhere(c)
+			})
+		})
+	}
+}
+
 // TestAnIDThatIsListedAgainIsNotRetired guards against a task that runs twice: the instance of w has served as x and has the ID w again when the first answer of x is applied. It needs a platform that gives an
 // instance an earlier ID again.
 func TestAnIDThatIsListedAgainIsNotRetired(t *testing.T) {
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -91,6 +91,8 @@
 	// requiredToken or a higher token count.
 	token         *atomic.Int64
 	requiredToken atomic.Int64
+	// endedLate are tasks whose runs have ended here although a start of theirs may still be carried out under the ID, see noteLateEnd.
+	endedLate []*job.Task
 	// idRetired is set if no later incarnation will use its ID.
 	idRetired bool
 	// successor is the incarnation that has replaced it under its ID, or nil as long as it is not known to have ended.
