pool: tasks do not wait for the worker of an instance that is switched off

Cause: after a takeover a task waits for the ID that it is assigned to, or at which a copy of its start may come. The ID is retired when another one answers from its instance. An instance in the headroom pool has no worker, so that nobody answers from it for as long as it is off. Pools shrink after each turn, and the leader itself switches such instances off.

Change: such tasks are free while the instance is off, and the instance is not moved until no start can be carried out under the ID, as the platform could give its next worker the same ID. The ID's record stays in the store.

TestATaskIsFreeOnceItsWorkersInstanceIsSwitched- Off fails without the change.

--- a/pool/machinelist.go
+++ b/pool/machinelist.go
@@ -73,6 +73,7 @@
 	for _, w := range c.workers {
 		c.checkInstance(w, now)
 	}
+	c.freeSwitchedOff(now)
 }
 
 // checkInstance ends a silent incarnation if the list of instances names another incarnation for its instance, or does not name the instance.
--- a/pool/moves.go
+++ b/pool/moves.go
@@ -196,6 +196,7 @@
 	if w := c.workers[s.incarnation]; w != nil && s.provesEndOf(w.Incarnation) {
 		c.endIncarnation(w, "its instance was moved")
 	}
+	c.freeSwitchedOff(now)
 	c.counts.moves.Inc(1)
 	c.countShift(from, s.to)
 	c.emit(event.InstanceMoved, event.Subject{Instance: machine}, "from=%s to=%s", from, s.to)
--- a/pool/session.go
+++ b/pool/session.go
@@ -107,7 +107,9 @@
 	// keptIncarnations holds the ended incarnations whose records stay in the store until no unstored start can be carried out any more.
 	startsSettled            map[*job.Task]bool
 	retiredIDs, orderableIDs map[string]bool
-	keptIncarnations         map[string]bool
+	// offIDs holds the IDs whose last workers were on instances that are switched off now, see freeSwitchedOff.
+	offIDs           map[string]bool
+	keptIncarnations map[string]bool
 	// departed holds, by instance, the ended incarnations whose IDs may be used again as far as is known.
 	departed map[string][]departedWorker
 	// bootIDsKnown is set once a worker has told its boot ID, so that a later incarnation may have the ID of an earlier one.
@@ -243,6 +245,7 @@
 		uncertainIncarnations: make(map[string]*worker),
 		startsSettled:         make(map[*job.Task]bool),
 		retiredIDs:            make(map[string]bool),
+		offIDs:                make(map[string]bool),
 		orderableIDs:          make(map[string]bool),
 		keptIncarnations:      make(map[string]bool),
 		departed:              make(map[string][]departedWorker),
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -137,7 +137,7 @@
 	}
 	worker = l.session.assignedWorker(t)
 	switch {
-	case worker == "", l.session.retiredIDs[worker], l.startsOver && !l.uncertain(worker):
+	case worker == "", l.session.retiredIDs[worker], l.session.offIDs[worker], l.startsOver && !l.uncertain(worker):
 		return "", false
 	case !l.session.bootIDsKnown: // no other incarnation will have its ID, and this one refuses the start once it has answered
 		return "", l.uncertain(worker)
--- a/pool/tables.go
+++ b/pool/tables.go
@@ -347,6 +347,7 @@
 func (c *session) addWorker(w *worker) {
 	c.workers[w.Incarnation] = w
 	delete(c.retiredIDs, w.ID) // the ID is in use again
+	delete(c.offIDs, w.ID)
 	c.bootIDsKnown = c.bootIDsKnown || w.BootID != 0
 	c.markIncarnationDirty(w.Incarnation)
 	w.drained = c.drains[w.DataCentre] != nil
