--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -57,6 +57,8 @@
 	fleetMemory = 64000
 	// lateFor is how long the consequences of a fault of calls last: an order that got no answer is carried out after three seconds at most.
 	lateFor = 3 * time.Second
+	// fleetOffPool is the pool whose instances are switched off.
+	fleetOffPool = "spare"
 	// crashFor is the time from a crash until the next incarnation serves.
 	crashFor = 2500 * time.Millisecond
 )
@@ -153,7 +155,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.platform = &platformtest.Platform{
-		Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }, MapAddress: address, Lease: 6 * time.Second, ReuseIDs: seed%2 == 1,
+		Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }, MapAddress: address, Lease: 6 * time.Second, OffPool: fleetOffPool, ReuseIDs: seed%2 == 1,
 		TaskDuration: func(task string) time.Duration { return lasts[task[:2]] }, // 0 for lasting tasks
 		RunFails:     func(task, _ string) bool { return f.failsOnce(task) },
 	}
@@ -167,7 +169,7 @@
 	c.Assert(f.platform.Start(ctx), quicktest.IsNil)
 	defer f.platform.Stop()
 	defer cancel()
-	pools := [...]string{"p0", "p1", "p2", "p3", "spare"}
+	pools := [...]string{"p0", "p1", "p2", "p3", fleetOffPool}
 	for i := range *fleetWorkers {
 		f.platform.AddWorker(fmt.Sprint("m", i), pools[i%len(pools)], fleetCPU, fleetMemory)
 	}
@@ -217,7 +219,7 @@
 func (f *fleet) publish(pools []string) {
 	var routes, services []map[string]any
 	for _, p := range pools {
-		services = append(services, map[string]any{"Name": p, "AdmissionCheck": true})
+		services = append(services, map[string]any{"Name": p, "AdmissionCheck": true, "Headroom": p == fleetOffPool})
 	}
 	for _, q := range fleetQueues() {
 		routes = append(routes,
