pool: waves and moves leave the only worker of a waiting task alone

Cause: an inherited task that may start on one worker only waits while a wave or a move empties it: up to 2.5 s until its runs have ended, the time until the wave has a place for it, the maintenance and the return.

Change: a worker on which a task waits that can start nowhere else is given back if it is being emptied, and not taken for 1.5 s after the latest pass with such a task. A wave that has no time left takes it all the same.

--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -180,6 +180,9 @@
 		}
 		x := maintenance.Candidate{Name: m, Pool: c.machines[m].Pool, Drained: c.drains[c.machines[m].DataCentre] != nil}
 		if incarnation := c.listedWorkerOn(m); incarnation != nil {
+			if c.isNeeded(incarnation, now) && !noTimeLeft {
+				continue
+			}
 			if row.stalled[m] && incarnation.hasLasting() {
 				if retries || !c.canEmpty(incarnation, noTimeLeft, now) {
 					continue
--- a/pool/placing.go
+++ b/pool/placing.go
@@ -332,6 +332,9 @@
 		worker, wait := limits.limit(t)
 		t.ConfinedTo = worker
 		t.ReusesNumber = worker != "" && !limits.startsAgain(t, worker)
+		if worker != "" && limits.inherited(t) {
+			limits.session.noteOnlyPlace(worker, now)
+		}
 		t.BackingOff = wait || now.Before(t.NotBefore) || limits.held(t, worker)
 		if t.BackingOff {
 			held++
--- a/pool/session.go
+++ b/pool/session.go
@@ -108,7 +108,9 @@
 	startsSettled            map[*job.Task]bool
 	retiredIDs, orderableIDs map[string]bool
 	// offIDs holds the IDs whose last workers were on instances that are switched off now, see freeSwitchedOff.
-	offIDs           map[string]bool
+	offIDs map[string]bool
+	// neededUntil maps the IDs of workers on which tasks wait that can start nowhere else to the time until which they are not emptied.
+	neededUntil      map[string]time.Time
 	keptIncarnations map[string]bool
 	// departed holds, by instance, the ended incarnations whose IDs may be used again as far as is known.
 	departed map[string][]departedWorker
@@ -246,6 +248,7 @@
 		startsSettled:         make(map[*job.Task]bool),
 		retiredIDs:            make(map[string]bool),
 		offIDs:                make(map[string]bool),
+		neededUntil:           make(map[string]time.Time),
 		orderableIDs:          make(map[string]bool),
 		keptIncarnations:      make(map[string]bool),
 		departed:              make(map[string][]departedWorker),
--- a/pool/size.go
+++ b/pool/size.go
@@ -66,7 +66,7 @@
 			continue // it can't run new tasks
 		case w != nil:
 			x.Runs = len(w.runs)
-			x.Fixed = x.Fixed || !w.fullyListed || !w.listed || c.pool(w.Pool).load.unplaced[w.Incarnation]
+			x.Fixed = x.Fixed || !w.fullyListed || !w.listed || c.isNeeded(w, now) || c.pool(w.Pool).load.unplaced[w.Incarnation]
 			x.Lasting = w.candidate.Serving + w.candidate.Filling
 		case !c.config.Pools[x.Pool].Headroom && c.moves[name] == nil && m.State != MachineMoving:
 			// The instance is down, or has been unreachable for longer than its lease and its entry in the list lasted. Such instances must not
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -246,6 +246,7 @@
 	if c.inMode(modeOrphans) && !c.earlierStartsPossible(now) {
 		c.markAllDirty()
 	}
+	c.forgetNeeded(now)
 	if _, known := c.earlierStoppedBy(); known && now.After(c.earlierStartsEnd(now)) && len(c.uncertainIncarnations) == 0 {
 		clear(c.startsSettled)
 	}
