--- a/pool/lateretry_test.go
+++ b/pool/lateretry_test.go
@@ -23,19 +23,12 @@
 	b.report("w@9", 50, nil)
 	b.commitAll()
 	b.turn()
-	c.Assert(b.starts(), quicktest.DeepEquals, []string{"w@9"})
+	c.Assert(b.startedOn(), quicktest.DeepEquals, []string{"w@9"})
 	b.report("w@9", 1000, nil, work.EndedRun{Seq: 1, Task: taskName, Run: unstoredRun, Outcome: work.Failed})
 	c.Assert(b.task(0).Phase, quicktest.Equals, job.Waiting)
 	c.Assert(b.task(0).MayComeLate(b.now()), quicktest.IsTrue)
 }
 
-// starts returns the incarnations that were sent a start of the task so far.
-func (b *successorFixture) starts() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]string(nil), b.started...)
-}
-
 // turnsFor does what the control goroutine does for that long, with v answering.
 func (b *successorFixture) turnsFor(span time.Duration) {
 	for end := b.now().Add(span); b.now().Before(end); time.Sleep(tickInterval) {
@@ -52,12 +45,12 @@
 		b := newSuccessorFixture(c, jobWithTasks(1), 9)
 		b.failsLate(c)
 		b.turnsFor(stillLimit)
-		c.Assert(b.starts(), quicktest.DeepEquals, []string{"w@9", "w@9"})
+		c.Assert(b.startedOn(), quicktest.DeepEquals, []string{"w@9", "w@9"})
 		c.Assert(b.task(0).Run > unstoredRun, quicktest.IsTrue)
 		b.report("w@9", 9000, nil, work.EndedRun{Seq: 1, Task: taskName, Run: unstoredRun, Outcome: work.Failed}, work.EndedRun{Seq: 2, Task: taskName, Run: b.task(0).Run, Outcome: work.Failed})
 		c.Assert(b.task(0).MayComeLate(b.now()), quicktest.IsTrue, quicktest.Commentf("the copy of the first start"))
 		b.turnsFor(stillLimit)
-		c.Assert(b.starts(), quicktest.DeepEquals, []string{"w@9", "w@9", "w@9"})
+		c.Assert(b.startedOn(), quicktest.DeepEquals, []string{"w@9", "w@9", "w@9"})
 	})
 }
 
@@ -84,7 +77,7 @@
 				b.turn()
 				b.commitAll()
 				b.settles()
-				c.Assert(b.starts(), quicktest.HasLen, 2)
+				c.Assert(b.startedOn(), quicktest.HasLen, 2)
 				b.answerAsOtherIncarnation("w@9", 4)
 				b.list("w", 4)
 				for end := b.now().Add(stillLimit); b.now().Before(end); time.Sleep(tickInterval) {
@@ -92,7 +85,7 @@
 					b.commitAll()
 					b.turn()
 				}
-				c.Assert(b.starts(), quicktest.HasLen, 2, quicktest.Commentf("the task is started beside its copy"))
+				c.Assert(b.startedOn(), quicktest.HasLen, 2, quicktest.Commentf("the task is started beside its copy"))
 			})
 		})
 	}
@@ -116,7 +109,7 @@
 				b.failsLate(c)
 				x.event(b)
 				b.turnsFor(time.Second)
-				c.Assert(b.starts(), quicktest.HasLen, 1)
+				c.Assert(b.startedOn(), quicktest.HasLen, 1)
 			})
 		})
 	}
@@ -138,6 +131,6 @@
 			b.commitAll()
 			b.turn()
 		}
-		c.Assert(b.starts(), quicktest.HasLen, 0, quicktest.Commentf("the task is started beside its copy"))
+		c.Assert(b.startedOn(), quicktest.HasLen, 0, quicktest.Commentf("the task is started beside its copy"))
 	})
 }
--- a/pool/onlyplace_test.go
+++ b/pool/onlyplace_test.go
@@ -42,7 +42,7 @@
 				x.empties(b)
 				c.Assert(b.workers["w@9"].beingEmptied, quicktest.IsTrue)
 				b.turnsFor(stillLimit)
-				c.Assert(b.starts(), quicktest.DeepEquals, []string{"w@9"})
+				c.Assert(b.startedOn(), quicktest.DeepEquals, []string{"w@9"})
 			})
 		})
 	}
--- a/pool/retiredid_test.go
+++ b/pool/retiredid_test.go
@@ -150,7 +150,7 @@
 				b.failsLate(c)
 				b.workers["w@9"].beingEmptied = true // the task can't start there again
 				b.turnsFor(time.Second)
-				c.Assert(b.starts(), quicktest.HasLen, 1)
+				c.Assert(b.startedOn(), quicktest.HasLen, 1)
 				x.ends(b)
 				b.commitAll()
 				b.startsElsewhere(c)
