pool: the IDs of switched-off instances are kept only while a start may come

Cause: each instance that was switched off left its worker's ID in a table of the leader, for the rest of its term, also where nothing waits for it.

Change: an ID is recorded only if a start may still be carried out under it.

Result: TestIDsOfSwitchedOffInstancesAreForgotten fails without the change.

--- a/pool/switchedoff.go
+++ b/pool/switchedoff.go
@@ -8,8 +8,9 @@
 	"rackstep.dev/job"
 )
 
-// An instance in a headroom pool is switched off: it has no worker that could carry out a start. Only this leader switches it on again. So tasks that wait for the ID of its last worker, because
-// a start may still be carried out there, are free as soon as it is off, and it stays off until no such start is left. The platform could give its next worker the same ID.
+// An instance in a headroom pool is switched off: it has no worker that could carry out a start. Only the leader switches it on again. So tasks that wait for the ID of its
+// last worker, because a start may still be carried out there, are free as soon as it is off, and it stays off until no such start is left. The platform could give its next
+// worker the same ID.
 
 // freeSwitchedOff frees the tasks that wait for IDs of ended incarnations whose instances are switched off.
 func (c *session) freeSwitchedOff(now time.Time) {
@@ -43,6 +44,9 @@
 			until = t.LateUntil
 		}
 	}
+	if !until.After(now) {
+		return // nothing waits for the ID
+	}
 	c.offIDs[d.id] = true
 	c.clearLateOf(d.late)
 	if until.After(c.unmovable[machine]) {
--- a/pool/switchedoff_test.go
+++ b/pool/switchedoff_test.go
@@ -71,3 +71,17 @@
 		c.Assert(b.task(0).Worker, quicktest.Equals, "w@4")
 	})
 }
+
+// TestIDsOfSwitchedOffInstancesAreForgotten guards against a table that grows with each instance that is switched off, although nothing waits for its ID.
+func TestIDsOfSwitchedOffInstancesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		b := newSuccessorFixture(c, jobWithTasks(1), 9)
+		b.report("v@9", 50, nil)
+		b.report("w@9", 50, nil)
+		time.Sleep(b.earlierStartsEnd(b.now()).Sub(b.now()) + time.Second)
+		b.switchesOff()
+		c.Assert(b.offIDs, quicktest.HasLen, 0)
+		c.Assert(b.immovable("m-w", b.now()), quicktest.IsFalse)
+	})
+}
