--- a/pool/waitlog.go
+++ b/pool/waitlog.go
@@ -87,8 +87,11 @@
 		t.Job.Spec.Queue, g.queue.waiting[x.reason], g.queue.running, g.pool.name, g.room.usable.free.MilliCPU, g.room.usable.free.MemoryMB, g.room.usable.count(g.Group, maxCountedFits), s.detail(g, t, x.reason))
 }
 
-// jobAge returns the time since a job was accepted, by the clocks of the entry that accepted it and of this one.
+// jobAge returns the time since a job was accepted, by the clocks of the entry that accepted it and of this one, or 0 if that entry did not record it.
 func jobAge(j *job.Job) time.Duration {
+	if j.Spec.Taken == 0 {
+		return 0
+	}
 	return wallClock().Sub(j.Spec.Taken.Time()).Round(time.Millisecond)
 }
 
