--- a/pool/onlyplace.go
+++ b/pool/onlyplace.go
@@ -2,16 +2,13 @@
 
 package pool
 
-import (
-	"time"
+import "time"
 
-	"rackstep.dev/event"
-)
+// While starts of an earlier leader may be carried out, an inherited task may start on one worker only. Waves and moves leave such a worker alone while the task waits:
+// emptying it would keep the task waiting until the instance is back, although other workers are idle.
 
-// While starts of an earlier leader may be carried out, an inherited task may start on one worker only. Waves and moves leave such a worker alone while the task waits: emptying it would keep the task
-// waiting until the instance is back, although other workers are idle.
-
-// neededFor is how long a worker is left alone after a placement pass in which a task could start nowhere else. The passes over a pool with waiting tasks are at most maxPassInterval apart.
+// neededFor is how long a worker is left alone after a placement pass in which a task could start nowhere else. The passes over a pool with waiting tasks are at most
+// maxPassInterval apart.
 const neededFor = maxPassInterval + 500*time.Millisecond
 
 // noteOnlyPlace records that a waiting task can start on no other worker than those with the ID, and gives back their instances if they are being emptied.
@@ -43,9 +40,7 @@
 		if s == nil || s.mayBeAway() || s.noTimeLeft || row.requested[w.Machine] {
 			continue
 		}
-		delete(row.steps, w.Machine)
-		c.reopen(w.Incarnation)
-		c.emit(event.UpkeepPostponed, event.Subject{Instance: w.Machine}, "wave=%d runs=%d why=%q", row.Number, len(w.runs), "a task can start nowhere else")
+		c.giveBack(row, w.Machine, w, "a task can start nowhere else")
 	}
 	if s := c.moves[w.Machine]; s != nil && !s.inFlight && !s.moved && s.notBefore.IsZero() {
 		c.postponeMove(w.Machine, s)
--- a/pool/startlimits.go
+++ b/pool/startlimits.go
@@ -158,10 +158,11 @@
 	return worker
 }
 
-// limitEnded returns the ID of the worker on which a task may start again under a new number although a start of an earlier run may still be carried out, or an empty string if it must wait.
+// limitEnded returns the ID of the worker on which a task may start again under a new number although a start of an earlier run may still be carried out, or an empty string
+// if it must wait.
 //
-// The incarnation that has listed the end of a run refuses that run's starts. A later one under the ID can carry them out, but only once this incarnation, and the new run with it, has ended.
-// The new start could then be carried out beside them if it was held up as well, so the worker must have answered all starts lately.
+// The incarnation that has listed the end of a run refuses that run's starts. A later one under the ID can carry them out, but only once this incarnation, and the new run with
+// it, has ended. The new start could then be carried out beside them if it was held up as well, so the worker must have answered all starts lately.
 func (l *startLimits) limitEnded(t *job.Task) string {
 	w := l.session.workers[t.EndedOn]
 	switch {
--- a/pool/wavestall.go
+++ b/pool/wavestall.go
@@ -52,11 +52,16 @@
 	}
 }
 
-// release gives an instance back that has been taken out for the wave.
+// release gives an instance back that has been taken out for the wave and makes no progress.
 func (c *session) release(row *waveState, machine string, w *worker, why string) {
+	row.stalled[machine] = true
+	c.giveBack(row, machine, w, why)
+}
+
+// giveBack gives an instance back that has been taken out for the wave.
+func (c *session) giveBack(row *waveState, machine string, w *worker, why string) {
 	delete(row.steps, machine)
 	c.reopen(w.Incarnation)
-	row.stalled[machine] = true
 	c.emit(event.UpkeepPostponed, event.Subject{Instance: machine}, "wave=%d runs=%d why=%q", row.Number, len(w.runs), why)
 }
 
