--- a/pool/lateretry_test.go
+++ b/pool/lateretry_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// TestATaskThatFailedStartsAgainOnItsWorkerWhileAnEarlierStartMayComeLate guards against a job that has nothing running for up to 15 s beside free capacity after a takeover.
+// TestATaskThatFailedStartsAgainOnItsWorkerWhileAnEarlierStartMayComeLate guards against a job with nothing running for 15 s after a takeover.
 func TestATaskThatFailedStartsAgainOnItsWorkerWhileAnEarlierStartMayComeLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
@@ -54,7 +54,7 @@
 	})
 }
 
-// TestACopyOfAnEarlierStartRunsAlone guards against a task that runs twice: the worker of its second run ends, and the next incarnation carries out a copy of the first start.
+// TestACopyOfAnEarlierStartRunsAlone guards against a task that runs twice: its second run is lost with its worker, and a copy of the first start comes.
 func TestACopyOfAnEarlierStartRunsAlone(t *testing.T) {
 	for _, x := range [...]struct {
 		name       string
@@ -91,7 +91,7 @@
 	}
 }
 
-// TestATaskThatFailedWaitsWhereItsWorkerCantTakeItAgain guards against a start beside a copy of an earlier one, and against attempts that are used up on a worker that fails every task.
+// TestATaskThatFailedWaitsWhereItsWorkerCantTakeItAgain guards against a start beside a late copy, and against attempts used up on a faulty worker.
 func TestATaskThatFailedWaitsWhereItsWorkerCantTakeItAgain(t *testing.T) {
 	for _, x := range [...]struct {
 		name  string
@@ -115,7 +115,7 @@
 	}
 }
 
-// TestAStoredRunIsNotSentAgainBesideACopyOfAnEarlierStart guards against the same under the next leader, which looks for the second run at the worker's next incarnation.
+// TestAStoredRunIsNotSentAgainBesideACopyOfAnEarlierStart guards against the same under the next leader, which looks for the second run.
 func TestAStoredRunIsNotSentAgainBesideACopyOfAnEarlierStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
--- a/pool/onlyplace_test.go
+++ b/pool/onlyplace_test.go
@@ -15,7 +15,7 @@
 	"rackstep.dev/maintenance"
 )
 
-// TestATaskThatCanStartNowhereElseGetsItsWorkerBack guards against a task that waits for over 3 s because a wave or a move empties the only worker on which it may start.
+// TestATaskThatCanStartNowhereElseGetsItsWorkerBack guards against a task that waits until its only worker has been moved or maintained.
 func TestATaskThatCanStartNowhereElseGetsItsWorkerBack(t *testing.T) {
 	for _, x := range [...]struct {
 		name    string
--- a/pool/retiredid_test.go
+++ b/pool/retiredid_test.go
@@ -60,8 +60,7 @@
 	})
 }
 
-// TestAnInheritedTaskIsFreeOnceItsWorkersInstanceIsBackAfterATakeover guards against a task that waits for lateMax because the leader that ended the incarnation w@9, and knew its instance, is lost
-// before the instance answers as x.
+// TestAnInheritedTaskIsFreeOnceItsWorkersInstanceIsBackAfterATakeover guards against a wait for an ID whose instance only a lost leader knew.
 func TestAnInheritedTaskIsFreeOnceItsWorkersInstanceIsBackAfterATakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
@@ -81,7 +80,7 @@
 	})
 }
 
-// TestAnEndedIncarnationsInstanceIsRememberedOverTwoTakeovers guards against the same wait where the leader after that is lost as well.
+// TestAnEndedIncarnationsInstanceIsRememberedOverTwoTakeovers guards against the same where the next leader is lost too.
 func TestAnEndedIncarnationsInstanceIsRememberedOverTwoTakeovers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
@@ -131,7 +130,7 @@
 	})
 }
 
-// TestATaskThatFailedIsFreeOnceItsWorkersInstanceHasMoved guards against a task that waits for lateMax beside free capacity: its run has ended on a worker under whose ID no copy of its start can come any more.
+// TestATaskThatFailedIsFreeOnceItsWorkersInstanceHasMoved guards against a wait for a worker ID that no incarnation will have any more.
 func TestATaskThatFailedIsFreeOnceItsWorkersInstanceHasMoved(t *testing.T) {
 	for _, x := range [...]struct {
 		name string
--- a/pool/switchedoff_test.go
+++ b/pool/switchedoff_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// TestATaskWaitsForTheWorkerOfAnInstanceThatWasSwitchedOnUnderItsID guards against a task that runs twice: the instance is on again, with the ID w, before the tasks that wait for w are looked at.
+// TestATaskWaitsForTheWorkerOfAnInstanceThatWasSwitchedOnUnderItsID guards against a task that runs twice: a late list shows the instance as off.
 func TestATaskWaitsForTheWorkerOfAnInstanceThatWasSwitchedOnUnderItsID(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
--- a/pool/unstoredlate_test.go
+++ b/pool/unstoredlate_test.go
@@ -161,8 +161,7 @@
 	}
 }
 
-// Guards against a task that runs twice because it is started again, on the worker where its run has failed, while a start of the leader before may still be carried out: starts of both leaders are
-// held up, and the worker crashes.
+// Guards against a task that runs twice: it starts again where its run has failed, starts of both leaders are held up, and the worker crashes.
 func TestTasksThatFailAfterAnOutageStartOnce(t *testing.T) {
 	for i := range *outageHistories {
 		runOutageHistoryOf(t, *outageFirst+uint64(i), 500*time.Millisecond, func(h *history, seed uint64) []*entry {
